--- a/crates/cli/src/measure/capacity.rs
+++ b/crates/cli/src/measure/capacity.rs
@@ -89,6 +89,7 @@
                 index: 1_000_000,
             },
             entries: Vec::new(),
+            round: 1,
             commit: 1_000_000,
         },
     };
--- a/crates/core/src/process/control/elect.rs
+++ b/crates/core/src/process/control/elect.rs
@@ -49,8 +49,9 @@
         if !granted || term != self.hard.term + 1 {
             return;
         }
+        let is_voter = self.members.contains(&from);
         if let ReplicaRole::PreCandidate(granted) = &mut self.role {
-            if !granted.contains(&from) {
+            if is_voter && !granted.contains(&from) {
                 granted.push(from);
             }
             self.stand_if_wanted(now, out);
@@ -64,6 +65,11 @@
         if granted.len() < self.quorum() {
             return;
         }
+        self.stand(now, out);
+    }
+
+    /// Stands for election.
+    pub(super) fn stand(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
         self.hard = HardState {
             term: self.hard.term + 1,
             vote: Some(self.id),
@@ -120,8 +126,9 @@
         if !granted || term != self.hard.term {
             return;
         }
+        let is_voter = self.members.contains(&from);
         if let ReplicaRole::Candidate(votes) = &mut self.role {
-            if !votes.contains(&from) {
+            if is_voter && !votes.contains(&from) {
                 votes.push(from);
             }
             self.lead_if_elected(now, out);
@@ -135,17 +142,9 @@
         if votes.len() < self.quorum() {
             return;
         }
-        let next = self.log.last().index + 1;
         let others = self.members.iter().filter(|member| **member != self.id);
         let peers: BTreeMap<ReplicaId, PeerProgress> = others
-            .map(|member| {
-                let progress = PeerProgress {
-                    matched: 0,
-                    next,
-                    heard: now,
-                };
-                (*member, progress)
-            })
+            .map(|member| (*member, self.new_progress(now)))
             .collect();
         self.role = ReplicaRole::Leader(peers);
         self.leader = Some(self.id);
@@ -165,15 +164,27 @@
             return;
         };
         let patience = self.timing.election * 2;
-        let heard = peers.values().filter(|peer| now < peer.heard + patience);
-        if heard.count() + 1 < self.quorum() {
+        let voters = peers.iter().filter(|(peer, _)| self.members.contains(peer));
+        let heard = voters.filter(|(_, peer)| now < peer.heard + patience);
+        if heard.count() + usize::from(self.is_voter()) < self.quorum() {
             self.leader = None;
             self.step_down(self.hard.term, out);
             return self.reset_election(now);
         }
+        self.mend_group(now, out);
         self.send_all(now, out);
     }
 
+    /// Returns what a leader knows of a replica at first.
+    pub(super) fn new_progress(&self, now: Duration) -> PeerProgress {
+        PeerProgress {
+            matched: 0,
+            next: self.log.last().index + 1,
+            heard: now,
+            round: 0,
+        }
+    }
+
     /// Takes note of a leader. Returns false if it is an old one.
     pub(super) fn follow(
         &mut self,
@@ -189,6 +200,7 @@
                     term: self.hard.term,
                     fitted: false,
                     index: 0,
+                    round: 0,
                 },
             });
             return false;
--- a/crates/core/src/process/control/message.rs
+++ b/crates/core/src/process/control/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::process::control::log::{HardState, LogEntry, LogPlace, ReplicaId};
-use crate::process::control::state::{CommandOutcome, ControlCommand, ControlState};
+use crate::process::control::state::{CommandOutcome, ControlCommand, ControlState, MemberRecord};
 
 /// A message between replicas.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,6 +49,8 @@
         entries: Vec<LogEntry>,
         /// The leader's commit index.
         commit: u64,
+        /// Number of the round of heartbeats; the answer repeats it.
+        round: u64,
     },
     /// The answer to [`ReplicaMessage::Append`] and
     /// [`ReplicaMessage::Snapshot`].
@@ -59,6 +61,13 @@
         fitted: bool,
         /// Last index known to match, or where to try next.
         index: u64,
+        /// The round it answers.
+        round: u64,
+    },
+    /// Stand for election at once: the leader is leaving.
+    Lead {
+        /// The leader's term.
+        term: u64,
     },
     /// The whole state, for a follower whose next entry is compacted away.
     Snapshot {
@@ -90,6 +99,17 @@
         /// The command.
         command: ControlCommand,
     },
+    /// Somebody here asks whether the state is the newest.
+    Read {
+        /// The driver's name for it.
+        tag: u64,
+    },
+    /// A replica without a vote asks to be kept up to date.
+    Learner(MemberRecord),
+    /// This replica, which holds nothing, founds the group.
+    Found(MemberRecord),
+    /// This replica is leaving for a while: another should lead.
+    HandOver,
 }
 
 /// What becomes of a proposal.
@@ -140,7 +160,7 @@
         /// What became of it.
         end: ProposalEnd,
     },
-    /// The state changed: a version came in force.
+    /// The state changed: a version came in force, or the replicas are others.
     Changed,
     /// The role changed.
     Role {
--- a/crates/core/src/process/control/mod.rs
+++ b/crates/core/src/process/control/mod.rs
@@ -7,7 +7,9 @@
 mod elect;
 pub mod fence;
 pub mod log;
+mod members;
 pub mod message;
+mod read;
 pub mod replica;
 mod replicate;
 pub mod state;
--- a/crates/core/src/process/control/replica.rs
+++ b/crates/core/src/process/control/replica.rs
@@ -10,7 +10,8 @@
 use crate::process::control::message::{
     ProposalEnd, ReplicaAction, ReplicaInput, ReplicaMessage, ReplicaTiming,
 };
-use crate::process::control::state::{ControlCommand, ControlState};
+use crate::process::control::read::PendingRead;
+use crate::process::control::state::{ControlCommand, ControlState, MemberRecord};
 
 /// Entries after which the log is compacted into a snapshot.
 pub const COMPACT_AFTER: usize = 256;
@@ -27,6 +28,12 @@
     pub up_to_date: bool,
     /// A majority commits, not fewer.
     pub majority: bool,
+    /// A learner has no vote and does not count.
+    pub learners_apart: bool,
+    /// The replicas change one at a time.
+    pub one_change: bool,
+    /// A read is confirmed by a quorum.
+    pub confirmed_reads: bool,
 }
 
 impl Default for ReplicaRules {
@@ -36,6 +43,9 @@
             one_vote: true,
             up_to_date: true,
             majority: true,
+            learners_apart: true,
+            one_change: true,
+            confirmed_reads: true,
         }
     }
 }
@@ -45,8 +55,12 @@
 pub struct ReplicaStart {
     /// Its identity.
     pub id: ReplicaId,
-    /// All replicas, this one among them.
+    /// All replicas, this one among them, for a group that does not keep them
+    /// in its log.
     pub members: Vec<ReplicaId>,
+    /// Replicas that a group which keeps them in its log should have; 0 for
+    /// one that never changes.
+    pub size: usize,
     /// Its hard state.
     pub hard: HardState,
     /// Its snapshot, and the last entry that includes.
@@ -80,6 +94,8 @@
     pub(super) matched: u64,
     pub(super) next: u64,
     pub(super) heard: Duration,
+    /// Last round of heartbeats it answered.
+    pub(super) round: u64,
 }
 
 /// One replica.
@@ -87,6 +103,16 @@
 pub struct ReplicaMachine {
     pub(super) id: ReplicaId,
     pub(super) members: Vec<ReplicaId>,
+    /// Replicas that the start named.
+    pub(super) named: Vec<ReplicaId>,
+    /// The replicas, where the log keeps them, and the index that says so.
+    pub(super) records: Vec<MemberRecord>,
+    pub(super) records_index: u64,
+    pub(super) size: usize,
+    /// Replicas without a vote that are kept up to date.
+    pub(super) learners: BTreeMap<ReplicaId, MemberRecord>,
+    pub(super) round: u64,
+    pub(super) reads: Vec<PendingRead>,
     pub(super) timing: ReplicaTiming,
     pub(super) rules: ReplicaRules,
     pub(super) rng: SmallRng,
@@ -110,7 +136,14 @@
         let (place, state) = start.snapshot;
         let mut replica = ReplicaMachine {
             id: start.id,
-            members: start.members,
+            members: start.members.clone(),
+            named: start.members,
+            records: Vec::new(),
+            records_index: 0,
+            size: start.size,
+            learners: BTreeMap::new(),
+            round: 0,
+            reads: Vec::new(),
             timing: start.timing,
             rules: start.rules,
             rng: SmallRng::seed_from_u64(start.seed),
@@ -129,6 +162,7 @@
         replica.reset_election(now);
         replica.commit = start.commit.clamp(place.index, replica.log.last().index);
         replica.replay();
+        replica.find_members();
         replica
     }
 
@@ -149,6 +183,10 @@
             ReplicaInput::Wake => {}
             ReplicaInput::Message { from, message } => self.take(from, message, now, out),
             ReplicaInput::Propose { tag, command } => self.propose(tag, command, now, out),
+            ReplicaInput::Read { tag } => self.read(tag, now, out),
+            ReplicaInput::Learner(record) => self.take_learner(record, now),
+            ReplicaInput::Found(record) => self.found(record, out),
+            ReplicaInput::HandOver => self.hand_over(now, out),
         }
         self.run_timers(now, out);
     }
@@ -203,8 +241,10 @@
         now: Duration,
         out: &mut Vec<ReplicaAction>,
     ) {
-        // Somebody who is not a member has no say, whatever it claims.
-        if !self.members.contains(&from) {
+        // Somebody who is not a member has no say, whatever it claims; but
+        // where the log keeps the members, it may know more of them than this
+        // replica does, and the log itself decides.
+        if self.size == 0 && !self.members.contains(&from) {
             return;
         }
         match message {
@@ -223,16 +263,27 @@
                 previous,
                 entries,
                 commit,
+                round,
             } => {
                 if self.follow(from, term, now, out) {
-                    self.append(from, previous, entries, commit, out);
+                    let index = self.append(previous, entries, commit, out);
+                    self.answer_append(from, index, round, out);
+                }
+            }
+            ReplicaMessage::Lead { term } => {
+                if term == self.hard.term && self.is_voter() {
+                    self.stand(now, out);
                 }
             }
             ReplicaMessage::Appended {
                 term,
                 fitted,
                 index,
-            } => self.appended(from, term, fitted, index, now, out),
+                round,
+            } => {
+                let index = if fitted { Ok(index) } else { Err(index) };
+                self.appended(from, term, index, round, now, out);
+            }
             ReplicaMessage::Snapshot { term, place, state } => {
                 if self.follow(from, term, now, out) {
                     self.install(from, place, *state, out);
@@ -247,7 +298,11 @@
                 self.lead_on(now, out);
             }
         } else if now >= self.election_at {
-            self.ask_pre_votes(now, out);
+            if self.is_voter() {
+                self.ask_pre_votes(now, out);
+            } else {
+                self.reset_election(now);
+            }
         }
     }
 
@@ -280,6 +335,7 @@
             self.drop_proposals(out);
         }
         self.role = ReplicaRole::Follower;
+        self.learners.clear();
     }
 
     fn drop_proposals(&mut self, out: &mut Vec<ReplicaAction>) {
@@ -289,6 +345,12 @@
                 end: ProposalEnd::Unknown,
             });
         }
+        for read in std::mem::take(&mut self.reads) {
+            out.push(ReplicaAction::End {
+                tag: read.tag,
+                end: ProposalEnd::Unknown,
+            });
+        }
     }
 
     fn propose(
@@ -323,13 +385,24 @@
         };
         let index = entry.index;
         out.push(ReplicaAction::KeepEntry(entry.clone()));
-        self.log.push(entry);
+        self.push_entry(entry);
         index
     }
 
+    /// Adds an entry to the log; one that names the replicas is in force from
+    /// now on.
+    pub(super) fn push_entry(&mut self, entry: LogEntry) {
+        let names_members = matches!(entry.command, ControlCommand::Members { .. });
+        self.log.push(entry);
+        if names_members {
+            self.find_members();
+        }
+    }
+
     /// Applies what is committed, ends its proposals, and compacts the log.
     pub(super) fn apply_committed(&mut self, out: &mut Vec<ReplicaAction>) {
-        let before = self.state.version();
+        let before = (self.state.version(), self.state.route_version());
+        let mut members_changed = false;
         while self.applied < self.commit {
             let index = self.applied + 1;
             let Some(entry) = self.log.get(index) else {
@@ -337,6 +410,7 @@
             };
             let outcome = self.state.apply(&entry.command);
             let term = entry.term;
+            members_changed |= matches!(entry.command, ControlCommand::Members { .. });
             self.applied = index;
             if let Some((tag, proposed)) = self.proposals.remove(&index) {
                 let end = if proposed == term {
@@ -347,7 +421,8 @@
                 out.push(ReplicaAction::End { tag, end });
             }
         }
-        if self.state.version() != before {
+        let after = (self.state.version(), self.state.route_version());
+        if after != before || members_changed {
             out.push(ReplicaAction::KeepCommit(self.applied));
             out.push(ReplicaAction::Changed);
         }
--- a/crates/core/src/process/control/replicate.rs
+++ b/crates/core/src/process/control/replicate.rs
@@ -59,47 +59,50 @@
                 },
                 entries,
                 commit: self.commit,
+                round: self.round,
             },
         });
     }
 
-    /// Takes a leader's entries, if they fit onto the log.
+    /// Takes a leader's entries, if they fit onto the log. Returns the last
+    /// index known to match, or where to try next.
     pub(super) fn append(
         &mut self,
-        from: ReplicaId,
         previous: LogPlace,
         entries: Vec<LogEntry>,
         commit: u64,
         out: &mut Vec<ReplicaAction>,
-    ) {
+    ) -> Result<u64, u64> {
         if previous.index < self.log.base().index {
             // What the snapshot includes is committed and matches.
-            let index = self.log.base().index;
-            return self.answer_append(from, true, index, out);
+            return Ok(self.log.base().index);
         }
         if self.log.term_at(previous.index) != Some(previous.term) {
             let hint = previous.index.min(self.log.last().index + 1);
-            return self.answer_append(from, false, hint.saturating_sub(1), out);
+            return Err(hint.saturating_sub(1));
         }
         let last = previous.index + entries.len() as u64;
         for entry in entries {
             self.take_entry(entry, out);
         }
-        self.answer_append(from, true, last, out);
         if commit.min(last) > self.commit {
             self.commit = commit.min(last);
             self.apply_committed(out);
         }
+        Ok(last)
     }
 
     fn take_entry(&mut self, entry: LogEntry, out: &mut Vec<ReplicaAction>) {
         match self.log.term_at(entry.index) {
             Some(term) if term == entry.term => return,
-            Some(_) => self.log.truncate(entry.index),
+            Some(_) => {
+                self.log.truncate(entry.index);
+                self.find_members();
+            }
             None => {}
         }
         out.push(ReplicaAction::KeepEntry(entry.clone()));
-        self.log.push(entry);
+        self.push_entry(entry);
     }
 
     /// Takes a leader's whole state, if it is ahead of the own one.
@@ -115,6 +118,7 @@
             self.state = state;
             self.commit = place.index;
             self.applied = place.index;
+            self.find_members();
             out.push(ReplicaAction::KeepSnapshot {
                 place,
                 state: Box::new(self.state.clone()),
@@ -122,16 +126,25 @@
             });
             out.push(ReplicaAction::Changed);
         }
-        self.answer_append(from, true, place.index, out);
+        self.answer_append(from, Ok(place.index), 0, out);
     }
 
-    fn answer_append(&self, to: ReplicaId, fitted: bool, index: u64, out: &mut Vec<ReplicaAction>) {
+    pub(super) fn answer_append(
+        &self,
+        to: ReplicaId,
+        index: Result<u64, u64>,
+        round: u64,
+        out: &mut Vec<ReplicaAction>,
+    ) {
+        let fitted = index.is_ok();
+        let (Ok(index) | Err(index)) = index;
         out.push(ReplicaAction::Send {
             to,
             message: ReplicaMessage::Appended {
                 term: self.hard.term,
                 fitted,
                 index,
+                round,
             },
         });
     }
@@ -140,8 +153,8 @@
         &mut self,
         from: ReplicaId,
         term: u64,
-        fitted: bool,
-        index: u64,
+        index: Result<u64, u64>,
+        round: u64,
         now: Duration,
         out: &mut Vec<ReplicaAction>,
     ) {
@@ -159,14 +172,17 @@
             return;
         };
         progress.heard = now;
-        if fitted {
-            progress.matched = progress.matched.max(index.min(last));
-            progress.next = progress.next.max(progress.matched + 1);
-        } else {
-            progress.next = (index + 1).max(progress.matched + 1);
+        progress.round = progress.round.max(round);
+        match index {
+            Ok(index) => {
+                progress.matched = progress.matched.max(index.min(last));
+                progress.next = progress.next.max(progress.matched + 1);
+            }
+            Err(index) => progress.next = (index + 1).max(progress.matched + 1),
         }
         let lacks = progress.next <= last;
         self.advance_commit(out);
+        self.confirm_reads(out);
         if lacks {
             self.send_entries(from, out);
         }
@@ -177,8 +193,16 @@
         let ReplicaRole::Leader(peers) = &self.role else {
             return;
         };
-        let mut held: Vec<u64> = peers.values().map(|peer| peer.matched).collect();
-        held.push(self.log.last().index);
+        let voters = peers
+            .iter()
+            .filter(|(peer, _)| !self.rules.learners_apart || self.members.contains(peer));
+        let mut held: Vec<u64> = voters.map(|(_, peer)| peer.matched).collect();
+        if self.is_voter() {
+            held.push(self.log.last().index);
+        }
+        if held.len() < self.quorum() {
+            return;
+        }
         held.sort_unstable();
         let index = held[held.len() - self.quorum()];
         let is_own = self.log.term_at(index) == Some(self.hard.term);
@@ -186,5 +210,9 @@
             self.commit = index;
             self.apply_committed(out);
         }
+        if !self.is_voter() && self.records_index <= self.commit {
+            // It was taken out of the group, and that is decided.
+            self.step_down(self.hard.term, out);
+        }
     }
 }
--- a/crates/core/src/process/control/state.rs
+++ b/crates/core/src/process/control/state.rs
@@ -2,10 +2,12 @@
 //! changes. The same entries give the same state on every replica.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use crate::process::control::fence::{ClaimBook, ClaimEnd, ClaimOutcome, ClaimRequest};
+use crate::process::control::log::ReplicaId;
 
 /// Outcomes of changes that are kept, so that a resent change gets its first
 /// outcome. At 410 changes a day this is more than three weeks.
@@ -29,6 +31,23 @@
         /// The whole new table as CSV, without findings.
         csv: String,
     },
+    /// A change of the route table.
+    Route {
+        /// Its version.
+        version: u64,
+        /// Version it must be based on, if the operator says so; without, the
+        /// highest version wins.
+        base: Option<u64>,
+        /// The whole document, checked before.
+        text: Vec<u8>,
+    },
+    /// Who the replicas are; in force as soon as it is in a replica's log.
+    Members {
+        /// All that vote.
+        members: Vec<MemberRecord>,
+        /// Whether the group has the size it needs.
+        is_whole: bool,
+    },
     /// A claim on an idempotency key.
     Claim(ClaimRequest),
     /// The end of a claim; `None` if the request is known not to have run.
@@ -51,6 +70,30 @@
     Change(ChangeOutcome),
     /// The answer to a claim.
     Claim(ClaimOutcome),
+    /// What came of a change of the route table.
+    Route(RouteOutcome),
+}
+
+/// What came of a change of the route table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RouteOutcome {
+    /// It is in force.
+    Accepted,
+    /// This version, not a lower one, was in force already; nothing changed.
+    Overtaken(u64),
+    /// It was based on another version than this, which is in force.
+    Conflict(u64),
+}
+
+/// A replica of the control group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Its identity.
+    pub id: ReplicaId,
+    /// Name of its instance.
+    pub instance: Box<str>,
+    /// Where other instances reach it.
+    pub address: SocketAddr,
 }
 
 /// What came of a change.
@@ -83,6 +126,10 @@
     outcomes: BTreeMap<String, ChangeOutcome>,
     order: VecDeque<String>,
     claims: ClaimBook,
+    route_version: u64,
+    route_text: Vec<u8>,
+    members: Vec<MemberRecord>,
+    is_founded: bool,
 }
 
 impl ControlState {
@@ -96,6 +143,16 @@
                 note,
                 csv,
             } => CommandOutcome::Change(self.change(change, *base, note, csv)),
+            ControlCommand::Route {
+                version,
+                base,
+                text,
+            } => CommandOutcome::Route(self.route(*version, *base, text)),
+            ControlCommand::Members { members, is_whole } => {
+                self.members.clone_from(members);
+                self.is_founded |= is_whole;
+                CommandOutcome::Done
+            }
             ControlCommand::Claim(request) => CommandOutcome::Claim(self.claims.claim(request)),
             ControlCommand::EndClaim { key, claimant, end } => {
                 self.claims.end(key, *claimant, end.clone());
@@ -104,6 +161,38 @@
         }
     }
 
+    fn route(&mut self, version: u64, base: Option<u64>, text: &[u8]) -> RouteOutcome {
+        if base.is_some_and(|base| base != self.route_version) {
+            return RouteOutcome::Conflict(self.route_version);
+        }
+        if version <= self.route_version {
+            return RouteOutcome::Overtaken(self.route_version);
+        }
+        self.route_version = version;
+        self.route_text = text.to_vec();
+        RouteOutcome::Accepted
+    }
+
+    /// Returns the version of the route table; 0 before the first.
+    pub fn route_version(&self) -> u64 {
+        self.route_version
+    }
+
+    /// Returns the route table as it was sent.
+    pub fn route_text(&self) -> &[u8] {
+        &self.route_text
+    }
+
+    /// Returns the replicas, if the group keeps them in its log.
+    pub fn members(&self) -> &[MemberRecord] {
+        &self.members
+    }
+
+    /// Tells whether the group ever had the size it needs.
+    pub fn is_founded(&self) -> bool {
+        self.is_founded
+    }
+
     /// Returns the claims.
     pub fn claims(&self) -> &ClaimBook {
         &self.claims
--- /dev/null
+++ b/crates/core/src/process/forward/answer.rs
@@ -0,0 +1,190 @@
+//! What the forward machine asks its driver to do.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::arena::{ServerKey, SlotKey};
+use crate::process::forward::input::ServerAnswer;
+use crate::process::input::CallTag;
+
+/// Why a request got no server's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ForwardFailure {
+    /// No table is in force here yet.
+    NoTable,
+    /// No route matches.
+    NoRoute,
+    /// No server can take it; it has not run.
+    NoServer,
+    /// There is too much work; it has not run.
+    Overload,
+    /// Servers turned it away; it has not run.
+    TurnedAway,
+    /// Its time is over and it has not run.
+    LateUnrun,
+    /// Its time is over; it may have run.
+    Late,
+    /// Servers failed; it may have run.
+    Failed,
+}
+
+impl ForwardFailure {
+    /// Tells whether the request has not run and never will.
+    pub fn is_unrun(self) -> bool {
+        !matches!(self, ForwardFailure::Late | ForwardFailure::Failed)
+    }
+
+    /// Returns a word for logs and counters.
+    pub fn word(self) -> &'static str {
+        match self {
+            ForwardFailure::NoTable => "no_table",
+            ForwardFailure::NoRoute => "no_route",
+            ForwardFailure::NoServer => "no_server",
+            ForwardFailure::Overload => "overload",
+            ForwardFailure::TurnedAway => "turned_away",
+            ForwardFailure::LateUnrun => "late_unrun",
+            ForwardFailure::Late => "late",
+            ForwardFailure::Failed => "failed",
+        }
+    }
+}
+
+/// The final answer to a request.
+#[derive(Debug, Clone)]
+pub enum ForwardAnswer {
+    /// A server's answer, unchanged.
+    Server(Box<ServerAnswer>),
+    /// The merged parts of shards.
+    Gathered {
+        /// Stamps of the parts that are in.
+        stamps: Vec<Box<str>>,
+        /// Shards left out.
+        missing: usize,
+        /// The records.
+        body: Vec<u8>,
+    },
+    /// No server's answer.
+    Failure {
+        /// Why.
+        failure: ForwardFailure,
+        /// When to come back, if that is worth it.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// Why an attempt was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AttemptCause {
+    /// It is the first.
+    First,
+    /// Another failed.
+    Retry,
+    /// Another is slow.
+    Hedge,
+}
+
+/// A send.
+#[derive(Debug, Clone)]
+pub struct AttemptOrder {
+    /// Name of the attempt.
+    pub attempt: SlotKey,
+    /// The request.
+    pub call: CallTag,
+    /// The server.
+    pub server: ServerKey,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// The lifetime of the server that is meant.
+    pub instance: Box<str>,
+    /// Time the server may take.
+    pub time_left: Duration,
+    /// Whether the answer's headers are passed on.
+    pub whole_head: bool,
+}
+
+/// One decision about a request, for the log.
+#[derive(Debug, Clone)]
+pub struct ForwardEvent {
+    /// The request.
+    pub call: CallTag,
+    /// What was decided.
+    pub decision: ForwardDecision,
+}
+
+/// What was decided about a request.
+#[derive(Debug, Clone)]
+pub enum ForwardDecision {
+    /// It was let in.
+    Admit {
+        /// Its route.
+        route: Box<str>,
+        /// Version of the table.
+        version: u64,
+        /// Time it has.
+        time_left: Duration,
+    },
+    /// It was sent to a server.
+    Send {
+        /// The service.
+        service: Box<str>,
+        /// The server.
+        instance: Box<str>,
+        /// Why.
+        cause: AttemptCause,
+        /// Expected time to an answer.
+        expected: Duration,
+        /// Servers that could have been asked.
+        candidates: usize,
+        /// Own requests outstanding there.
+        outstanding: usize,
+    },
+    /// An attempt ended without an answer that could be used.
+    Lost {
+        /// The service.
+        service: Box<str>,
+        /// The server.
+        instance: Box<str>,
+        /// What came instead.
+        reason: &'static str,
+        /// Time since its sending.
+        after: Duration,
+    },
+    /// A repeat was wanted and the budget for extra load was spent.
+    NoBudget {
+        /// The service.
+        service: Box<str>,
+    },
+    /// It ended.
+    End {
+        /// How.
+        outcome: &'static str,
+        /// Parts in the answer.
+        parts: usize,
+        /// Shards left out.
+        missing: usize,
+        /// Time since its arrival.
+        after: Duration,
+        /// Sends made for it.
+        sends: u32,
+    },
+}
+
+/// One thing that the driver is to do.
+#[derive(Debug, Clone)]
+pub enum ForwardAction {
+    /// Send a request.
+    Send(AttemptOrder),
+    /// Nobody waits for an attempt: close its connection.
+    Cancel(SlotKey),
+    /// Answer a caller.
+    Answer {
+        /// The request.
+        call: CallTag,
+        /// The answer.
+        answer: ForwardAnswer,
+    },
+    /// A server has left: close what is idle there.
+    Close(ServerKey),
+    /// Record a decision.
+    Decide(ForwardEvent),
+}
--- /dev/null
+++ b/crates/core/src/process/forward/call.rs
@@ -0,0 +1,163 @@
+//! The state of a forwarded request while it is at work.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arrayvec::ArrayVec;
+use bytes::Bytes;
+
+use crate::arena::{ServerKey, SlotKey, UpstreamKey};
+use crate::process::forward::answer::AttemptCause;
+use crate::process::forward::input::ServerAnswer;
+use crate::process::forward::timing::AnswerPlan;
+use crate::process::input::CallTag;
+use crate::version::route_table::{RouteRule, RouteTable};
+
+/// Most attempts outstanding for one shard.
+pub const PART_ATTEMPTS: usize = 3;
+/// Most servers remembered as asked for one shard.
+pub const PART_TRIED: usize = 8;
+
+/// How far a part of a request has come.
+#[derive(Debug)]
+pub enum PartStatus {
+    /// It is being asked for, or waits to be.
+    Open,
+    /// Its answer was taken.
+    Answered {
+        /// Proof of the server.
+        stamp: Box<str>,
+        /// The records.
+        body: Bytes,
+    },
+    /// It was given up.
+    Missing,
+}
+
+/// One part of a request: a shard, or the whole of it.
+#[derive(Debug)]
+pub struct PartState {
+    /// The service that is asked.
+    pub upstream: UpstreamKey,
+    /// How far it has come.
+    pub status: PartStatus,
+    /// Attempts outstanding.
+    pub attempts: ArrayVec<SlotKey, PART_ATTEMPTS>,
+    /// Servers asked already.
+    pub tried: ArrayVec<ServerKey, PART_TRIED>,
+    /// Attempts that arrived at a server, or may have.
+    pub arrivals: u32,
+    /// Attempts that ran, or may have.
+    pub runs: u32,
+    /// Whether it stands in its service's queue.
+    pub waits: bool,
+    /// When to look for a hedge.
+    pub hedge_at: Duration,
+}
+
+impl PartState {
+    /// Returns a part that was not asked for yet.
+    pub fn new(upstream: UpstreamKey) -> PartState {
+        PartState {
+            upstream,
+            status: PartStatus::Open,
+            attempts: ArrayVec::new(),
+            tried: ArrayVec::new(),
+            arrivals: 0,
+            runs: 0,
+            waits: false,
+            hedge_at: Duration::MAX,
+        }
+    }
+
+    /// Tells whether it is still asked for.
+    pub fn is_open(&self) -> bool {
+        matches!(self.status, PartStatus::Open)
+    }
+}
+
+/// One request of a caller.
+#[derive(Debug)]
+pub struct CallState {
+    /// The driver's name for it.
+    pub tag: CallTag,
+    /// The table it began with; it ends with it.
+    pub table: Arc<RouteTable>,
+    /// Place of its route in the table.
+    pub route: usize,
+    /// Whether its parts are merged.
+    pub gathers: bool,
+    /// When it came.
+    pub arrived: Duration,
+    /// When it should be answered.
+    pub plan: AnswerPlan,
+    /// Its parts.
+    pub parts: Vec<PartState>,
+    /// Parts answered.
+    pub answered: usize,
+    /// Parts given up.
+    pub missing: usize,
+    /// The last answer that was a server's failure, to pass on if nothing
+    /// better comes.
+    pub failure: Option<Box<ServerAnswer>>,
+    /// Sends made.
+    pub sends: u32,
+}
+
+impl CallState {
+    /// Returns its route.
+    pub fn rule(&self) -> &RouteRule {
+        &self.table.routes()[self.route]
+    }
+
+    /// Returns the number of parts still asked for.
+    pub fn open(&self) -> usize {
+        self.parts.len() - self.answered - self.missing
+    }
+
+    /// Returns the fraction of the parts that are in.
+    pub fn coverage(&self) -> f64 {
+        self.answered as f64 / self.parts.len().max(1) as f64
+    }
+
+    /// Returns the fraction of the parts that can still be in.
+    pub fn reachable(&self) -> f64 {
+        (self.parts.len() - self.missing) as f64 / self.parts.len().max(1) as f64
+    }
+
+    /// Tells whether enough parts are in for an answer.
+    pub fn is_covered(&self) -> bool {
+        self.answered > 0 && self.coverage() + 1e-9 >= self.rule().least_coverage
+    }
+
+    /// Tells whether enough parts can still come for an answer.
+    pub fn is_coverable(&self) -> bool {
+        self.reachable() + 1e-9 >= self.rule().least_coverage
+    }
+
+    /// Tells whether any attempt ran, or may have.
+    pub fn may_have_run(&self) -> bool {
+        self.parts.iter().any(|part| part.runs > 0)
+    }
+}
+
+/// One send that has not ended.
+#[derive(Debug)]
+pub struct ForwardAttempt {
+    /// The request; `None` once nobody waits for it.
+    pub call: Option<SlotKey>,
+    /// Place of the part in the request.
+    pub part: usize,
+    /// The server asked.
+    pub server: ServerKey,
+    /// Its service.
+    pub upstream: UpstreamKey,
+    /// When it was sent.
+    pub sent_at: Duration,
+    /// Time the server typically takes.
+    pub typical: Duration,
+    /// Why it was sent.
+    pub cause: AttemptCause,
+    /// Key of the route's timing.
+    pub timing: usize,
+}
--- /dev/null
+++ b/crates/core/src/process/forward/choose.rs
@@ -0,0 +1,108 @@
+//! Choosing the server that is asked.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::arena::{ServerKey, UpstreamKey};
+use crate::process::forward::directory::ServerStanding;
+use crate::process::forward::machine::ForwardMachine;
+use crate::process::forward::server::ServerState;
+
+/// Largest part by which chance changes an expected time, so that entries that
+/// know the same do not all choose the same.
+const JITTER: f64 = 0.15;
+/// What an answer from another failure domain costs, as time.
+const FAR_COST: Duration = Duration::from_millis(6);
+/// What a new connection costs, as time.
+const OPEN_COST: Duration = Duration::from_millis(5);
+/// What a server that failed last costs, as time.
+const FAILING_COST: Duration = Duration::from_millis(250);
+/// What a server costs that is silent at the control group or rests, as time.
+const DOUBT_COST: Duration = Duration::from_secs(2);
+/// Part of a server's connections that all entries together use.
+const CONNECTION_USE: f64 = 0.85;
+
+/// The choice of a server.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ServerChoice {
+    pub(super) server: ServerKey,
+    /// Time to expect to an answer.
+    pub(super) expected: Duration,
+    /// Servers that could have been asked.
+    pub(super) candidates: usize,
+}
+
+/// Why there is no choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NoChoice {
+    /// The service has no server that takes work.
+    NoServer,
+    /// All of its servers have as many requests as they may.
+    Full,
+}
+
+impl ForwardMachine {
+    /// Chooses a server of a service out of those not in `tried`.
+    pub(super) fn choose(
+        &mut self,
+        upstream: UpstreamKey,
+        tried: &[ServerKey],
+        typical: Duration,
+        now: Duration,
+    ) -> Result<ServerChoice, NoChoice> {
+        let cap = self.connection_cap(upstream);
+        let mut best: Option<(ServerKey, f64, Duration)> = None;
+        let mut candidates = 0;
+        let mut is_full = false;
+        for server in &self.upstreams[upstream].servers {
+            let state = &self.servers[*server];
+            if state.standing != ServerStanding::Ready || tried.contains(server) {
+                continue;
+            }
+            if state.outstanding.len() >= cap {
+                is_full = true;
+                continue;
+            }
+            candidates += 1;
+            let expected = state.expect(typical, now);
+            let jitter = 1.0 + JITTER * self.rng.random::<f64>();
+            let cost = (expected + doubts(state, now)).as_secs_f64() * jitter;
+            if best.is_none_or(|(_, least, _)| cost < least) {
+                best = Some((*server, cost, expected));
+            }
+        }
+        match best {
+            Some((server, _, expected)) => Ok(ServerChoice {
+                server,
+                expected,
+                candidates,
+            }),
+            None if is_full => Err(NoChoice::Full),
+            None => Err(NoChoice::NoServer),
+        }
+    }
+
+    /// Returns how many connections this entry may have to a server: its part
+    /// of the server's limit, which all entries share.
+    pub fn connection_cap(&self, upstream: UpstreamKey) -> usize {
+        let connections = f64::from(self.upstreams[upstream].connections);
+        let part = connections * CONNECTION_USE / f64::from(self.entries.max(1));
+        (part as usize).max(1)
+    }
+}
+
+/// Returns what speaks against a server besides its expected time.
+fn doubts(state: &ServerState, now: Duration) -> Duration {
+    let mut doubt = FAILING_COST.mul_f64(state.failing);
+    if !state.is_near {
+        doubt += FAR_COST;
+    }
+    if state.idle == 0 {
+        doubt += OPEN_COST;
+    }
+    if state.silent || now < state.rest_until {
+        doubt += DOUBT_COST;
+    }
+    doubt
+}
--- /dev/null
+++ b/crates/core/src/process/forward/directory.rs
@@ -0,0 +1,176 @@
+//! What upstream servers announced, ordered by their own sequence numbers.
+//!
+//! A lifetime of a server has an id of its own. Within it the standing only
+//! ever goes from ready to draining to gone, so that late and doubled news
+//! undo nothing, whatever way they took.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// How long a server that left is remembered, so that late news of it are
+/// known to be old.
+pub const REMEMBER_TIME: Duration = Duration::from_secs(180);
+
+/// Whether a server takes work. The order is that of a lifetime.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum ServerStanding {
+    /// It takes work.
+    Ready,
+    /// It takes no new work.
+    Draining,
+    /// It has left.
+    Gone,
+}
+
+/// What a server says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerNotice {
+    /// Identity of this lifetime.
+    pub id: Box<str>,
+    /// Its service; empty if only its leaving is known.
+    pub service: Box<str>,
+    /// Where it takes requests.
+    pub address: Option<SocketAddr>,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes work.
+    pub standing: ServerStanding,
+    /// Grows with each notice of this lifetime.
+    pub sequence: u64,
+    /// How much longer it is slow after its start, in milliseconds.
+    pub cold_ms: u64,
+}
+
+impl ServerNotice {
+    /// Returns the notice that a server has left, of which nothing else need
+    /// be known.
+    pub fn gone(id: &str) -> ServerNotice {
+        ServerNotice {
+            id: id.into(),
+            service: "".into(),
+            address: None,
+            domain: "".into(),
+            slots: 0,
+            standing: ServerStanding::Gone,
+            sequence: u64::MAX,
+            cold_ms: 0,
+        }
+    }
+}
+
+/// What a notice changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoticeEffect {
+    /// It was older than what is known.
+    Stale,
+    /// The server lives on as it was.
+    Renewed,
+    /// The server is new, or its standing changed.
+    Changed,
+}
+
+/// A server as it is known.
+#[derive(Debug, Clone)]
+pub struct DirectoryRecord {
+    /// Its newest notice, with the standing that holds.
+    pub notice: ServerNotice,
+    /// When it was last heard of.
+    pub heard: Duration,
+    /// Whether it is taken for silent.
+    pub silent: bool,
+}
+
+/// All servers known.
+#[derive(Debug, Default)]
+pub struct ServerDirectory {
+    records: HashMap<Box<str>, DirectoryRecord>,
+}
+
+impl ServerDirectory {
+    /// Takes a notice.
+    pub fn apply(&mut self, notice: ServerNotice, now: Duration) -> NoticeEffect {
+        let Some(record) = self.records.get_mut(&notice.id) else {
+            let record = DirectoryRecord {
+                heard: now,
+                silent: false,
+                notice: notice.clone(),
+            };
+            self.records.insert(notice.id, record);
+            return NoticeEffect::Changed;
+        };
+        let known = &mut record.notice;
+        if notice.standing > known.standing {
+            let sequence = known.sequence.max(notice.sequence);
+            known.standing = notice.standing;
+            known.sequence = sequence;
+            record.heard = now;
+            return NoticeEffect::Changed;
+        }
+        if notice.sequence <= known.sequence || known.standing == ServerStanding::Gone {
+            return NoticeEffect::Stale;
+        }
+        known.sequence = notice.sequence;
+        known.cold_ms = notice.cold_ms;
+        record.heard = now;
+        if record.silent {
+            record.silent = false;
+            return NoticeEffect::Changed;
+        }
+        NoticeEffect::Renewed
+    }
+
+    /// Takes a peer's word that a server was heard of at a sequence number.
+    pub fn renew(&mut self, id: &str, sequence: u64, now: Duration) {
+        let Some(record) = self.records.get_mut(id) else {
+            return;
+        };
+        if sequence > record.notice.sequence && record.notice.standing != ServerStanding::Gone {
+            record.notice.sequence = sequence;
+            record.heard = now;
+            record.silent = false;
+        }
+    }
+
+    /// Marks servers that were not heard of for `lease` as silent and returns
+    /// those that newly are; forgets what left long ago.
+    pub fn sweep(&mut self, now: Duration, lease: Duration) -> Vec<Box<str>> {
+        self.records.retain(|_, record| {
+            let lives = record.notice.standing == ServerStanding::Ready && !record.silent;
+            lives || now < record.heard + REMEMBER_TIME
+        });
+        let mut silent = Vec::new();
+        for (id, record) in &mut self.records {
+            let is_late = now > record.heard + lease;
+            if is_late && !record.silent && record.notice.standing == ServerStanding::Ready {
+                record.silent = true;
+                silent.push(id.clone());
+            }
+        }
+        silent
+    }
+
+    /// Returns the record of a server.
+    pub fn get(&self, id: &str) -> Option<&DirectoryRecord> {
+        self.records.get(id)
+    }
+
+    /// Iterates over all records.
+    pub fn iter(&self) -> impl Iterator<Item = &DirectoryRecord> {
+        self.records.values()
+    }
+
+    /// Returns the number of servers known.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells whether no server is known.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/forward/extra.rs
@@ -0,0 +1,94 @@
+//! The bound on extra load: arrivals beyond the first of each request.
+//!
+//! The bound holds for the sum over all entries in a sliding window. Each entry
+//! earns by its own requests, and has its part of the constant allowance.
+
+use std::time::Duration;
+
+/// Steps that a window is divided into.
+const STEPS: usize = 20;
+
+/// The bound, as the operator sets it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ExtraBound {
+    /// Extra arrivals for each request.
+    pub ratio: f64,
+    /// Extra arrivals in a window besides, over all entries.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+impl Default for ExtraBound {
+    fn default() -> Self {
+        ExtraBound {
+            ratio: 0.1,
+            slack: 20.0,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct StepCount {
+    step: u64,
+    requests: u32,
+    extras: u32,
+}
+
+/// Counts requests and extra arrivals of one service in the window.
+#[derive(Debug, Clone, Default)]
+pub struct ExtraBudget {
+    steps: [StepCount; STEPS + 1],
+}
+
+impl ExtraBudget {
+    /// Counts a request.
+    pub fn request(&mut self, bound: &ExtraBound, now: Duration) {
+        self.slot(bound, now).requests += 1;
+    }
+
+    /// Takes one extra arrival if the bound leaves room, for one of `entries`.
+    pub fn take(&mut self, bound: &ExtraBound, entries: u32, now: Duration) -> bool {
+        if self.room(bound, entries, now) < 1.0 {
+            return false;
+        }
+        self.slot(bound, now).extras += 1;
+        true
+    }
+
+    /// Returns how many extra arrivals the bound leaves room for.
+    pub fn room(&self, bound: &ExtraBound, entries: u32, now: Duration) -> f64 {
+        let current = step_of(bound, now);
+        let oldest = current.saturating_sub(STEPS as u64);
+        let live = self.steps.iter().filter(|count| count.step >= oldest);
+        let (mut requests, mut extras) = (0.0, 0.0);
+        for count in live {
+            extras += f64::from(count.extras);
+            // The step that is only partly in the window earns nothing.
+            if count.step > oldest {
+                requests += f64::from(count.requests);
+            }
+        }
+        let part = bound.slack / f64::from(entries.max(1));
+        bound.ratio * requests + part - extras
+    }
+
+    fn slot(&mut self, bound: &ExtraBound, now: Duration) -> &mut StepCount {
+        let step = step_of(bound, now);
+        let slot = &mut self.steps[(step % (STEPS as u64 + 1)) as usize];
+        if slot.step != step {
+            *slot = StepCount {
+                step,
+                ..StepCount::default()
+            };
+        }
+        slot
+    }
+}
+
+/// Returns the number of the step that `now` is in, from 1.
+fn step_of(bound: &ExtraBound, now: Duration) -> u64 {
+    let length = bound.window.as_micros() as u64 / STEPS as u64;
+    now.as_micros() as u64 / length.max(1) + 1
+}
--- /dev/null
+++ b/crates/core/src/process/forward/gather.rs
@@ -0,0 +1,314 @@
+//! Starting a request, and ending it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::arena::{SlotKey, UpstreamKey};
+use crate::process::forward::answer::{
+    AttemptCause, ForwardAction, ForwardAnswer, ForwardDecision, ForwardFailure,
+};
+use crate::process::forward::call::{CallState, PartState, PartStatus};
+use crate::process::forward::input::{ForwardCall, ServerAnswer};
+use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
+use crate::process::input::CallTag;
+use crate::request::records::RecordMerge;
+use crate::version::route_table::{RouteRule, RouteTable, RouteTarget};
+
+/// Least time after which a refused caller should come back.
+const LEAST_RETRY: Duration = Duration::from_millis(60);
+/// By how much that time is spread.
+const RETRY_SPREAD: Duration = Duration::from_millis(120);
+/// Time that an attempt goes on after its request was answered.
+const ORPHAN_TIME: Duration = Duration::from_millis(400);
+/// Time that an attempt goes on after its caller left.
+const LEFT_TIME: Duration = Duration::from_millis(250);
+
+impl ForwardMachine {
+    pub(super) fn begin(&mut self, call: ForwardCall, now: Duration, out: &mut Vec<ForwardAction>) {
+        self.counters.calls += 1;
+        let Some(table) = self.table.clone() else {
+            return self.refuse(call.tag, ForwardFailure::NoTable, out);
+        };
+        let Some(route) = table.find(&call.host, &call.path) else {
+            return self.refuse(call.tag, ForwardFailure::NoRoute, out);
+        };
+        if self.calls.len() >= self.options.in_flight {
+            return self.refuse(call.tag, ForwardFailure::Overload, out);
+        }
+        let state = self.lay_out(&call, table, route, now);
+        let (plan, count) = (state.plan, state.parts.len());
+        let (name, version) = (state.rule().name.as_str().into(), state.table.version());
+        self.decide(call.tag, out, || ForwardDecision::Admit {
+            route: name,
+            version,
+            time_left: plan.given_up - now,
+        });
+        let key = self.calls.insert(state);
+        self.tags.insert(call.tag, key);
+        for part in 0..count {
+            self.send_first(key, part, now, out);
+        }
+        self.timers.set(plan.limit, ForwardTimer::Limit(key));
+        if plan.aim > now {
+            self.timers.set(plan.aim, ForwardTimer::Aim(key));
+        }
+        self.plan_sweep(key, now);
+        self.check_end(key, now, out);
+    }
+
+    fn lay_out(
+        &mut self,
+        call: &ForwardCall,
+        table: Arc<RouteTable>,
+        route: usize,
+        now: Duration,
+    ) -> CallState {
+        let rule = &table.routes()[route];
+        let timing = self.timing(&rule.name);
+        let plan = self.timings[timing].plan(rule, call.time_left, now);
+        let upstreams = self.targets(rule);
+        for upstream in &upstreams {
+            let bound = self.options.extra;
+            self.upstreams[*upstream].budget.request(&bound, now);
+        }
+        CallState {
+            tag: call.tag,
+            gathers: matches!(rule.target, RouteTarget::Gather(_)),
+            route,
+            arrived: now,
+            plan,
+            parts: upstreams.into_iter().map(PartState::new).collect(),
+            answered: 0,
+            missing: 0,
+            failure: None,
+            sends: 0,
+            table,
+        }
+    }
+
+    fn targets(&mut self, rule: &RouteRule) -> Vec<UpstreamKey> {
+        match &rule.target {
+            RouteTarget::Service(name) => vec![self.upstream(name)],
+            RouteTarget::Split(parts) => {
+                let counter = self.splits.entry(rule.name.as_str().into()).or_default();
+                let index = counter.next(parts);
+                vec![self.upstream(&parts[index].service)]
+            }
+            RouteTarget::Gather(names) => names.iter().map(|name| self.upstream(name)).collect(),
+        }
+    }
+
+    fn send_first(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        if !self.send(call, part, AttemptCause::First, now, out) {
+            self.wait_or_miss(call, part, now);
+        }
+    }
+
+    /// Ends a request if nothing more can come of it, or all is in.
+    pub(super) fn check_end(&mut self, call: SlotKey, now: Duration, out: &mut Vec<ForwardAction>) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
+        if !state.gathers {
+            if state.open() == 0 {
+                self.end_unanswered(call, now, out);
+            }
+            return;
+        }
+        let is_late = now >= state.plan.aim;
+        if state.open() == 0 {
+            if state.is_covered() {
+                return self.end_gathered(call, now, out);
+            }
+            return self.end_unanswered(call, now, out);
+        }
+        if !state.is_coverable() {
+            return self.end_unanswered(call, now, out);
+        }
+        if is_late && state.is_covered() {
+            self.end_gathered(call, now, out);
+        }
+    }
+
+    pub(super) fn aim_due(&mut self, call: SlotKey, now: Duration, out: &mut Vec<ForwardAction>) {
+        self.check_end(call, now, out);
+    }
+
+    pub(super) fn limit_due(&mut self, call: SlotKey, now: Duration, out: &mut Vec<ForwardAction>) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
+        if state.gathers && state.is_covered() {
+            return self.end_gathered(call, now, out);
+        }
+        let failure = if state.may_have_run() {
+            ForwardFailure::Late
+        } else {
+            ForwardFailure::LateUnrun
+        };
+        self.end_failed(call, failure, now, out);
+    }
+
+    fn end_gathered(&mut self, call: SlotKey, now: Duration, out: &mut Vec<ForwardAction>) {
+        let Some(state) = self.take_call(call, ORPHAN_TIME, now) else {
+            return;
+        };
+        let mut merge = RecordMerge::new(state.rule().top);
+        let mut stamps = Vec::with_capacity(state.answered);
+        for part in &state.parts {
+            if let PartStatus::Answered { stamp, body } = &part.status {
+                merge.take(body);
+                stamps.push(stamp.clone());
+            }
+        }
+        let missing = state.parts.len() - stamps.len();
+        if missing == 0 {
+            self.counters.whole += 1;
+        } else {
+            self.counters.partial += 1;
+        }
+        let outcome = if missing == 0 { "whole" } else { "partial" };
+        self.decide_end(&state, outcome, now, out);
+        let answer = ForwardAnswer::Gathered {
+            stamps,
+            missing,
+            body: merge.finish(),
+        };
+        out.push(ForwardAction::Answer {
+            call: state.tag,
+            answer,
+        });
+    }
+
+    /// Ends a request with a server's own answer.
+    pub(super) fn end_served(
+        &mut self,
+        call: SlotKey,
+        answer: Box<ServerAnswer>,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(mut state) = self.take_call(call, ORPHAN_TIME, now) else {
+            return;
+        };
+        state.answered = 1;
+        self.counters.whole += 1;
+        self.decide_end(&state, "served", now, out);
+        out.push(ForwardAction::Answer {
+            call: state.tag,
+            answer: ForwardAnswer::Server(answer),
+        });
+    }
+
+    fn end_unanswered(&mut self, call: SlotKey, now: Duration, out: &mut Vec<ForwardAction>) {
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        if let Some(answer) = state.failure.take() {
+            return self.end_served(call, answer, now, out);
+        }
+        let failure = if state.may_have_run() {
+            ForwardFailure::Failed
+        } else if state.parts.iter().any(|part| part.arrivals > 0) {
+            ForwardFailure::TurnedAway
+        } else {
+            ForwardFailure::NoServer
+        };
+        self.end_failed(call, failure, now, out);
+    }
+
+    fn end_failed(
+        &mut self,
+        call: SlotKey,
+        failure: ForwardFailure,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.take_call(call, ORPHAN_TIME, now) else {
+            return;
+        };
+        self.decide_end(&state, failure.word(), now, out);
+        self.refuse(state.tag, failure, out);
+    }
+
+    fn refuse(&mut self, call: CallTag, failure: ForwardFailure, out: &mut Vec<ForwardAction>) {
+        self.counters.failed += 1;
+        let is_worth = failure.is_unrun() && failure != ForwardFailure::NoRoute;
+        let retry_after = is_worth.then(|| {
+            let spread = RETRY_SPREAD.mul_f64(self.rng.random());
+            LEAST_RETRY + spread
+        });
+        out.push(ForwardAction::Answer {
+            call,
+            answer: ForwardAnswer::Failure {
+                failure,
+                retry_after,
+            },
+        });
+    }
+
+    pub(super) fn caller_left(
+        &mut self,
+        tag: CallTag,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(call) = self.tags.get(&tag).copied() else {
+            return;
+        };
+        self.counters.left += 1;
+        if let Some(state) = self.take_call(call, LEFT_TIME, now) {
+            self.decide_end(&state, "caller_left", now, out);
+        }
+    }
+
+    /// Takes a request out; attempts still outstanding go on for `patience` at
+    /// most.
+    fn take_call(&mut self, call: SlotKey, patience: Duration, now: Duration) -> Option<CallState> {
+        let state = self.calls.remove(call)?;
+        self.tags.remove(&state.tag);
+        for attempt in state.parts.iter().flat_map(|part| &part.attempts) {
+            if let Some(orphan) = self.attempts.get_mut(*attempt) {
+                orphan.call = None;
+                let until = now + patience;
+                self.timers.set(until, ForwardTimer::Orphan(*attempt));
+            }
+        }
+        Some(state)
+    }
+
+    pub(super) fn orphan_due(&mut self, attempt: SlotKey, out: &mut Vec<ForwardAction>) {
+        let is_orphan = self
+            .attempts
+            .get(attempt)
+            .is_some_and(|state| state.call.is_none());
+        if is_orphan {
+            self.counters.cancels += 1;
+            out.push(ForwardAction::Cancel(attempt));
+        }
+    }
+
+    fn decide_end(
+        &self,
+        state: &CallState,
+        outcome: &'static str,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        self.decide(state.tag, out, || ForwardDecision::End {
+            outcome,
+            parts: state.answered,
+            missing: state.parts.len() - state.answered,
+            after: now - state.arrived,
+            sends: state.sends,
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/forward/hedge.rs
@@ -0,0 +1,265 @@
+//! Sending, and sending once more.
+
+use std::time::Duration;
+
+use crate::arena::{SlotKey, UpstreamKey};
+use crate::process::forward::answer::{AttemptCause, AttemptOrder, ForwardAction, ForwardDecision};
+use crate::process::forward::call::{ForwardAttempt, PartState, PartStatus};
+use crate::process::forward::choose::{NoChoice, ServerChoice};
+use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
+use crate::process::forward::server::OutstandingAttempt;
+
+/// Time between two looks at a part that could not be hedged.
+const LOOK_AGAIN: Duration = Duration::from_millis(10);
+/// Time kept for the way back when a server is told its time.
+const SEND_MARGIN: Duration = Duration::from_millis(3);
+
+impl ForwardMachine {
+    /// Sends a part to a server, if there is one with room. Returns whether it
+    /// did.
+    pub(super) fn send(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        cause: AttemptCause,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) -> bool {
+        let Some(choice) = self.choose_for(call, part, now) else {
+            return false;
+        };
+        self.send_to(call, part, cause, choice, now, out);
+        true
+    }
+
+    fn choose_for(&mut self, call: SlotKey, part: usize, now: Duration) -> Option<ServerChoice> {
+        let state = self.calls.get(call)?;
+        let (upstream, tried) = (state.parts[part].upstream, state.parts[part].tried.clone());
+        let timing = self.timing_names.get(&*state.rule().name).copied()?;
+        let typical = self.timings[timing].typical(state.rule());
+        self.choose(upstream, &tried, typical, now).ok()
+    }
+
+    fn send_to(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        cause: AttemptCause,
+        choice: ServerChoice,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        let timing = self.timing_names.get(&*state.rule().name).copied();
+        let timing = timing.unwrap_or_default();
+        let typical = self.timings[timing].typical(state.rule());
+        let slow = self.timings[timing].slow(state.rule());
+        let server = &mut self.servers[choice.server];
+        let attempt = self.attempts.insert(ForwardAttempt {
+            call: Some(call),
+            part,
+            server: choice.server,
+            upstream: server.upstream,
+            sent_at: now,
+            typical,
+            cause,
+            timing,
+        });
+        state.sends += 1;
+        let (tag, gathers) = (state.tag, state.gathers);
+        let time_left = state.plan.given_up.saturating_sub(now + SEND_MARGIN);
+        let part = &mut state.parts[part];
+        part.attempts.push(attempt);
+        let _ = part.tried.try_push(choice.server);
+        part.arrivals += 1;
+        part.runs += 1;
+        part.hedge_at = now + server.way() + slow;
+        let outstanding = server.outstanding.len();
+        server.outstanding.push(OutstandingAttempt {
+            attempt,
+            sent_at: now,
+        });
+        let (address, instance) = (server.address, server.id.clone());
+        match cause {
+            AttemptCause::First => self.counters.sends += 1,
+            AttemptCause::Retry => self.counters.retries += 1,
+            AttemptCause::Hedge => self.counters.hedges += 1,
+        }
+        let (service, id) = self.names(choice.server);
+        self.decide(tag, out, || ForwardDecision::Send {
+            service,
+            instance: id,
+            cause,
+            expected: choice.expected,
+            candidates: choice.candidates,
+            outstanding,
+        });
+        out.push(ForwardAction::Send(AttemptOrder {
+            attempt,
+            call: tag,
+            server: choice.server,
+            address,
+            instance,
+            time_left,
+            whole_head: !gathers,
+        }));
+    }
+
+    /// Lets a part wait for a server with room, or gives it up if its service
+    /// has none.
+    pub(super) fn wait_or_miss(&mut self, call: SlotKey, part: usize, now: Duration) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
+        let upstream = state.parts[part].upstream;
+        let tried = state.parts[part].tried.clone();
+        let reason = self.choose(upstream, &tried, Duration::ZERO, now).err();
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        let part_state = &mut state.parts[part];
+        if reason == Some(NoChoice::Full) {
+            if !part_state.waits {
+                part_state.waits = true;
+                self.upstreams[upstream].waiting.push_back((call, part));
+            }
+        } else if part_state.attempts.is_empty() {
+            part_state.status = PartStatus::Missing;
+            state.missing += 1;
+        }
+    }
+
+    /// Gives the parts that wait for a service another try.
+    pub(super) fn serve_waiting(
+        &mut self,
+        upstream: UpstreamKey,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let count = self.upstreams[upstream].waiting.len();
+        for _ in 0..count {
+            let Some((call, part)) = self.upstreams[upstream].waiting.pop_front() else {
+                return;
+            };
+            let Some(state) = self.calls.get_mut(call) else {
+                continue;
+            };
+            if !state.parts[part].is_open() {
+                continue;
+            }
+            state.parts[part].waits = false;
+            let cause = cause_of(&state.parts[part]);
+            if !self.send(call, part, cause, now, out) {
+                self.wait_or_miss(call, part, now);
+                self.check_end(call, now, out);
+            }
+        }
+    }
+
+    /// Sets the timer for the next look at a request.
+    pub(super) fn plan_sweep(&mut self, call: SlotKey, now: Duration) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
+        if !state.rule().idempotent {
+            return;
+        }
+        let open = state.parts.iter().filter(|part| part.is_open());
+        let next = open.map(|part| part.hedge_at).min();
+        let Some(next) = next.filter(|next| *next < state.plan.limit) else {
+            return;
+        };
+        let at = next.max(now + Duration::from_millis(1));
+        self.timers.set(at, ForwardTimer::Sweep(call));
+    }
+
+    /// Hedges the parts of a request that are slow.
+    pub(super) fn sweep(&mut self, call: SlotKey, now: Duration, out: &mut Vec<ForwardAction>) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
+        for part in 0..state.parts.len() {
+            self.hedge_if_slow(call, part, now, out);
+        }
+        self.plan_sweep(call, now);
+    }
+
+    fn hedge_if_slow(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        let most = state.rule().attempts;
+        let part_state = &mut state.parts[part];
+        if !part_state.is_open() || part_state.waits || now < part_state.hedge_at {
+            return;
+        }
+        if part_state.runs >= most || part_state.attempts.is_full() {
+            part_state.hedge_at = Duration::MAX;
+            return;
+        }
+        part_state.hedge_at = now + LOOK_AGAIN;
+        let Some(choice) = self.choose_for(call, part, now) else {
+            return;
+        };
+        if !self.pays(call, part, choice, now) || !self.afford(call, part, now, out) {
+            return;
+        }
+        self.send_to(call, part, AttemptCause::Hedge, choice, now, out);
+    }
+
+    /// Tells whether a hedge is likely to answer before what is outstanding.
+    fn pays(&self, call: SlotKey, part: usize, choice: ServerChoice, now: Duration) -> bool {
+        let Some(state) = self.calls.get(call) else {
+            return false;
+        };
+        let attempts = state.parts[part].attempts.iter();
+        let sent = attempts
+            .filter_map(|attempt| self.attempts.get(*attempt))
+            .map(|attempt| attempt.sent_at);
+        let age = sent.min().map_or(Duration::MAX, |sent| now - sent);
+        // What has been still for some time is likely to stay so as long.
+        choice.expected < age * 2
+    }
+
+    /// Takes one repeat of a part out of the budget for extra load.
+    pub(super) fn afford(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) -> bool {
+        let Some(state) = self.calls.get(call) else {
+            return false;
+        };
+        if state.parts[part].arrivals == 0 {
+            return true;
+        }
+        let (tag, upstream) = (state.tag, state.parts[part].upstream);
+        let (bound, entries) = (self.options.extra, self.entries);
+        let budget = &mut self.upstreams[upstream].budget;
+        if budget.take(&bound, entries, now) {
+            return true;
+        }
+        self.counters.unaffordable += 1;
+        let service = self.upstreams[upstream].name.clone();
+        self.decide(tag, out, || ForwardDecision::NoBudget { service });
+        false
+    }
+}
+
+fn cause_of(part: &PartState) -> AttemptCause {
+    if part.arrivals == 0 {
+        AttemptCause::First
+    } else {
+        AttemptCause::Retry
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/forward/input.rs
@@ -0,0 +1,103 @@
+//! What comes into the forward machine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::arena::{ServerKey, SlotKey};
+use crate::process::forward::directory::ServerNotice;
+use crate::process::input::CallTag;
+use crate::version::route_table::RouteTable;
+
+/// A caller's request, as far as decisions need it.
+#[derive(Debug, Clone)]
+pub struct ForwardCall {
+    /// The driver's name for it.
+    pub tag: CallTag,
+    /// Host it asks for.
+    pub host: Box<str>,
+    /// Path it asks for, without the query.
+    pub path: Box<str>,
+    /// Time the caller will wait, if it says so.
+    pub time_left: Option<Duration>,
+}
+
+/// A server's own report of its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests it can work on at once.
+    pub slots: u32,
+}
+
+/// A server's whole answer.
+#[derive(Debug, Clone)]
+pub struct ServerAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Proof of the server that it made the answer.
+    pub stamp: Option<Box<str>>,
+    /// Whether the server says that it did not run the request.
+    pub not_run: bool,
+    /// Its load, if it says so.
+    pub load: Option<LoadReport>,
+    /// Header lines to pass on; empty for a part of a gathered answer.
+    pub headers: Vec<(Box<str>, Box<[u8]>)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What became of an attempt.
+#[derive(Debug, Clone)]
+pub enum AttemptEnd {
+    /// A whole answer that belongs to the request.
+    Answer(ServerAnswer),
+    /// Nothing of the request was written: it has not run.
+    Unsent,
+    /// Anything else: it may have run.
+    Broken,
+}
+
+/// One input of the machine.
+#[derive(Debug, Clone)]
+pub enum ForwardInput {
+    /// A table came in force.
+    Table(Arc<RouteTable>),
+    /// A server announced something.
+    Notice(ServerNotice),
+    /// A server is silent at the control group, or no longer.
+    Silent(Box<str>, bool),
+    /// Number of entries that share the servers' limits.
+    Entries(u32),
+    /// A caller's request.
+    Call(ForwardCall),
+    /// A caller left before its answer.
+    CallerLeft(CallTag),
+    /// An attempt has ended.
+    Ended {
+        /// The attempt.
+        attempt: SlotKey,
+        /// What became of it.
+        end: AttemptEnd,
+    },
+    /// A connection to a server was made.
+    Connected {
+        /// The server.
+        server: ServerKey,
+        /// Time it took.
+        took: Duration,
+    },
+    /// Idle connections to a server.
+    Idle {
+        /// The server.
+        server: ServerKey,
+        /// Number of them.
+        idle: u32,
+    },
+    /// A timer may be due.
+    Wake,
+}
--- /dev/null
+++ b/crates/core/src/process/forward/machine.rs
@@ -0,0 +1,347 @@
+//! The forward machine: every decision of an entry for the requests it
+//! forwards.
+//!
+//! One entry point, [`ForwardMachine::step`]. Its parts stand in files of
+//! their own: choose, gather, hedge and reply.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+
+use crate::arena::{ArenaKey, KeyArena, ServerKey, SlotArena, SlotKey, UpstreamKey};
+use crate::process::forward::answer::{ForwardAction, ForwardDecision, ForwardEvent};
+use crate::process::forward::call::{CallState, ForwardAttempt};
+use crate::process::forward::directory::{
+    NoticeEffect, ServerDirectory, ServerNotice, ServerStanding,
+};
+use crate::process::forward::extra::{ExtraBound, ExtraBudget};
+use crate::process::forward::input::ForwardInput;
+use crate::process::forward::server::ServerState;
+use crate::process::forward::split::SplitCounter;
+use crate::process::forward::timing::RouteTiming;
+use crate::process::input::CallTag;
+use crate::process::timer::TimerHeap;
+use crate::version::route_table::RouteTable;
+
+/// Connections of a service that no table names.
+const UNNAMED_CONNECTIONS: u32 = 8;
+/// Entries that are taken to share a server before their number is known.
+const ENTRIES_UNKNOWN: u32 = 8;
+
+/// What a timer is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum ForwardTimer {
+    /// The last moment for an answer in time.
+    Aim(SlotKey),
+    /// The last moment for any answer.
+    Limit(SlotKey),
+    /// Outstanding attempts are looked over.
+    Sweep(SlotKey),
+    /// An attempt that nobody waits for should have ended.
+    Orphan(SlotKey),
+}
+
+/// Settings of a forward machine.
+#[derive(Debug, Clone)]
+pub struct ForwardOptions {
+    /// Failure domain of the instance.
+    pub domain: Box<str>,
+    /// Bound on extra load.
+    pub extra: ExtraBound,
+    /// Most requests at work.
+    pub in_flight: usize,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// Whether decisions are recorded.
+    pub records: bool,
+}
+
+impl Default for ForwardOptions {
+    fn default() -> Self {
+        ForwardOptions {
+            domain: "unnamed".into(),
+            extra: ExtraBound::default(),
+            in_flight: 512,
+            seed: 1,
+            records: true,
+        }
+    }
+}
+
+/// What an entry knows of a service.
+#[derive(Debug, Default)]
+pub(super) struct UpstreamState {
+    pub(super) name: Box<str>,
+    pub(super) connections: u32,
+    pub(super) servers: Vec<ServerKey>,
+    pub(super) budget: ExtraBudget,
+    /// Parts that wait for a server with room.
+    pub(super) waiting: VecDeque<(SlotKey, usize)>,
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ForwardCounters {
+    /// Requests taken.
+    pub calls: u64,
+    /// Answers of a server, or of all shards.
+    pub whole: u64,
+    /// Answers without some of the shards.
+    pub partial: u64,
+    /// Requests that got no server's answer.
+    pub failed: u64,
+    /// Callers that left.
+    pub left: u64,
+    /// First sends.
+    pub sends: u64,
+    /// Sends after a failure.
+    pub retries: u64,
+    /// Sends beside a slow one.
+    pub hedges: u64,
+    /// Repeats that the bound on extra load did not allow.
+    pub unaffordable: u64,
+    /// Attempts whose connection was closed.
+    pub cancels: u64,
+}
+
+/// Decides for the forwarded requests of one instance.
+#[derive(Debug)]
+pub struct ForwardMachine {
+    pub(super) options: ForwardOptions,
+    pub(super) rng: SmallRng,
+    pub(super) table: Option<Arc<RouteTable>>,
+    pub(super) entries: u32,
+    pub(super) directory: ServerDirectory,
+    pub(super) upstreams: KeyArena<UpstreamKey, UpstreamState>,
+    pub(super) upstream_names: HashMap<Box<str>, UpstreamKey>,
+    pub(super) servers: KeyArena<ServerKey, ServerState>,
+    pub(super) server_ids: HashMap<Box<str>, ServerKey>,
+    pub(super) calls: SlotArena<CallState>,
+    pub(super) tags: HashMap<CallTag, SlotKey>,
+    pub(super) attempts: SlotArena<ForwardAttempt>,
+    pub(super) timings: Vec<RouteTiming>,
+    pub(super) timing_names: HashMap<Box<str>, usize>,
+    pub(super) splits: HashMap<Box<str>, SplitCounter>,
+    pub(super) timers: TimerHeap<ForwardTimer>,
+    pub(super) counters: ForwardCounters,
+}
+
+impl ForwardMachine {
+    /// Returns a machine without table or servers.
+    pub fn new(options: ForwardOptions) -> ForwardMachine {
+        ForwardMachine {
+            rng: SmallRng::seed_from_u64(options.seed),
+            options,
+            table: None,
+            entries: ENTRIES_UNKNOWN,
+            directory: ServerDirectory::default(),
+            upstreams: KeyArena::default(),
+            upstream_names: HashMap::new(),
+            servers: KeyArena::default(),
+            server_ids: HashMap::new(),
+            calls: SlotArena::default(),
+            tags: HashMap::new(),
+            attempts: SlotArena::default(),
+            timings: Vec::new(),
+            timing_names: HashMap::new(),
+            splits: HashMap::new(),
+            timers: TimerHeap::default(),
+            counters: ForwardCounters::default(),
+        }
+    }
+
+    /// Takes one input at time `now` (since the process started) and appends
+    /// what is to be done to `out`.
+    pub fn step(&mut self, now: Duration, input: ForwardInput, out: &mut Vec<ForwardAction>) {
+        match input {
+            ForwardInput::Table(table) => self.adopt(table),
+            ForwardInput::Notice(notice) => self.notice(notice, now, out),
+            ForwardInput::Silent(id, silent) => self.set_silent(&id, silent),
+            ForwardInput::Entries(entries) => self.entries = entries.max(1),
+            ForwardInput::Call(call) => self.begin(call, now, out),
+            ForwardInput::CallerLeft(tag) => self.caller_left(tag, now, out),
+            ForwardInput::Ended { attempt, end } => self.ended(attempt, end, now, out),
+            ForwardInput::Connected { server, took } => self.servers[server].connected(took),
+            ForwardInput::Idle { server, idle } => self.servers[server].idle = idle,
+            ForwardInput::Wake => {}
+        }
+        self.run_timers(now, out);
+    }
+
+    /// Returns when the next timer is due.
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.timers.next()
+    }
+
+    /// Returns the table in force.
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// Returns the counts so far.
+    pub fn counters(&self) -> ForwardCounters {
+        self.counters
+    }
+
+    /// Returns the number of requests at work.
+    pub fn call_count(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns the number of servers that take work.
+    pub fn server_count(&self) -> usize {
+        let servers = self.servers.iter();
+        servers
+            .filter(|(_, server)| server.standing == ServerStanding::Ready)
+            .count()
+    }
+
+    fn run_timers(&mut self, now: Duration, out: &mut Vec<ForwardAction>) {
+        while let Some(timer) = self.timers.take_due(now) {
+            match timer {
+                ForwardTimer::Aim(call) => self.aim_due(call, now, out),
+                ForwardTimer::Limit(call) => self.limit_due(call, now, out),
+                ForwardTimer::Sweep(call) => self.sweep(call, now, out),
+                ForwardTimer::Orphan(attempt) => self.orphan_due(attempt, out),
+            }
+        }
+    }
+
+    fn adopt(&mut self, table: Arc<RouteTable>) {
+        let have = self.table.as_ref().map_or(0, |table| table.version());
+        if self.table.is_some() && table.version() <= have {
+            return;
+        }
+        for service in table.services() {
+            let upstream = self.upstream(&service.name);
+            self.upstreams[upstream].connections = service.connections.max(1);
+        }
+        self.table = Some(table);
+    }
+
+    /// Returns the key of a service, a new one if it was not known.
+    pub(super) fn upstream(&mut self, name: &str) -> UpstreamKey {
+        if let Some(upstream) = self.upstream_names.get(name) {
+            return *upstream;
+        }
+        let upstream = self.upstreams.push(UpstreamState {
+            name: name.into(),
+            connections: UNNAMED_CONNECTIONS,
+            ..UpstreamState::default()
+        });
+        self.upstream_names.insert(name.into(), upstream);
+        upstream
+    }
+
+    /// Returns the place of a route's timing.
+    pub(super) fn timing(&mut self, route: &str) -> usize {
+        if let Some(timing) = self.timing_names.get(route) {
+            return *timing;
+        }
+        self.timings.push(RouteTiming::default());
+        let timing = self.timings.len() - 1;
+        self.timing_names.insert(route.into(), timing);
+        timing
+    }
+
+    fn notice(&mut self, notice: ServerNotice, now: Duration, out: &mut Vec<ForwardAction>) {
+        let id = notice.id.clone();
+        if self.directory.apply(notice, now) == NoticeEffect::Stale {
+            return;
+        }
+        let Some(record) = self.directory.get(&id) else {
+            return;
+        };
+        let known = record.notice.clone();
+        if let Some(server) = self.server_ids.get(&id).copied() {
+            return self.set_standing(server, known.standing, out);
+        }
+        let Some(address) = known.address else {
+            return;
+        };
+        if known.standing != ServerStanding::Ready {
+            return;
+        }
+        self.add_server(known, address, now, out);
+    }
+
+    fn add_server(
+        &mut self,
+        notice: ServerNotice,
+        address: SocketAddr,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        // Whoever had the address before is gone.
+        let former = self.servers.iter().find(|(_, server)| {
+            server.address == address && server.standing != ServerStanding::Gone
+        });
+        if let Some((former, _)) = former {
+            self.set_standing(former, ServerStanding::Gone, out);
+        }
+        let upstream = self.upstream(&notice.service);
+        let mut state = ServerState::new(notice.id.clone(), upstream, address);
+        state.is_near = notice.domain == self.options.domain;
+        state.slots = notice.slots;
+        state.warm_at = now + Duration::from_millis(notice.cold_ms);
+        let server = self.servers.push(state);
+        self.server_ids.insert(notice.id, server);
+        self.upstreams[upstream].servers.push(server);
+        self.serve_waiting(upstream, now, out);
+    }
+
+    pub(super) fn set_standing(
+        &mut self,
+        server: ServerKey,
+        standing: ServerStanding,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let state = &mut self.servers[server];
+        if standing <= state.standing {
+            return;
+        }
+        state.standing = standing;
+        let upstream = state.upstream;
+        let servers = &mut self.upstreams[upstream].servers;
+        servers.retain(|other| *other != server);
+        out.push(ForwardAction::Close(server));
+    }
+
+    fn set_silent(&mut self, id: &str, silent: bool) {
+        if let Some(server) = self.server_ids.get(id) {
+            self.servers[*server].silent = silent;
+        }
+    }
+
+    /// Records a decision about a request.
+    pub(super) fn decide(
+        &self,
+        call: CallTag,
+        out: &mut Vec<ForwardAction>,
+        decision: impl FnOnce() -> ForwardDecision,
+    ) {
+        if !self.options.records {
+            return;
+        }
+        out.push(ForwardAction::Decide(ForwardEvent {
+            call,
+            decision: decision(),
+        }));
+    }
+
+    /// Returns the name of a server's service and its id.
+    pub(super) fn names(&self, server: ServerKey) -> (Box<str>, Box<str>) {
+        let state = &self.servers[server];
+        let service = self.upstreams[state.upstream].name.clone();
+        (service, state.id.clone())
+    }
+
+    /// Returns a server's key as a number, for the driver's own tables.
+    pub fn server_index(server: ServerKey) -> usize {
+        server.index()
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/forward/mod.rs
@@ -0,0 +1,19 @@
+//! Forwarding of opaque requests: one server, a split, or all shards.
+//!
+//! [`machine::ForwardMachine`] decides for the requests of one entry instance;
+//! [`directory::ServerDirectory`] holds what upstream servers announced, in
+//! the control group and at the entries alike.
+
+pub mod answer;
+pub mod call;
+pub mod choose;
+pub mod directory;
+pub mod extra;
+mod gather;
+mod hedge;
+pub mod input;
+pub mod machine;
+mod reply;
+pub mod server;
+pub mod split;
+pub mod timing;
--- /dev/null
+++ b/crates/core/src/process/forward/reply.rs
@@ -0,0 +1,236 @@
+//! What becomes of an attempt.
+
+use std::time::Duration;
+
+use crate::arena::SlotKey;
+use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
+use crate::process::forward::call::{ForwardAttempt, PartStatus};
+use crate::process::forward::directory::ServerStanding;
+use crate::process::forward::input::{AttemptEnd, ServerAnswer};
+use crate::process::forward::machine::ForwardMachine;
+
+/// Status of a server that is not the one that was meant.
+const MISDIRECTED: u16 = 421;
+/// First status of a server's failure.
+const SERVER_FAILURE: u16 = 500;
+
+/// What an attempt's end means for its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EndMeaning {
+    /// It is the answer.
+    Final,
+    /// The server failed; another may do better.
+    Failure,
+    /// The server did not run it.
+    NotRun,
+    /// It never arrived.
+    Unsent,
+    /// It may have run.
+    Broken,
+}
+
+impl EndMeaning {
+    fn of(end: &AttemptEnd) -> EndMeaning {
+        match end {
+            AttemptEnd::Unsent => EndMeaning::Unsent,
+            AttemptEnd::Broken => EndMeaning::Broken,
+            AttemptEnd::Answer(answer) if answer.not_run || answer.status == MISDIRECTED => {
+                EndMeaning::NotRun
+            }
+            AttemptEnd::Answer(answer) if answer.status >= SERVER_FAILURE => EndMeaning::Failure,
+            AttemptEnd::Answer(_) => EndMeaning::Final,
+        }
+    }
+
+    fn word(self) -> &'static str {
+        match self {
+            EndMeaning::Final => "answer",
+            EndMeaning::Failure => "server_failure",
+            EndMeaning::NotRun => "not_run",
+            EndMeaning::Unsent => "unreachable",
+            EndMeaning::Broken => "broken",
+        }
+    }
+}
+
+impl ForwardMachine {
+    pub(super) fn ended(
+        &mut self,
+        attempt: SlotKey,
+        end: AttemptEnd,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.attempts.remove(attempt) else {
+            return;
+        };
+        let meaning = EndMeaning::of(&end);
+        self.learn(attempt, &state, &end, meaning, now, out);
+        self.settle(attempt, &state, end, meaning, now, out);
+        self.serve_waiting(state.upstream, now, out);
+    }
+
+    /// Takes note of what an end says about the server.
+    fn learn(
+        &mut self,
+        attempt: SlotKey,
+        state: &ForwardAttempt,
+        end: &AttemptEnd,
+        meaning: EndMeaning,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let server = &mut self.servers[state.server];
+        server.settle(attempt);
+        let work = (now - state.sent_at).saturating_sub(server.way());
+        match meaning {
+            EndMeaning::Final => {
+                server.answered(work, state.typical, now);
+                server.judged(false);
+                self.timings[state.timing].add(work);
+            }
+            EndMeaning::Failure | EndMeaning::NotRun => {
+                server.answered_at = now;
+                server.judged(true);
+            }
+            EndMeaning::Broken if state.call.is_none() => {}
+            EndMeaning::Unsent => server.rest(now),
+            EndMeaning::Broken => {
+                server.judged(true);
+                server.rest(now);
+            }
+        }
+        let AttemptEnd::Answer(answer) = end else {
+            return;
+        };
+        if let Some(load) = answer.load {
+            self.servers[state.server].loaded(load, now);
+        }
+        if answer.status == MISDIRECTED {
+            // The address belongs to another server now.
+            self.set_standing(state.server, ServerStanding::Gone, out);
+        }
+    }
+
+    /// Takes an end for the request that waits for it.
+    fn settle(
+        &mut self,
+        attempt: SlotKey,
+        state: &ForwardAttempt,
+        end: AttemptEnd,
+        meaning: EndMeaning,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(key) = state.call else {
+            return;
+        };
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        let tag = call.tag;
+        let part = &mut call.parts[state.part];
+        part.attempts.retain(|other| *other != attempt);
+        match meaning {
+            EndMeaning::Unsent => {
+                part.runs -= 1;
+                part.arrivals -= 1;
+            }
+            EndMeaning::NotRun => part.runs -= 1,
+            _ => {}
+        }
+        if !part.is_open() {
+            return;
+        }
+        if meaning != EndMeaning::Final {
+            let (service, instance) = self.names(state.server);
+            self.decide(tag, out, || ForwardDecision::Lost {
+                service,
+                instance,
+                reason: meaning.word(),
+                after: now - state.sent_at,
+            });
+        }
+        match end {
+            AttemptEnd::Answer(answer) if meaning == EndMeaning::Final => {
+                self.take_answer(key, state.part, answer, now, out);
+            }
+            AttemptEnd::Answer(answer) if meaning == EndMeaning::Failure => {
+                if let Some(call) = self.calls.get_mut(key).filter(|call| !call.gathers) {
+                    call.failure = Some(Box::new(answer));
+                }
+                self.try_again(key, state.part, now, out);
+            }
+            _ => self.try_again(key, state.part, now, out),
+        }
+    }
+
+    fn take_answer(
+        &mut self,
+        key: SlotKey,
+        part: usize,
+        answer: ServerAnswer,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        if !call.gathers {
+            return self.end_served(key, Box::new(answer), now, out);
+        }
+        let is_part = (200..300).contains(&answer.status);
+        let Some(stamp) = answer.stamp.filter(|_| is_part) else {
+            return self.try_again(key, part, now, out);
+        };
+        call.parts[part].status = PartStatus::Answered {
+            stamp,
+            body: answer.body,
+        };
+        call.answered += 1;
+        self.check_end(key, now, out);
+    }
+
+    /// Sends a part once more if that is allowed and worth it, else gives it
+    /// up unless another attempt is outstanding.
+    fn try_again(
+        &mut self,
+        key: SlotKey,
+        part: usize,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
+        let rule = call.rule();
+        let state = &call.parts[part];
+        let may_repeat = rule.idempotent || state.runs == 0;
+        let has_time = now < call.plan.limit;
+        let is_allowed = may_repeat && has_time && state.runs < rule.attempts;
+        if is_allowed && !state.attempts.is_full() && self.has_server(key, part, now) {
+            let is_paid = self.afford(key, part, now, out);
+            if is_paid && self.send(key, part, AttemptCause::Retry, now, out) {
+                return self.plan_sweep(key, now);
+            }
+        }
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        let state = &mut call.parts[part];
+        if state.attempts.is_empty() && !state.waits {
+            state.status = PartStatus::Missing;
+            call.missing += 1;
+        }
+        self.check_end(key, now, out);
+    }
+
+    fn has_server(&mut self, key: SlotKey, part: usize, now: Duration) -> bool {
+        let Some(call) = self.calls.get(key) else {
+            return false;
+        };
+        let state = &call.parts[part];
+        let (upstream, tried) = (state.upstream, state.tried.clone());
+        self.choose(upstream, &tried, Duration::ZERO, now).is_ok()
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/forward/server.rs
@@ -0,0 +1,183 @@
+//! An upstream server as an entry knows it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::arena::{SlotKey, UpstreamKey};
+use crate::process::forward::directory::ServerStanding;
+use crate::process::forward::input::LoadReport;
+
+/// Weight of a new sample in a moving average.
+const SAMPLE_WEIGHT: f64 = 0.15;
+/// Bounds of a server's slowness.
+const SLOWNESS: (f64, f64) = (0.3, 20.0);
+/// Time that a server which could not be reached is left alone, at first.
+const FIRST_REST: Duration = Duration::from_millis(250);
+/// Longest such time.
+const LONGEST_REST: Duration = Duration::from_secs(4);
+/// How much slower a server is after its start.
+const COLD_FACTOR: f64 = 1.6;
+/// Age at which a load report says nothing any more.
+const LOAD_AGE: Duration = Duration::from_millis(400);
+/// Way to a server and back before it was measured.
+const FIRST_WAY: Duration = Duration::from_millis(1);
+
+/// An attempt that a server has not answered.
+#[derive(Debug, Clone, Copy)]
+pub struct OutstandingAttempt {
+    /// The attempt.
+    pub attempt: SlotKey,
+    /// When it was sent.
+    pub sent_at: Duration,
+}
+
+/// What an entry knows of a server.
+#[derive(Debug)]
+pub struct ServerState {
+    /// Identity of its lifetime.
+    pub id: Box<str>,
+    /// Its service.
+    pub upstream: UpstreamKey,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Whether it stands in the entry's own failure domain.
+    pub is_near: bool,
+    /// Whether it takes work.
+    pub standing: ServerStanding,
+    /// Whether the control group no longer hears it.
+    pub silent: bool,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// When it is warm.
+    pub warm_at: Duration,
+    /// Attempts outstanding, oldest first.
+    pub outstanding: Vec<OutstandingAttempt>,
+    /// Idle connections to it.
+    pub idle: u32,
+    /// Its time for a request against that of its peers.
+    pub slowness: f64,
+    /// Fraction of failures among the last answers.
+    pub failing: f64,
+    /// Until when it is left alone.
+    pub rest_until: Duration,
+    /// When it last answered.
+    pub answered_at: Duration,
+    way: Duration,
+    rests: u32,
+    load: Option<(LoadReport, Duration)>,
+}
+
+impl ServerState {
+    /// Returns a server that was not asked yet.
+    pub fn new(id: Box<str>, upstream: UpstreamKey, address: SocketAddr) -> ServerState {
+        ServerState {
+            id,
+            upstream,
+            address,
+            is_near: false,
+            standing: ServerStanding::Ready,
+            silent: false,
+            slots: 1,
+            warm_at: Duration::ZERO,
+            outstanding: Vec::new(),
+            idle: 0,
+            slowness: 1.0,
+            failing: 0.0,
+            rest_until: Duration::ZERO,
+            answered_at: Duration::ZERO,
+            way: FIRST_WAY,
+            rests: 0,
+            load: None,
+        }
+    }
+
+    /// Returns the time to the server and back.
+    pub fn way(&self) -> Duration {
+        self.way
+    }
+
+    /// Takes note of a connection made.
+    pub fn connected(&mut self, took: Duration) {
+        self.way = if self.way == FIRST_WAY {
+            took
+        } else {
+            self.way.min(took)
+        };
+    }
+
+    /// Takes note of an answer after `work`, where `typical` was expected.
+    pub fn answered(&mut self, work: Duration, typical: Duration, now: Duration) {
+        self.answered_at = now;
+        self.rests = 0;
+        self.rest_until = Duration::ZERO;
+        let ratio = work.as_secs_f64() / typical.as_secs_f64().max(1e-4);
+        let ratio = ratio.clamp(SLOWNESS.0, SLOWNESS.1);
+        self.slowness += SAMPLE_WEIGHT * (ratio - self.slowness);
+    }
+
+    /// Takes note of whether an answer was of use.
+    pub fn judged(&mut self, failed: bool) {
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.failing += SAMPLE_WEIGHT * (sample - self.failing);
+    }
+
+    /// Leaves the server alone for a while; longer each time.
+    pub fn rest(&mut self, now: Duration) {
+        let rest = FIRST_REST * 2u32.saturating_pow(self.rests.min(8));
+        self.rests += 1;
+        self.rest_until = now + rest.min(LONGEST_REST);
+    }
+
+    /// Takes a load report.
+    pub fn loaded(&mut self, load: LoadReport, now: Duration) {
+        self.load = Some((load, now));
+    }
+
+    /// Removes an attempt from those outstanding.
+    pub fn settle(&mut self, attempt: SlotKey) {
+        self.outstanding.retain(|other| other.attempt != attempt);
+    }
+
+    /// Returns for how long the oldest attempt has gone without any answer.
+    pub fn stall(&self, now: Duration) -> Duration {
+        let oldest = self.outstanding.first();
+        let since = oldest.map_or(now, |oldest| oldest.sent_at.max(self.answered_at));
+        now.saturating_sub(since)
+    }
+
+    /// Returns the time to expect for a request that takes `typical` at an
+    /// idle server of the service.
+    pub fn expect(&self, typical: Duration, now: Duration) -> Duration {
+        let mut work = typical.mul_f64(self.slowness);
+        if now < self.warm_at {
+            work = work.mul_f64(COLD_FACTOR);
+        }
+        let slots = f64::from(self.slots.max(1));
+        let ahead = self.ahead(now);
+        let queue = (ahead + 1.0 - slots).max(0.0) / slots;
+        let stall = self.stall(now);
+        let patience = work * 2 + self.way;
+        // A server that has been still for longer than its work explains is
+        // likely to stay so for as long again.
+        let pause = if stall > patience {
+            stall
+        } else {
+            Duration::ZERO
+        };
+        self.way + work + work.mul_f64(queue) + pause
+    }
+
+    /// Returns how many requests are ahead of a new one.
+    fn ahead(&self, now: Duration) -> f64 {
+        let own = self.outstanding.len() as f64;
+        match self.load {
+            Some((load, at)) if now < at + LOAD_AGE => {
+                let age = (now - at).as_secs_f64() / LOAD_AGE.as_secs_f64();
+                // The report counts the request that it came with.
+                let told = f64::from((load.running + load.waiting).saturating_sub(1));
+                own.max(own * 0.5 + told * (1.0 - age))
+            }
+            _ => own,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/forward/timing.rs
@@ -0,0 +1,88 @@
+//! What is known of a route's times, and when a request should be answered.
+
+use std::time::Duration;
+
+use crate::process::latency::LatencyWindow;
+use crate::version::route_table::RouteRule;
+
+/// Quantile of the work times after which an attempt counts as slow.
+const SLOW_QUANTILE: f64 = 0.9;
+/// Earliest hedge, as a part of the objective.
+const EARLIEST_HEDGE: f64 = 0.08;
+/// Latest hedge, as a part of the objective.
+const LATEST_HEDGE: f64 = 0.45;
+/// Hedge delay before there are samples, as a part of the objective.
+const FIRST_HEDGE: f64 = 0.3;
+/// Least time kept for the way back and for merging.
+const LEAST_MARGIN: Duration = Duration::from_millis(6);
+/// Time kept for the way back and for merging, as a part of the objective.
+const MARGIN: f64 = 0.1;
+/// Time kept for a last answer before the limit.
+const LIMIT_MARGIN: Duration = Duration::from_millis(30);
+/// Work time before there are samples, as a part of the objective.
+const FIRST_WORK: f64 = 0.15;
+
+/// Times of a route, as seen by this instance.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTiming {
+    work: LatencyWindow,
+    /// The longest time that callers have given.
+    usual_limit: Duration,
+}
+
+impl RouteTiming {
+    /// Adds a time that a server took, without the way there and back.
+    pub fn add(&mut self, work: Duration) {
+        self.work.add(work);
+    }
+
+    /// Returns the median time a server takes.
+    pub fn typical(&self, route: &RouteRule) -> Duration {
+        let median = self.work.median();
+        median.unwrap_or_else(|| route.objective().mul_f64(FIRST_WORK))
+    }
+
+    /// Returns the time after which a server counts as slow.
+    pub fn slow(&self, route: &RouteRule) -> Duration {
+        let objective = route.objective();
+        let slow = self.work.quantile(SLOW_QUANTILE);
+        let slow = slow.unwrap_or_else(|| objective.mul_f64(FIRST_HEDGE));
+        slow.clamp(
+            objective.mul_f64(EARLIEST_HEDGE),
+            objective.mul_f64(LATEST_HEDGE),
+        )
+    }
+
+    /// Works out when a request that arrives at `now` should be answered.
+    pub fn plan(
+        &mut self,
+        route: &RouteRule,
+        time_left: Option<Duration>,
+        now: Duration,
+    ) -> AnswerPlan {
+        let given = time_left.unwrap_or_else(|| route.time_limit());
+        self.usual_limit = self.usual_limit.max(given);
+        // A repeat of the caller comes with less time than usual: what is
+        // gone counts against the objective.
+        let spent = self.usual_limit - given;
+        let objective = route.objective().saturating_sub(spent);
+        let margin = LEAST_MARGIN.max(route.objective().mul_f64(MARGIN));
+        let limit = given.min(route.time_limit());
+        AnswerPlan {
+            aim: now + objective.saturating_sub(margin),
+            limit: now + limit.saturating_sub(LIMIT_MARGIN.min(limit / 4)),
+            given_up: now + limit,
+        }
+    }
+}
+
+/// When a request should be answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerPlan {
+    /// The last moment at which an answer is in time.
+    pub aim: Duration,
+    /// The last moment at which an answer reaches a caller that waits.
+    pub limit: Duration,
+    /// When the caller's time is over.
+    pub given_up: Duration,
+}
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -9,6 +9,7 @@
 pub mod domain;
 pub mod entry;
 mod finish;
+pub mod forward;
 pub mod gate;
 pub mod gossip;
 pub mod health;
--- a/crates/core/src/process/timer.rs
+++ b/crates/core/src/process/timer.rs
@@ -17,20 +17,28 @@
     Sweep(SlotKey),
 }
 
-/// A heap of timers.
-#[derive(Debug, Default)]
-pub struct TimerHeap {
-    heap: BinaryHeap<Reverse<(Duration, TimerPurpose)>>,
+/// A heap of timers, each with its purpose.
+#[derive(Debug)]
+pub struct TimerHeap<P = TimerPurpose> {
+    heap: BinaryHeap<Reverse<(Duration, P)>>,
 }
 
-impl TimerHeap {
+impl<P: Ord> Default for TimerHeap<P> {
+    fn default() -> Self {
+        TimerHeap {
+            heap: BinaryHeap::new(),
+        }
+    }
+}
+
+impl<P: Ord> TimerHeap<P> {
     /// Sets a timer for time `at`.
-    pub fn set(&mut self, at: Duration, purpose: TimerPurpose) {
+    pub fn set(&mut self, at: Duration, purpose: P) {
         self.heap.push(Reverse((at, purpose)));
     }
 
     /// Takes a timer that is due, if any.
-    pub fn take_due(&mut self, now: Duration) -> Option<TimerPurpose> {
+    pub fn take_due(&mut self, now: Duration) -> Option<P> {
         let Reverse((at, _)) = self.heap.peek()?;
         if *at > now {
             return None;
--- a/crates/core/src/request/mod.rs
+++ b/crates/core/src/request/mod.rs
@@ -5,3 +5,4 @@
 pub mod identity;
 pub mod merge;
 pub mod query;
+pub mod records;
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -175,6 +175,7 @@
         let start = ReplicaStart {
             id: id_of(node),
             members,
+            size: 0,
             hard: disk.hard,
             snapshot: (disk.place, disk.state),
             entries: disk.entries,
--- a/crates/node/src/connection/mod.rs
+++ b/crates/node/src/connection/mod.rs
@@ -1,6 +1,8 @@
 //! What lives for a connection: to upstream servers, and from clients.
 
 pub mod attempt;
+pub mod exchange;
+pub mod frame;
 pub mod listener;
 pub mod peer;
 pub mod pool;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,21 +1,30 @@
 //! `wheelmastd`: one instance of the wheelmast query tier.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use tokio::signal::unix::{signal, SignalKind};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use wheelmast_core::prelude::{GuardSet, ServiceTable, TablePolicy};
 use wheelmast_node::prelude::{
     InstanceHandle, InstanceSettings, InstanceSetup, LogFormat, LogSettings,
 };
+use wheelmast_node::process::forward::run::run_entry;
+use wheelmast_node::process::group::run::run_control;
 use wheelmast_node::process::member::initialize;
-use wheelmast_node::settings::read::read_settings_file;
+use wheelmast_node::settings::read::{read_any_file, AnySettings};
+use wheelmast_node::settings::role::{DialectKind, RoleKind, RoleSettings};
+use wheelmast_platform::PlatformDialect;
+use wheelmast_wire::dialect::ForwardDialect;
+use wheelmast_wire::native::NativeDialect;
 
 /// Exit code for findings and failures.
 const EXIT_FAILURE: u8 = 1;
+/// Log lines that may wait for standard output; more are dropped and counted.
+const LOG_LINES: usize = 4000;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -65,8 +74,9 @@
     let path = matches
         .get_one::<PathBuf>("settings")
         .context("could not find --settings")?;
-    let settings = match read_settings_file(path)? {
-        Ok(settings) => settings,
+    let settings = match read_any_file(path)? {
+        Ok(AnySettings::Instance(settings)) => *settings,
+        Ok(AnySettings::Role(settings)) => return run_role(matches, path, *settings),
         Err(findings) => return Ok(report(path, &findings)),
     };
     if matches.get_flag("init") {
@@ -90,6 +100,56 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Runs an instance that forwards requests, or one of the control group.
+fn run_role(matches: &ArgMatches, path: &Path, settings: RoleSettings) -> anyhow::Result<ExitCode> {
+    if matches.get_flag("check") {
+        println!("{}: no findings", path.display());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let _writer = start_role_log(&settings.log_level)?;
+    tracing::info!(
+        version = clap::crate_version!(),
+        instance = %settings.instance,
+        role = ?settings.role,
+        dialect = ?settings.dialect,
+        domain = %settings.domain,
+        seeds = ?settings.seeds,
+        first_start = settings.first_start,
+        tolerate = settings.tolerate,
+        "instance: starting; no group key is set, other instances are believed by their address"
+    );
+    match settings.dialect {
+        DialectKind::Native => run_in::<NativeDialect>(settings, path)?,
+        DialectKind::Platform => run_in::<PlatformDialect>(settings, path)?,
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_in<D: ForwardDialect>(settings: RoleSettings, path: &Path) -> anyhow::Result<()> {
+    match settings.role {
+        RoleKind::Entry => run_entry::<D>(settings, path.to_path_buf()),
+        RoleKind::Control => run_control::<D>(settings, path.to_path_buf()),
+    }
+}
+
+/// Starts the log of an instance with a role: JSON lines on standard output,
+/// by a thread of its own, so that an output that nobody reads delays nothing.
+fn start_role_log(level: &str) -> anyhow::Result<WorkerGuard> {
+    let filter =
+        EnvFilter::try_new(level).with_context(|| format!("could not read log level {level}"))?;
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(LOG_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .init();
+    Ok(guard)
+}
+
 fn make_folder(settings: &InstanceSettings) -> anyhow::Result<ExitCode> {
     let cluster = settings.cluster.as_ref();
     let cluster = cluster.context("could not initialize: the settings name no cluster")?;
--- /dev/null
+++ b/crates/node/src/process/forward/callers.rs
@@ -0,0 +1,257 @@
+//! The callers' side: requests in, answers out.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use wheelmast_core::process::forward::answer::{ForwardAnswer, ForwardFailure};
+use wheelmast_core::process::forward::input::{ForwardCall, ForwardInput, ServerAnswer};
+use wheelmast_core::process::input::CallTag;
+use wheelmast_core::version::route_table::CallerLimits;
+use wheelmast_wire::dialect::ForwardDialect;
+
+use crate::process::forward::entry::{EntryDuty, EntryPhase};
+use crate::process::forward::image::RequestImage;
+use crate::process::forward::story::join_words;
+
+/// Least size of a connection's buffer that the HTTP library takes.
+const LEAST_BUFFER: usize = 8192;
+/// Time after which a listener that cannot accept tries again.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+type CallerResponse = Response<Full<Bytes>>;
+
+/// Accepts callers' connections until the entry closes.
+pub async fn accept<D: ForwardDialect>(
+    entry: Rc<EntryDuty<D>>,
+    listener: TcpListener,
+    closing: watch::Receiver<bool>,
+) {
+    let mut closed = closing.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closed.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let (entry, closing) = (entry.clone(), closing.clone());
+                tokio::task::spawn_local(serve(entry, stream, closing));
+            }
+            Err(error) => {
+                tracing::warn!(target: "entry", "callers: could not accept, {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve<D: ForwardDialect>(
+    entry: Rc<EntryDuty<D>>,
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) {
+    let _ = stream.set_nodelay(true);
+    let limits = entry.look(|machine| machine.table().map(|table| table.limits()));
+    let limits = limits.unwrap_or_default();
+    let handler = entry.clone();
+    let service = service_fn(move |request| {
+        let entry = handler.clone();
+        async move { Ok::<_, Infallible>(handle(entry, request, limits).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.head_ms)))
+        .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        // A caller that sends what is no request harms only itself.
+        _ = connection.as_mut() => return,
+        _ = closing.wait_for(|closing| *closing) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// Tells the machine when a caller leaves before its answer.
+struct CallGuard<D: ForwardDialect> {
+    entry: Rc<EntryDuty<D>>,
+    tag: CallTag,
+}
+
+impl<D: ForwardDialect> Drop for CallGuard<D> {
+    fn drop(&mut self) {
+        self.entry.leave(self.tag);
+    }
+}
+
+async fn handle<D: ForwardDialect>(
+    entry: Rc<EntryDuty<D>>,
+    request: Request<Incoming>,
+    limits: CallerLimits,
+) -> CallerResponse {
+    let mut response = answer(&entry, request, limits).await;
+    if entry.phase() == EntryPhase::Leaving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn answer<D: ForwardDialect>(
+    entry: &Rc<EntryDuty<D>>,
+    request: Request<Incoming>,
+    limits: CallerLimits,
+) -> CallerResponse {
+    if entry.phase() == EntryPhase::Learning {
+        return failure_response(ForwardFailure::NoTable, Some(Duration::from_millis(200)));
+    }
+    let (parts, body) = request.into_parts();
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let time_left = parts.headers.get(D::HEADERS.time_left);
+    let time_left = time_left.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
+    let time_left = time_left.filter(|millis| millis.is_finite());
+    let time_left = time_left.map(|millis| Duration::from_secs_f64(millis.max(0.0) / 1000.0));
+    let body = match Limited::new(body, limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return plain_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+        }
+        Err(_) => return plain_response(StatusCode::BAD_REQUEST, "body could not be read"),
+    };
+    let call = ForwardCall {
+        tag: CallTag(0),
+        host: host.into(),
+        path: parts.uri.path().into(),
+        time_left,
+    };
+    let id = parts.headers.get(D::HEADERS.request);
+    let id = id.and_then(|id| id.to_str().ok()).map(str::to_string);
+    let id = id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
+    let image = RequestImage::new::<D>(&parts.method, &parts.uri, &parts.headers, &id, body);
+    let (tag, receiver) = entry.admit(image);
+    let guard = CallGuard {
+        entry: entry.clone(),
+        tag,
+    };
+    entry.step(ForwardInput::Call(ForwardCall { tag, ..call }));
+    let answer = receiver.await;
+    drop(guard);
+    match answer {
+        Ok(answer) => respond::<D>(answer, &id),
+        Err(_) => failure_response(ForwardFailure::Failed, None),
+    }
+}
+
+fn respond<D: ForwardDialect>(answer: ForwardAnswer, id: &str) -> CallerResponse {
+    match answer {
+        ForwardAnswer::Server(answer) => server_response(*answer),
+        ForwardAnswer::Gathered {
+            stamps,
+            missing,
+            body,
+        } => {
+            let response = Response::builder()
+                .status(StatusCode::OK)
+                .header(D::HEADERS.request, id)
+                .header(D::HEADERS.parts, join_words(&stamps))
+                .header(D::HEADERS.missing, missing)
+                .body(Full::new(Bytes::from(body)));
+            response.unwrap_or_else(|_| failure_response(ForwardFailure::Failed, None))
+        }
+        ForwardAnswer::Failure {
+            failure,
+            retry_after,
+        } => failure_response(failure, retry_after),
+    }
+}
+
+fn server_response(answer: ServerAnswer) -> CallerResponse {
+    let mut response = Response::builder().status(answer.status);
+    for (name, value) in &answer.headers {
+        response = response.header(&**name, &**value);
+    }
+    let response = response.body(Full::new(answer.body));
+    response.unwrap_or_else(|_| failure_response(ForwardFailure::Failed, None))
+}
+
+/// Returns the answer to a request that got no server's. Service unavailable
+/// says that it has not run and never will.
+fn failure_response(failure: ForwardFailure, retry_after: Option<Duration>) -> CallerResponse {
+    let status = match failure {
+        ForwardFailure::NoRoute => StatusCode::NOT_FOUND,
+        ForwardFailure::Late => StatusCode::GATEWAY_TIMEOUT,
+        ForwardFailure::Failed => StatusCode::BAD_GATEWAY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = plain_response(status, failure.word());
+    if let Some(after) = retry_after {
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, seconds);
+        }
+    }
+    response
+}
+
+fn plain_response(status: StatusCode, text: &'static str) -> CallerResponse {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    let plain = HeaderValue::from_static("text/plain");
+    response.headers_mut().insert(CONTENT_TYPE, plain);
+    response
+}
+
+/// Answers the balancer until the entry ends.
+pub async fn answer_balancer<D: ForwardDialect>(entry: Rc<EntryDuty<D>>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let entry = entry.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |_: Request<Incoming>| {
+                let is_ready = entry.phase() == EntryPhase::Serving;
+                async move {
+                    let response = if is_ready {
+                        plain_response(StatusCode::OK, "ready")
+                    } else {
+                        plain_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+                    };
+                    Ok::<_, Infallible>(response)
+                }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_secs(10))
+                .serve_connection(TokioIo::new(stream), service);
+            let _ = connection.await;
+        });
+    }
+}
+
+/// Opens a listener.
+///
+/// # Errors
+///
+/// Fails if the address cannot be had.
+pub async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    use anyhow::Context;
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("could not listen at {address}"))
+}
--- /dev/null
+++ b/crates/node/src/process/forward/entry.rs
@@ -0,0 +1,189 @@
+//! The entry: its machine, its connections, and what joins them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::marker::PhantomData;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{oneshot, Notify};
+use wheelmast_core::arena::SlotKey;
+use wheelmast_core::process::forward::answer::{ForwardAction, ForwardAnswer};
+use wheelmast_core::process::forward::input::ForwardInput;
+use wheelmast_core::process::forward::machine::{ForwardMachine, ForwardOptions};
+use wheelmast_core::process::input::CallTag;
+use wheelmast_wire::dialect::ForwardDialect;
+
+use crate::process::forward::image::RequestImage;
+use crate::process::forward::pool::{ServerPool, UpstreamOrder};
+use crate::process::forward::story::StoryBook;
+
+/// A request that waits for its answer.
+#[derive(Debug)]
+struct WaitingCall {
+    answer: oneshot::Sender<ForwardAnswer>,
+    image: Rc<RequestImage>,
+}
+
+/// How far the entry is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryPhase {
+    /// It does not know the newest table for sure yet.
+    Learning,
+    /// It serves.
+    Serving,
+    /// It is leaving: no longer ready, and still serving.
+    Leaving,
+}
+
+/// One entry; its tasks share it on one thread.
+#[derive(Debug)]
+pub struct EntryDuty<D> {
+    machine: RefCell<ForwardMachine>,
+    /// Connections to servers.
+    pub pool: ServerPool,
+    /// Ways to end attempts that nobody waits for.
+    pub cancels: RefCell<HashMap<SlotKey, oneshot::Sender<()>>>,
+    calls: RefCell<HashMap<CallTag, WaitingCall>>,
+    stories: RefCell<StoryBook>,
+    spare: RefCell<Vec<ForwardAction>>,
+    tags: Cell<u64>,
+    phase: Cell<EntryPhase>,
+    started: Instant,
+    armed: Cell<Duration>,
+    wake: Notify,
+    dialect: PhantomData<D>,
+}
+
+impl<D: ForwardDialect> EntryDuty<D> {
+    /// Returns an entry that knows nothing yet.
+    pub fn new(options: ForwardOptions) -> EntryDuty<D> {
+        EntryDuty {
+            machine: RefCell::new(ForwardMachine::new(options)),
+            pool: ServerPool::default(),
+            cancels: RefCell::default(),
+            calls: RefCell::default(),
+            stories: RefCell::default(),
+            spare: RefCell::default(),
+            tags: Cell::new(0),
+            phase: Cell::new(EntryPhase::Learning),
+            started: Instant::now(),
+            armed: Cell::new(Duration::MAX),
+            wake: Notify::new(),
+            dialect: PhantomData,
+        }
+    }
+
+    /// Returns how far the entry is.
+    pub fn phase(&self) -> EntryPhase {
+        self.phase.get()
+    }
+
+    /// Sets how far the entry is; leaving is for good.
+    pub fn set_phase(&self, phase: EntryPhase) {
+        if self.phase.get() != EntryPhase::Leaving && self.phase.get() != phase {
+            self.phase.set(phase);
+            tracing::info!(target: "entry", "entry: phase {phase:?}");
+        }
+    }
+
+    /// Reads something of the machine.
+    pub fn look<T>(&self, look: impl FnOnce(&ForwardMachine) -> T) -> T {
+        look(&self.machine.borrow())
+    }
+
+    /// Steps the machine and does what it asks.
+    pub fn step(self: &Rc<Self>, input: ForwardInput) {
+        let now = self.started.elapsed();
+        let mut out = self.spare.take();
+        let next = {
+            let mut machine = self.machine.borrow_mut();
+            machine.step(now, input, &mut out);
+            machine.next_wake()
+        };
+        for action in out.drain(..) {
+            self.act(action);
+        }
+        self.spare.replace(out);
+        if next.is_some_and(|next| next < self.armed.get()) {
+            self.wake.notify_one();
+        }
+    }
+
+    fn act(self: &Rc<Self>, action: ForwardAction) {
+        match action {
+            ForwardAction::Send(order) => {
+                let calls = self.calls.borrow();
+                let Some(call) = calls.get(&order.call) else {
+                    return;
+                };
+                let (cancel, cancelled) = oneshot::channel();
+                self.cancels.borrow_mut().insert(order.attempt, cancel);
+                let image = call.image.clone();
+                self.pool.send(
+                    self,
+                    UpstreamOrder {
+                        order,
+                        image,
+                        cancelled,
+                    },
+                );
+            }
+            ForwardAction::Cancel(attempt) => {
+                if let Some(cancel) = self.cancels.borrow_mut().remove(&attempt) {
+                    // The attempt may have ended just now.
+                    let _ = cancel.send(());
+                }
+            }
+            ForwardAction::Answer { call, answer } => {
+                if let Some(call) = self.calls.borrow_mut().remove(&call) {
+                    // The caller may have left.
+                    let _ = call.answer.send(answer);
+                }
+            }
+            ForwardAction::Close(server) => self.pool.close(server),
+            ForwardAction::Decide(event) => self.stories.borrow_mut().take(event),
+        }
+    }
+
+    /// Takes a request in and returns where its answer comes.
+    pub fn admit(
+        self: &Rc<Self>,
+        image: RequestImage,
+    ) -> (CallTag, oneshot::Receiver<ForwardAnswer>) {
+        let tag = CallTag(self.tags.get());
+        self.tags.set(tag.0 + 1);
+        let (answer, receiver) = oneshot::channel();
+        self.stories.borrow_mut().begin(tag, &image.id);
+        let image = Rc::new(image);
+        self.calls
+            .borrow_mut()
+            .insert(tag, WaitingCall { answer, image });
+        (tag, receiver)
+    }
+
+    /// Takes note that a caller left, unless it was answered.
+    pub fn leave(self: &Rc<Self>, tag: CallTag) {
+        if self.calls.borrow_mut().remove(&tag).is_some() {
+            self.step(ForwardInput::CallerLeft(tag));
+        }
+    }
+
+    /// Wakes the machine when its timers are due, until the entry ends.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let next = self.machine.borrow().next_wake();
+            self.armed.set(next.unwrap_or(Duration::MAX));
+            match next {
+                Some(next) => {
+                    let at = tokio::time::Instant::from_std(self.started + next);
+                    tokio::select! {
+                        () = tokio::time::sleep_until(at) => self.step(ForwardInput::Wake),
+                        () = self.wake.notified() => {}
+                    }
+                }
+                None => self.wake.notified().await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/process/forward/image.rs
@@ -0,0 +1,102 @@
+//! A caller's request as it is written to servers.
+
+use std::io::Write;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::{HeaderMap, HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
+use hyper::{Method, Uri};
+use wheelmast_wire::dialect::ForwardDialect;
+
+/// Headers that concern only one connection.
+const HOP_HEADERS: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Tells whether a header concerns only one connection.
+pub fn is_hop(name: &str) -> bool {
+    HOP_HEADERS.contains(&name) || name == "trailer"
+}
+
+/// What is written to every server of a request alike.
+#[derive(Debug)]
+pub struct RequestImage {
+    /// Identity of the request.
+    pub id: Box<str>,
+    head: Vec<u8>,
+    body: Bytes,
+}
+
+impl RequestImage {
+    /// Returns the image of a request.
+    pub fn new<D: ForwardDialect>(
+        method: &Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+        id: &str,
+        body: Bytes,
+    ) -> RequestImage {
+        let mut head = Vec::with_capacity(512);
+        let target = uri.path_and_query().map_or("/", |target| target.as_str());
+        head.extend_from_slice(method.as_str().as_bytes());
+        head.push(b' ');
+        head.extend_from_slice(target.as_bytes());
+        head.extend_from_slice(b" HTTP/1.1\r\n");
+        let named = headers.get(CONNECTION).map(|value| value.as_bytes());
+        let named = named.unwrap_or_default().to_ascii_lowercase();
+        for (name, value) in headers {
+            if passes::<D>(name, &named) {
+                push_line(&mut head, name.as_str(), value.as_bytes());
+            }
+        }
+        push_line(&mut head, D::HEADERS.request, id.as_bytes());
+        let has_body = !body.is_empty() || headers.contains_key(CONTENT_LENGTH);
+        if has_body || *method == Method::POST || *method == Method::PUT {
+            push_line(
+                &mut head,
+                "content-length",
+                body.len().to_string().as_bytes(),
+            );
+        }
+        RequestImage {
+            id: id.into(),
+            head,
+            body,
+        }
+    }
+
+    /// Returns the request as it is written to one server.
+    pub fn render<D: ForwardDialect>(&self, instance: &str, time_left: Duration) -> Vec<u8> {
+        let mut bytes = Vec::with_capacity(self.head.len() + self.body.len() + 96);
+        bytes.extend_from_slice(&self.head);
+        let millis = time_left.as_millis();
+        let (left, expect) = (D::HEADERS.time_left, D::HEADERS.expect);
+        // Writing to a vector cannot fail.
+        let _ = write!(bytes, "{left}: {millis}\r\n{expect}: {instance}\r\n\r\n");
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+fn passes<D: ForwardDialect>(name: &HeaderName, named: &[u8]) -> bool {
+    let own = [D::HEADERS.request, D::HEADERS.time_left, D::HEADERS.expect];
+    let text = name.as_str();
+    let is_named = named
+        .split(|byte| *byte == b',')
+        .any(|part| part.trim_ascii() == text.as_bytes() && *name != HOST);
+    !is_hop(text) && !own.contains(&text) && *name != CONTENT_LENGTH && *name != EXPECT && !is_named
+}
+
+fn push_line(head: &mut Vec<u8>, name: &str, value: &[u8]) {
+    head.extend_from_slice(name.as_bytes());
+    head.extend_from_slice(b": ");
+    head.extend_from_slice(value);
+    head.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/node/src/process/forward/pool.rs
@@ -0,0 +1,208 @@
+//! Connections to upstream servers: kept, one request at a time each.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use wheelmast_core::arena::ServerKey;
+use wheelmast_core::process::forward::answer::AttemptOrder;
+use wheelmast_core::process::forward::input::{AttemptEnd, ForwardInput, LoadReport, ServerAnswer};
+use wheelmast_wire::dialect::ForwardDialect;
+
+use crate::connection::exchange::{exchange, ExchangeFailure, WholeAnswer};
+use crate::process::forward::entry::EntryDuty;
+use crate::process::forward::image::{is_hop, RequestImage};
+
+/// Longest time a connection may take to open.
+const CONNECT_TIME: Duration = Duration::from_millis(700);
+
+/// A request for one server.
+#[derive(Debug)]
+pub struct UpstreamOrder {
+    /// What the machine ordered.
+    pub order: AttemptOrder,
+    /// The request.
+    pub image: Rc<RequestImage>,
+    /// Turns ready when nobody waits for it any more.
+    pub cancelled: oneshot::Receiver<()>,
+}
+
+/// An idle connection: takes the next request.
+#[derive(Debug)]
+struct IdleLink {
+    orders: oneshot::Sender<UpstreamOrder>,
+    until: Instant,
+}
+
+/// The idle connections to all servers.
+#[derive(Debug, Default)]
+pub struct ServerPool {
+    idle: RefCell<HashMap<ServerKey, Vec<IdleLink>>>,
+}
+
+impl ServerPool {
+    /// Sends a request on an idle connection, or on a new one.
+    pub fn send<D: ForwardDialect>(&self, entry: &Rc<EntryDuty<D>>, order: UpstreamOrder) {
+        let now = Instant::now();
+        let mut order = order;
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.entry(order.order.server).or_default();
+        links.retain(|link| link.until > now && !link.orders.is_closed());
+        while let Some(link) = links.pop() {
+            match link.orders.send(order) {
+                Ok(()) => return,
+                Err(back) => order = back,
+            }
+        }
+        tokio::task::spawn_local(run_link(entry.clone(), order));
+    }
+
+    /// Closes the idle connections to a server.
+    pub fn close(&self, server: ServerKey) {
+        self.idle.borrow_mut().remove(&server);
+    }
+
+    /// Returns the number of idle connections to a server that can still be
+    /// used.
+    fn count(&self, server: ServerKey) -> u32 {
+        let idle = self.idle.borrow();
+        idle.get(&server).map_or(0, |links| links.len() as u32)
+    }
+
+    fn keep(&self, server: ServerKey, until: Instant) -> oneshot::Receiver<UpstreamOrder> {
+        let (orders, receiver) = oneshot::channel();
+        let mut idle = self.idle.borrow_mut();
+        idle.entry(server)
+            .or_default()
+            .push(IdleLink { orders, until });
+        receiver
+    }
+}
+
+/// Opens a connection and serves requests on it until it ends.
+async fn run_link<D: ForwardDialect>(entry: Rc<EntryDuty<D>>, first: UpstreamOrder) {
+    let server = first.order.server;
+    let mut order = first;
+    let opened = Instant::now();
+    let connect = TcpStream::connect(order.order.address);
+    let connected = tokio::select! {
+        biased;
+        _ = &mut order.cancelled => None,
+        connected = tokio::time::timeout(CONNECT_TIME, connect) => connected.ok(),
+    };
+    let Some(Ok(mut stream)) = connected else {
+        return finish(&entry, &order.order, AttemptEnd::Unsent);
+    };
+    // Without it small writes wait for each other; nothing else changes.
+    let _ = stream.set_nodelay(true);
+    let took = opened.elapsed();
+    entry.step(ForwardInput::Connected { server, took });
+    let mut buffer = BytesMut::new();
+    while let Some(keep) = serve(&entry, &mut stream, &mut buffer, order).await {
+        let until = Instant::now() + keep;
+        let orders = entry.pool.keep(server, until);
+        let idle = entry.pool.count(server);
+        entry.step(ForwardInput::Idle { server, idle });
+        tokio::select! {
+            biased;
+            next = orders => match next {
+                Ok(next) => order = next,
+                Err(_) => return,
+            },
+            // It ended, or has bytes where none are due.
+            _ = stream.readable() => return,
+            () = tokio::time::sleep_until(until.into()) => return,
+        }
+    }
+}
+
+/// Serves one request. Returns how long the connection may then be idle.
+async fn serve<D: ForwardDialect>(
+    entry: &Rc<EntryDuty<D>>,
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    order: UpstreamOrder,
+) -> Option<Duration> {
+    let UpstreamOrder {
+        order,
+        image,
+        mut cancelled,
+    } = order;
+    let request = image.render::<D>(&order.instance, order.time_left);
+    let result = tokio::select! {
+        biased;
+        result = exchange(stream, buffer, &request) => result,
+        _ = &mut cancelled => Err(ExchangeFailure::Broken),
+    };
+    let (end, keep) = match result {
+        Ok(answer) => read_end::<D>(answer, &image, order.whole_head),
+        Err(ExchangeFailure::Unsent) => (AttemptEnd::Unsent, None),
+        Err(ExchangeFailure::Broken) => (AttemptEnd::Broken, None),
+    };
+    finish(entry, &order, end);
+    keep
+}
+
+fn finish<D: ForwardDialect>(entry: &Rc<EntryDuty<D>>, order: &AttemptOrder, end: AttemptEnd) {
+    let attempt = order.attempt;
+    entry.cancels.borrow_mut().remove(&attempt);
+    entry.step(ForwardInput::Ended { attempt, end });
+}
+
+/// Reads what a whole answer says. One that bears another request's id, or
+/// none, belongs to nobody knows whom.
+fn read_end<D: ForwardDialect>(
+    answer: WholeAnswer,
+    image: &RequestImage,
+    whole_head: bool,
+) -> (AttemptEnd, Option<Duration>) {
+    let names = D::HEADERS;
+    let id = find(&answer.headers, names.request);
+    if id != Some(image.id.as_bytes()) {
+        return (AttemptEnd::Broken, None);
+    }
+    let load = find(&answer.headers, names.load).and_then(read_load);
+    let stamp =
+        find(&answer.headers, names.stamp).and_then(|stamp| std::str::from_utf8(stamp).ok());
+    let end = ServerAnswer {
+        status: answer.status,
+        stamp: stamp.map(Into::into),
+        not_run: find(&answer.headers, names.not_run).is_some(),
+        load,
+        headers: if whole_head {
+            answer.headers.into_iter().filter(passes::<D>).collect()
+        } else {
+            Vec::new()
+        },
+        body: answer.body,
+    };
+    (AttemptEnd::Answer(end), answer.keep)
+}
+
+fn find<'a>(headers: &'a [(Box<str>, Box<[u8]>)], name: &str) -> Option<&'a [u8]> {
+    let mut lines = headers.iter();
+    let line = lines.find(|(line, _)| line.eq_ignore_ascii_case(name));
+    line.map(|(_, value)| &**value)
+}
+
+fn passes<D: ForwardDialect>(line: &(Box<str>, Box<[u8]>)) -> bool {
+    let name = line.0.to_ascii_lowercase();
+    !is_hop(&name) && name != "content-length" && name != D::HEADERS.load
+}
+
+/// Reads a load report: running, waiting and slots, separated by commas.
+fn read_load(value: &[u8]) -> Option<LoadReport> {
+    let mut numbers = std::str::from_utf8(value)
+        .ok()?
+        .split(',')
+        .map(|number| number.trim().parse::<u32>().ok());
+    Some(LoadReport {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+        slots: numbers.next()??,
+    })
+}
--- /dev/null
+++ b/crates/node/src/process/forward/story.rs
@@ -0,0 +1,176 @@
+//! What was decided about each request, for the log.
+//!
+//! Lines of a request are kept until it ends. A plain success is told in full
+//! only now and then; whatever was not plain always is.
+
+use std::collections::HashMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use wheelmast_core::process::forward::answer::{AttemptCause, ForwardDecision, ForwardEvent};
+use wheelmast_core::process::input::CallTag;
+
+/// One in so many plain successes is told in full.
+const TELL_EVERY: u64 = 64;
+/// Lines kept of a request.
+const KEPT_LINES: usize = 160;
+/// Lines told in a second, at most.
+const LINES_PER_SECOND: f64 = 400.0;
+
+#[derive(Debug, Default)]
+struct RequestStory {
+    id: Box<str>,
+    decisions: Vec<ForwardDecision>,
+    is_plain: bool,
+}
+
+/// The stories of the requests at work.
+#[derive(Debug, Default)]
+pub struct StoryBook {
+    stories: HashMap<CallTag, RequestStory>,
+    plain: u64,
+    tokens: f64,
+    at: Option<std::time::Instant>,
+    dropped: u64,
+}
+
+impl StoryBook {
+    /// Begins the story of a request.
+    pub fn begin(&mut self, call: CallTag, id: &str) {
+        let story = RequestStory {
+            id: id.into(),
+            decisions: Vec::with_capacity(24),
+            is_plain: true,
+        };
+        self.stories.insert(call, story);
+    }
+
+    /// Takes a decision.
+    pub fn take(&mut self, event: ForwardEvent) {
+        let Some(story) = self.stories.get_mut(&event.call) else {
+            return;
+        };
+        let is_end = matches!(event.decision, ForwardDecision::End { .. });
+        story.is_plain &= is_plain(&event.decision);
+        if story.decisions.len() < KEPT_LINES || is_end {
+            story.decisions.push(event.decision);
+        }
+        if is_end {
+            self.end(event.call);
+        }
+    }
+
+    fn end(&mut self, call: CallTag) {
+        let Some(story) = self.stories.remove(&call) else {
+            return;
+        };
+        if story.is_plain {
+            self.plain += 1;
+            if !self.plain.is_multiple_of(TELL_EVERY) {
+                return;
+            }
+        }
+        if !self.has_room(story.decisions.len()) {
+            self.dropped += story.decisions.len() as u64;
+            return;
+        }
+        let dropped = std::mem::take(&mut self.dropped);
+        if dropped > 0 {
+            tracing::warn!(target: "entry", lines = dropped, "log: lines dropped");
+        }
+        for decision in &story.decisions {
+            tell(&story.id, decision);
+        }
+    }
+
+    fn has_room(&mut self, lines: usize) -> bool {
+        let now = std::time::Instant::now();
+        let elapsed = self.at.map_or(1.0, |at| (now - at).as_secs_f64());
+        self.at = Some(now);
+        self.tokens = (self.tokens + elapsed * LINES_PER_SECOND).min(LINES_PER_SECOND);
+        if self.tokens < lines as f64 {
+            return false;
+        }
+        self.tokens -= lines as f64;
+        true
+    }
+}
+
+fn is_plain(decision: &ForwardDecision) -> bool {
+    match decision {
+        ForwardDecision::Admit { .. } => true,
+        ForwardDecision::Send { cause, .. } => *cause != AttemptCause::Retry,
+        ForwardDecision::End { outcome, .. } => matches!(*outcome, "whole" | "served"),
+        ForwardDecision::Lost { .. } | ForwardDecision::NoBudget { .. } => false,
+    }
+}
+
+fn tell(request: &str, decision: &ForwardDecision) {
+    match decision {
+        ForwardDecision::Admit {
+            route,
+            version,
+            time_left,
+        } => {
+            let time_left_ms = millis(*time_left);
+            tracing::info!(target: "entry", request, %route, table_version = version, time_left_ms, "route: admitted");
+        }
+        ForwardDecision::Send {
+            service,
+            instance,
+            cause,
+            expected,
+            candidates,
+            outstanding,
+        } => {
+            let expected_ms = millis(*expected);
+            let cause = cause_word(*cause);
+            tracing::info!(target: "entry", request, %service, server = %instance, cause, expected_ms, candidates, outstanding, "route: sent");
+        }
+        ForwardDecision::Lost {
+            service,
+            instance,
+            reason,
+            after,
+        } => {
+            let after_ms = millis(*after);
+            tracing::info!(target: "entry", request, %service, server = %instance, reason, after_ms, "route: attempt lost");
+        }
+        ForwardDecision::NoBudget { service } => {
+            tracing::info!(target: "entry", request, %service, "route: repeat not affordable");
+        }
+        ForwardDecision::End {
+            outcome,
+            parts,
+            missing,
+            after,
+            sends,
+        } => {
+            let after_ms = millis(*after);
+            tracing::info!(target: "entry", request, outcome, parts, missing, after_ms, sends, "route: ended");
+        }
+    }
+}
+
+fn cause_word(cause: AttemptCause) -> &'static str {
+    match cause {
+        AttemptCause::First => "first",
+        AttemptCause::Retry => "retry",
+        AttemptCause::Hedge => "hedge",
+    }
+}
+
+fn millis(duration: Duration) -> f64 {
+    (duration.as_secs_f64() * 1e4).round() / 10.0
+}
+
+/// Joins words with commas, for a line.
+pub fn join_words(words: &[Box<str>]) -> String {
+    let mut line = String::new();
+    for (index, word) in words.iter().enumerate() {
+        let comma = if index == 0 { "" } else { ", " };
+        // Writing to a string cannot fail.
+        let _ = write!(line, "{comma}{word}");
+    }
+    line
+}
--- /dev/null
+++ b/crates/node/src/process/group/mod.rs
@@ -0,0 +1,15 @@
+//! A control instance: the replicated route table, the servers that announce
+//! themselves, and the entries that follow both.
+//!
+//! One thread holds all of it; a second one writes the disk, so that a slow
+//! sync keeps neither heartbeats nor announcements waiting.
+
+pub mod answer;
+pub mod disk;
+pub mod inbound;
+pub mod link;
+pub mod node;
+pub mod replica;
+pub mod run;
+pub mod servers;
+pub mod state;
--- /dev/null
+++ b/crates/node/src/process/group/node.rs
@@ -0,0 +1,169 @@
+//! One control instance; its tasks share it on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::SyncSender;
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+use wheelmast_core::process::control::state::MemberRecord;
+use wheelmast_wire::group::GroupMessage;
+
+use crate::process::group::disk::DiskOrder;
+use crate::process::group::link::keep_link;
+use crate::process::group::state::GroupState;
+use crate::ring::bounded_ring;
+use crate::settings::role::RoleSettings;
+
+/// Messages that may wait for another control instance.
+const LINK_RING: usize = 1024;
+/// Interval at which the instance looks after what it holds.
+const TICK: Duration = Duration::from_millis(250);
+/// Ticks between two greetings of an instance that has its vote.
+const HELLO_TICKS: u32 = 8;
+/// Ticks between two rounds of renewals.
+const RENEW_TICKS: u32 = 2;
+/// Ticks between two signs of life to entries.
+const PING_TICKS: u32 = 4;
+
+/// One control instance.
+#[derive(Debug)]
+pub struct GroupNode {
+    /// Its settings.
+    pub settings: RoleSettings,
+    /// Who it is.
+    pub me: MemberRecord,
+    /// What it holds.
+    pub state: RefCell<GroupState>,
+    /// Takes what is to be kept.
+    pub disk: SyncSender<DiskOrder>,
+    /// Wakes the replica's timer.
+    pub wake: Notify,
+    /// Tells that the table in force changed.
+    pub published: Notify,
+    started: Instant,
+    tags: Cell<u64>,
+    seeds: RefCell<HashSet<SocketAddr>>,
+}
+
+impl GroupNode {
+    /// Returns an instance with this state.
+    pub fn new(
+        settings: RoleSettings,
+        me: MemberRecord,
+        state: GroupState,
+        disk: SyncSender<DiskOrder>,
+        started: Instant,
+    ) -> GroupNode {
+        GroupNode {
+            settings,
+            me,
+            state: RefCell::new(state),
+            disk,
+            wake: Notify::new(),
+            published: Notify::new(),
+            started,
+            tags: Cell::new(1),
+            seeds: RefCell::default(),
+        }
+    }
+
+    /// Returns the time since the process started.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Returns a name for a question or a request, unique in this lifetime.
+    pub fn next_tag(&self) -> u64 {
+        let tag = self.tags.get();
+        self.tags.set(tag + 1);
+        tag
+    }
+
+    /// Links to another control instance, unless there is a link already.
+    pub fn meet(self: &Rc<Self>, address: SocketAddr) {
+        if address == self.me.address || self.state.borrow().links.contains_key(&address) {
+            return;
+        }
+        let (sender, ring) = bounded_ring(LINK_RING);
+        self.state.borrow_mut().links.insert(address, sender);
+        tokio::task::spawn_local(keep_link(self.clone(), address, ring));
+    }
+
+    /// Takes over the seeds that the settings name.
+    pub fn set_seeds(self: &Rc<Self>, seeds: Vec<SocketAddr>) {
+        for seed in &seeds {
+            self.meet(*seed);
+        }
+        self.seeds.replace(seeds.into_iter().collect());
+    }
+
+    /// Tells whether an instance at this address is wanted in any case.
+    pub fn is_wanted(&self, address: SocketAddr) -> bool {
+        let state = self.state.borrow();
+        let replica = state.replica.as_ref();
+        let is_member = replica.is_some_and(|replica| {
+            let mut members = replica.member_records().iter();
+            members.any(|member| member.address == address)
+        });
+        is_member || self.seeds.borrow().contains(&address)
+    }
+
+    /// Returns the greeting of this instance.
+    pub fn hello(&self) -> GroupMessage {
+        let state = self.state.borrow();
+        let replica = state.replica.as_ref();
+        let mut known: Vec<SocketAddr> = state.links.keys().copied().collect();
+        known.sort_unstable();
+        GroupMessage::Hello {
+            from: self.me.clone(),
+            learns: replica.is_some_and(|replica| !replica.is_voter()),
+            known,
+        }
+    }
+
+    /// Looks after what the instance holds, now and then.
+    pub async fn keep_house(self: Rc<Self>) {
+        let mut tick = tokio::time::interval(TICK);
+        let mut ticks: u32 = 0;
+        loop {
+            tick.tick().await;
+            ticks += 1;
+            self.greet(ticks);
+            self.sweep_servers();
+            if ticks.is_multiple_of(RENEW_TICKS) {
+                self.tell_renewals();
+            }
+            self.tell_members();
+            if ticks.is_multiple_of(PING_TICKS) {
+                self.state.borrow_mut().tell_entries(GroupMessage::Ping);
+            }
+        }
+    }
+
+    fn greet(&self, ticks: u32) {
+        let hello = self.hello();
+        let learns = matches!(hello, GroupMessage::Hello { learns: true, .. });
+        if learns || ticks.is_multiple_of(HELLO_TICKS) {
+            self.state.borrow().tell_control(&hello);
+        }
+    }
+
+    fn tell_members(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let entries = state.count_entries(now);
+        let contacts = state.contacts.iter();
+        let mut control: Vec<SocketAddr> = contacts.map(|(address, _)| *address).collect();
+        control.push(self.me.address);
+        control.sort_unstable();
+        let news = (entries, control);
+        if news != state.told {
+            state.told = news.clone();
+            let (entries, control) = news;
+            state.tell_entries(GroupMessage::Members { entries, control });
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/process/group/replica.rs
@@ -0,0 +1,337 @@
+//! Driving the replica: its disk, its messages, its proposals and reads.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use wheelmast_core::process::control::message::{
+    ProposalEnd, ReplicaAction, ReplicaInput, ReplicaTiming,
+};
+use wheelmast_core::process::control::replica::{ReplicaMachine, ReplicaRules, ReplicaStart};
+use wheelmast_core::process::control::state::ControlCommand;
+use wheelmast_wire::group::{GroupAsk, GroupMessage, GroupTell};
+
+use crate::process::group::disk::{DiskNote, DiskOrder};
+use crate::process::group::node::GroupNode;
+use crate::process::group::state::PublishedTable;
+use crate::process::store::replica_store::KeptState;
+use crate::ring::RingReceiver;
+
+/// Longest time that a question to the leader may take.
+const ASK_TIME: Duration = Duration::from_millis(850);
+/// Pause before a leader is looked for again.
+const LEADER_PAUSE: Duration = Duration::from_millis(40);
+/// Timing of the replicas.
+const TIMING: ReplicaTiming = ReplicaTiming {
+    heartbeat: Duration::from_millis(120),
+    election: Duration::from_millis(600),
+};
+
+/// Returns a replica that goes on with what its disk holds.
+pub fn make_replica(id: u64, kept: KeptState, tolerate: usize, now: Duration) -> ReplicaMachine {
+    let start = ReplicaStart {
+        id,
+        members: Vec::new(),
+        size: tolerate * 2 + 1,
+        hard: kept.hard,
+        snapshot: (kept.place, kept.state),
+        entries: kept.entries,
+        commit: kept.commit,
+        timing: TIMING,
+        rules: ReplicaRules::default(),
+        seed: rand::random(),
+    };
+    ReplicaMachine::new(start, now)
+}
+
+impl GroupNode {
+    /// Steps the replica. What it sends waits until what it keeps lasts; the
+    /// order is kept, so that a stalled disk under a leader silences it and
+    /// another is elected.
+    pub fn step_replica(self: &Rc<Self>, input: ReplicaInput) {
+        let now = self.now();
+        let mut actions = Vec::new();
+        {
+            let mut state = self.state.borrow_mut();
+            let Some(replica) = &mut state.replica else {
+                return;
+            };
+            replica.step(now, input, &mut actions);
+        }
+        let (keeps, others): (Vec<_>, Vec<_>) = actions.into_iter().partition(is_kept);
+        {
+            let mut state = self.state.borrow_mut();
+            if !keeps.is_empty() {
+                state.batch += 1;
+                let order = DiskOrder {
+                    epoch: state.epoch,
+                    batch: state.batch,
+                    actions: keeps,
+                };
+                if self.disk.try_send(order).is_err() {
+                    tracing::error!(target: "group", "disk: too much waits for it");
+                    state.replica = None;
+                    return;
+                }
+            }
+            let batch = state.batch;
+            state.outbox.push_back((batch, others));
+        }
+        self.flush(0);
+        self.wake.notify_one();
+    }
+
+    /// Does what waited for the disk, up to a batch that lasts.
+    fn flush(self: &Rc<Self>, done: u64) {
+        let mut ready = Vec::new();
+        {
+            let mut state = self.state.borrow_mut();
+            state.lasting = state.lasting.max(done);
+            let lasts = state.lasting;
+            while let Some((batch, _)) = state.outbox.front() {
+                if *batch > lasts {
+                    break;
+                }
+                if let Some((_, actions)) = state.outbox.pop_front() {
+                    ready.extend(actions);
+                }
+            }
+        }
+        self.act_all(ready);
+    }
+
+    fn act_all(self: &Rc<Self>, actions: Vec<ReplicaAction>) {
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(self: &Rc<Self>, action: ReplicaAction) {
+        match action {
+            ReplicaAction::Send { to, message } => {
+                let state = self.state.borrow();
+                let address = state.address_of(to);
+                let link = address.and_then(|address| state.links.get(&address));
+                if let Some(link) = link {
+                    let from = self.me.id;
+                    // A full ring loses it, as the network may.
+                    let _ = link.offer(GroupMessage::Replica { from, to, message });
+                } else if let Some(address) = address {
+                    drop(state);
+                    self.meet(address);
+                }
+            }
+            ReplicaAction::End { tag, end } => {
+                let asked = self.state.borrow_mut().asks.remove(&tag);
+                if let Some(asked) = asked {
+                    // The asker may have given up.
+                    let _ = asked.send(self.tell(end));
+                }
+            }
+            ReplicaAction::Changed => self.publish(),
+            ReplicaAction::Role { term, leads } => {
+                tracing::info!(target: "group", term, leads, "replica: role changed");
+            }
+            ReplicaAction::KeepHard(_)
+            | ReplicaAction::KeepEntry(_)
+            | ReplicaAction::KeepCommit(_)
+            | ReplicaAction::KeepSnapshot { .. } => {}
+        }
+    }
+
+    fn tell(&self, end: ProposalEnd) -> GroupTell {
+        match end {
+            ProposalEnd::Done(outcome) => GroupTell::Done(outcome),
+            ProposalEnd::NotLeader(_) | ProposalEnd::Unknown => GroupTell::Unknown,
+        }
+    }
+
+    /// Puts the replica's table in force and tells the entries.
+    pub fn publish(&self) {
+        let mut state = self.state.borrow_mut();
+        let Some(replica) = &state.replica else {
+            return;
+        };
+        let members: Vec<_> = replica
+            .member_records()
+            .iter()
+            .map(|member| member.address)
+            .collect();
+        let committed = replica.state();
+        let version = committed.route_version();
+        if version <= state.published.version {
+            tracing::info!(target: "group", ?members, "group: members");
+            return;
+        }
+        let text = committed.route_text().to_vec();
+        tracing::info!(target: "group", table_version = version, ?members, "table: in force");
+        state.published = PublishedTable {
+            version,
+            text: Rc::new(text.clone()),
+        };
+        state.tell_entries(GroupMessage::Routes { version, text });
+        self.published.notify_waiters();
+    }
+
+    /// Waits until a version is in force here, for a short while.
+    pub async fn wait_published(&self, version: u64) -> bool {
+        let wait = async {
+            loop {
+                let changed = self.published.notified();
+                if self.state.borrow().published.version >= version {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        tokio::time::timeout(ASK_TIME, wait).await.is_ok()
+    }
+
+    /// Makes a change, wherever the leader is.
+    pub async fn propose(self: &Rc<Self>, command: ControlCommand) -> GroupTell {
+        self.ask_leader(GroupAsk::Propose(command)).await
+    }
+
+    /// Asks which version is in force for sure, wherever the leader is.
+    pub async fn read(self: &Rc<Self>) -> GroupTell {
+        self.ask_leader(GroupAsk::Read).await
+    }
+
+    async fn ask_leader(self: &Rc<Self>, ask: GroupAsk) -> GroupTell {
+        let wait = async {
+            loop {
+                if self.leads() {
+                    return match ask {
+                        GroupAsk::Propose(command) => self.propose_here(command).await,
+                        GroupAsk::Read => self.read_here().await,
+                    };
+                }
+                if let Some(answer) = self.ask_over_link(&ask) {
+                    return answer.await.unwrap_or(GroupTell::Unknown);
+                }
+                tokio::time::sleep(LEADER_PAUSE).await;
+            }
+        };
+        let told = tokio::time::timeout(ASK_TIME, wait).await;
+        told.unwrap_or(GroupTell::Unknown)
+    }
+
+    fn leads(&self) -> bool {
+        let state = self.state.borrow();
+        let replica = state.replica.as_ref();
+        replica.is_some_and(ReplicaMachine::is_leader)
+    }
+
+    fn ask_over_link(&self, ask: &GroupAsk) -> Option<oneshot::Receiver<GroupTell>> {
+        let tag = self.next_tag();
+        let mut state = self.state.borrow_mut();
+        let leader = state.replica.as_ref()?.leader()?;
+        let address = state.address_of(leader)?;
+        let (sender, receiver) = oneshot::channel();
+        let ask = ask.clone();
+        state
+            .links
+            .get(&address)?
+            .offer(GroupMessage::Ask { tag, ask })
+            .ok()?;
+        state.asks.insert(tag, sender);
+        Some(receiver)
+    }
+
+    /// Makes a change, if this instance leads.
+    ///
+    /// Nothing is taken before the group has the size it needs: what is
+    /// acknowledged must outlast the losses that are to be borne.
+    pub async fn propose_here(self: &Rc<Self>, command: ControlCommand) -> GroupTell {
+        let is_founded = {
+            let state = self.state.borrow();
+            let replica = state.replica.as_ref();
+            replica.is_some_and(|replica| replica.state().is_founded())
+        };
+        if !is_founded {
+            return GroupTell::Unknown;
+        }
+        self.step_and_wait(|tag| ReplicaInput::Propose { tag, command })
+            .await
+    }
+
+    /// Asks which version is in force for sure, if this instance leads.
+    pub async fn read_here(self: &Rc<Self>) -> GroupTell {
+        match self.step_and_wait(|tag| ReplicaInput::Read { tag }).await {
+            GroupTell::Done(_) => GroupTell::Version(self.state.borrow().published.version),
+            _ => GroupTell::Unknown,
+        }
+    }
+
+    async fn step_and_wait(self: &Rc<Self>, input: impl FnOnce(u64) -> ReplicaInput) -> GroupTell {
+        let tag = self.next_tag();
+        let (sender, receiver) = oneshot::channel();
+        self.state.borrow_mut().asks.insert(tag, sender);
+        self.step_replica(input(tag));
+        let told = tokio::time::timeout(ASK_TIME, receiver).await;
+        self.state.borrow_mut().asks.remove(&tag);
+        match told {
+            Ok(Ok(tell)) => tell,
+            _ => GroupTell::Unknown,
+        }
+    }
+
+    /// Wakes the replica when its timers are due.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let next = {
+                let state = self.state.borrow();
+                state.replica.as_ref().map(ReplicaMachine::next_wake)
+            };
+            let Some(next) = next else {
+                self.wake.notified().await;
+                continue;
+            };
+            let wait = next.saturating_sub(self.now());
+            tokio::select! {
+                () = tokio::time::sleep(wait) => self.step_replica(ReplicaInput::Wake),
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    /// Takes the notes of the disk thread.
+    pub async fn take_notes(self: Rc<Self>, mut notes: RingReceiver<DiskNote>) {
+        while let Some(note) = notes.recv().await {
+            match note {
+                DiskNote::Done(batch) => self.flush(batch),
+                DiskNote::Failed(error) => {
+                    tracing::error!(target: "group", "disk: replica steps aside, {error}");
+                    let mut state = self.state.borrow_mut();
+                    state.replica = None;
+                    state.outbox = VecDeque::new();
+                    state.asks.clear();
+                }
+                DiskNote::Opened(epoch, kept) => {
+                    tracing::warn!(target: "group", "disk: replica goes on with what it holds");
+                    let tolerate = self.settings.tolerate;
+                    let replica = make_replica(self.me.id, *kept, tolerate, self.now());
+                    {
+                        let mut state = self.state.borrow_mut();
+                        state.epoch = epoch;
+                        state.lasting = state.batch;
+                        state.replica = Some(replica);
+                    }
+                    self.publish();
+                    self.wake.notify_one();
+                }
+            }
+        }
+    }
+}
+
+fn is_kept(action: &ReplicaAction) -> bool {
+    matches!(
+        action,
+        ReplicaAction::KeepHard(_)
+            | ReplicaAction::KeepEntry(_)
+            | ReplicaAction::KeepCommit(_)
+            | ReplicaAction::KeepSnapshot { .. }
+    )
+}
--- /dev/null
+++ b/crates/node/src/process/group/servers.rs
@@ -0,0 +1,131 @@
+//! Servers that announce themselves, and who hears of it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use wheelmast_core::process::forward::directory::{NoticeEffect, ServerNotice, ServerStanding};
+use wheelmast_wire::group::GroupMessage;
+
+use crate::process::group::node::GroupNode;
+use crate::process::group::state::KeepWait;
+
+/// Longest time to wait until others hold that a server leaves.
+const KEEP_TIME: Duration = Duration::from_millis(600);
+
+impl GroupNode {
+    /// Returns all that is known of servers.
+    pub fn all_notices(&self) -> Vec<ServerNotice> {
+        let state = self.state.borrow();
+        let records = state.directory.iter();
+        records.map(|record| record.notice.clone()).collect()
+    }
+
+    /// Takes news of a server and tells the entries what they change.
+    pub fn take_notice(&self, notice: ServerNotice) -> NoticeEffect {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let id = notice.id.clone();
+        let was_silent = state.directory.get(&id).is_some_and(|record| record.silent);
+        let effect = state.directory.apply(notice, now);
+        if effect != NoticeEffect::Changed {
+            return effect;
+        }
+        let Some(record) = state.directory.get(&id) else {
+            return effect;
+        };
+        let notice = record.notice.clone();
+        tracing::info!(target: "group", server = %id, service = %notice.service, standing = ?notice.standing, sequence = notice.sequence, "server: changed");
+        state.tell_entries(GroupMessage::Notices(vec![notice]));
+        if was_silent {
+            state.tell_entries(GroupMessage::Silent(vec![(id, false)]));
+        }
+        effect
+    }
+
+    /// Takes an announcement made here. Returns whether it may be
+    /// acknowledged: that a server leaves must outlast this instance.
+    pub async fn take_announcement(self: &Rc<Self>, notice: ServerNotice) -> bool {
+        let (id, sequence) = (notice.id.clone(), notice.sequence);
+        let leaves = notice.standing != ServerStanding::Ready;
+        let effect = self.take_notice(notice.clone());
+        if leaves {
+            return self.keep_leaving(notice).await;
+        }
+        match effect {
+            NoticeEffect::Changed => {
+                let message = GroupMessage::Notices(vec![notice]);
+                self.state.borrow().tell_control(&message);
+            }
+            NoticeEffect::Renewed => {
+                self.state.borrow_mut().renewals.insert(id, sequence);
+            }
+            NoticeEffect::Stale => {}
+        }
+        true
+    }
+
+    async fn keep_leaving(self: &Rc<Self>, notice: ServerNotice) -> bool {
+        let missing = self.settings.tolerate;
+        if missing == 0 {
+            return true;
+        }
+        let tag = self.next_tag();
+        let (done, receiver) = oneshot::channel();
+        {
+            let mut state = self.state.borrow_mut();
+            state.keeps.insert(tag, KeepWait { missing, done });
+            let notice = Box::new(notice);
+            state.tell_control(&GroupMessage::Keep { tag, notice });
+        }
+        let kept = tokio::time::timeout(KEEP_TIME, receiver).await;
+        self.state.borrow_mut().keeps.remove(&tag);
+        matches!(kept, Ok(Ok(())))
+    }
+
+    /// Takes another instance's word that it holds news.
+    pub fn count_keep(&self, tag: u64) {
+        let mut state = self.state.borrow_mut();
+        let Some(wait) = state.keeps.get_mut(&tag) else {
+            return;
+        };
+        wait.missing -= 1;
+        if wait.missing > 0 {
+            return;
+        }
+        if let Some(wait) = state.keeps.remove(&tag) {
+            // The server may have given up.
+            let _ = wait.done.send(());
+        }
+    }
+
+    /// Tells the other control instances which servers were heard of here.
+    pub fn tell_renewals(&self) {
+        let mut state = self.state.borrow_mut();
+        if state.renewals.is_empty() {
+            return;
+        }
+        let renewals = std::mem::take(&mut state.renewals);
+        let message = GroupMessage::Renewals(renewals.into_iter().collect());
+        state.tell_control(&message);
+    }
+
+    /// Tells the entries which servers are silent. An instance that is out of
+    /// contact with a quorum knows nothing about that.
+    pub fn sweep_servers(&self) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        if state.count_contacts(now) < self.settings.tolerate {
+            return;
+        }
+        let silent = state.directory.sweep(now, self.settings.lease);
+        if silent.is_empty() {
+            return;
+        }
+        for id in &silent {
+            tracing::warn!(target: "group", server = %id, "server: silent");
+        }
+        let silent = silent.into_iter().map(|id| (id, true)).collect();
+        state.tell_entries(GroupMessage::Silent(silent));
+    }
+}
--- /dev/null
+++ b/crates/node/src/process/group/state.rs
@@ -0,0 +1,131 @@
+//! What a control instance holds in memory.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use wheelmast_core::process::control::log::ReplicaId;
+use wheelmast_core::process::control::message::ReplicaAction;
+use wheelmast_core::process::control::replica::ReplicaMachine;
+use wheelmast_core::process::forward::directory::ServerDirectory;
+use wheelmast_wire::group::{GroupMessage, GroupTell};
+
+use crate::ring::RingSender;
+
+/// Time that an entry which is no longer subscribed keeps its part of the
+/// servers' limits: it may be cut off and at work.
+const ENTRY_LEASE: Duration = Duration::from_secs(10);
+/// Time without a message after which a control instance is not in contact.
+const CONTACT_TIME: Duration = Duration::from_secs(2);
+
+/// A route table in force.
+#[derive(Debug, Clone, Default)]
+pub struct PublishedTable {
+    /// Its version; 0 for none.
+    pub version: u64,
+    /// As the operator sent it.
+    pub text: Rc<Vec<u8>>,
+}
+
+/// News of a server that wait to be held by others.
+#[derive(Debug)]
+pub struct KeepWait {
+    /// Others that still have to hold it.
+    pub missing: usize,
+    /// Takes the word that they do.
+    pub done: oneshot::Sender<()>,
+}
+
+/// An entry that follows this instance.
+#[derive(Debug)]
+pub struct Subscriber {
+    /// Name of the entry.
+    pub instance: Box<str>,
+    /// Takes messages for it.
+    pub sender: RingSender<Rc<GroupMessage>>,
+}
+
+/// What a control instance holds.
+#[derive(Debug, Default)]
+pub struct GroupState {
+    /// The replica; `None` while its disk fails.
+    pub replica: Option<ReplicaMachine>,
+    /// Which opening of the store is current.
+    pub epoch: u64,
+    /// Number of the last batch given to the disk.
+    pub batch: u64,
+    /// Number of the last batch that lasts.
+    pub lasting: u64,
+    /// What waits for the disk, with the batch it waits for.
+    pub outbox: VecDeque<(u64, Vec<ReplicaAction>)>,
+    /// The route table in force.
+    pub published: PublishedTable,
+    /// Servers known.
+    pub directory: ServerDirectory,
+    /// Servers heard of here since the others were told.
+    pub renewals: HashMap<Box<str>, u64>,
+    /// Lines to other control instances.
+    pub links: HashMap<SocketAddr, RingSender<GroupMessage>>,
+    /// When another control instance was last heard.
+    pub contacts: HashMap<SocketAddr, Duration>,
+    /// Addresses of replicas, from what they said themselves.
+    pub addresses: HashMap<ReplicaId, SocketAddr>,
+    /// Entries that follow this instance.
+    pub subscribers: HashMap<u64, Subscriber>,
+    /// When each entry was last subscribed.
+    pub entries: HashMap<Box<str>, Duration>,
+    /// What the entries were told last: their number, and the instances.
+    pub told: (u32, Vec<SocketAddr>),
+    /// Questions that wait for their answer.
+    pub asks: HashMap<u64, oneshot::Sender<GroupTell>>,
+    /// News that wait to be held by others.
+    pub keeps: HashMap<u64, KeepWait>,
+}
+
+impl GroupState {
+    /// Returns the number of entries that share the servers' limits.
+    pub fn count_entries(&mut self, now: Duration) -> u32 {
+        for subscriber in self.subscribers.values() {
+            self.entries.insert(subscriber.instance.clone(), now);
+        }
+        self.entries.retain(|_, seen| now < *seen + ENTRY_LEASE);
+        self.entries.len() as u32
+    }
+
+    /// Returns how many other control instances were heard lately.
+    pub fn count_contacts(&self, now: Duration) -> usize {
+        let contacts = self.contacts.values();
+        contacts
+            .filter(|heard| now < **heard + CONTACT_TIME)
+            .count()
+    }
+
+    /// Returns the address of a replica.
+    pub fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
+        if let Some(address) = self.addresses.get(&id) {
+            return Some(*address);
+        }
+        let replica = self.replica.as_ref()?;
+        let mut members = replica.member_records().iter();
+        let found = members.find(|member| member.id == id);
+        found.map(|member| member.address)
+    }
+
+    /// Tells all entries that follow this instance. One that does not keep up
+    /// is let go, and asks for everything again.
+    pub fn tell_entries(&mut self, message: GroupMessage) {
+        let message = Rc::new(message);
+        self.subscribers
+            .retain(|_, subscriber| subscriber.sender.offer(message.clone()).is_ok());
+    }
+
+    /// Tells all other control instances.
+    pub fn tell_control(&self, message: &GroupMessage) {
+        for link in self.links.values() {
+            // A full ring loses it, as the network may.
+            let _ = link.offer(message.clone());
+        }
+    }
+}
--- a/crates/node/src/process/member.rs
+++ b/crates/node/src/process/member.rs
@@ -77,6 +77,7 @@
     let start = ReplicaStart {
         id: replica_id(instance),
         members,
+        size: 0,
         hard: kept.hard,
         snapshot: (kept.place, kept.state),
         entries: kept.entries,
--- a/crates/node/src/process/store/folder.rs
+++ b/crates/node/src/process/store/folder.rs
@@ -5,12 +5,24 @@
 
 use anyhow::{bail, Context};
 use serde::{Deserialize, Serialize};
+use wheelmast_core::process::control::log::ReplicaId;
 
 /// Name of the lock file.
 const LOCK_NAME: &str = "lock";
 /// Name of the identity file.
 const IDENTITY_NAME: &str = "identity.json";
 
+/// Name of the identity file of a replica that draws its own identity.
+const REPLICA_NAME: &str = "replica.json";
+
+/// The identity that a replica drew when its folder was made.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct OwnIdentity {
+    instance: String,
+    replica: ReplicaId,
+    format: u32,
+}
+
 /// Whose folder it is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FolderIdentity {
@@ -89,6 +101,39 @@
         DataFolder::lock(path)
     }
 
+    /// Opens the folder of a replica that draws its own identity, or makes it
+    /// if it holds none. Returns the folder, the identity, and whether it is
+    /// new: an empty disk never comes back as who it was.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be read or written, or is locked.
+    pub fn open_own(path: &Path, instance: &str) -> anyhow::Result<(DataFolder, ReplicaId, bool)> {
+        std::fs::create_dir_all(path)
+            .with_context(|| format!("could not make data folder {}", path.display()))?;
+        let folder = DataFolder::lock(path)?;
+        let file = path.join(REPLICA_NAME);
+        match std::fs::read(&file) {
+            Ok(text) => {
+                let own: OwnIdentity = serde_json::from_slice(&text)
+                    .with_context(|| format!("could not read identity {}", file.display()))?;
+                Ok((folder, own.replica, false))
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => {
+                let own = OwnIdentity {
+                    instance: instance.to_string(),
+                    replica: rand::random(),
+                    format: FOLDER_FORMAT,
+                };
+                folder.replace(REPLICA_NAME, &serde_json::to_vec_pretty(&own)?)?;
+                Ok((folder, own.replica, true))
+            }
+            Err(error) => {
+                Err(error).with_context(|| format!("could not read identity {}", file.display()))
+            }
+        }
+    }
+
     fn lock(path: &Path) -> anyhow::Result<DataFolder> {
         let file = path.join(LOCK_NAME);
         let lock = OpenOptions::new()
--- a/crates/node/src/process/store/record.rs
+++ b/crates/node/src/process/store/record.rs
@@ -26,14 +26,18 @@
     Snapshot,
     /// Like a snapshot, and all entries are dropped.
     Installed,
+    /// The end of what was written and synced together. A tear can only be in
+    /// the last batch, in any of its records; that batch is cut as a whole.
+    Batch,
 }
 
-const KINDS: [(u8, RecordKind); 5] = [
+const KINDS: [(u8, RecordKind); 6] = [
     (1, RecordKind::Hard),
     (2, RecordKind::Entry),
     (3, RecordKind::Commit),
     (4, RecordKind::Snapshot),
     (5, RecordKind::Installed),
+    (6, RecordKind::Batch),
 ];
 
 impl RecordKind {
@@ -110,9 +114,9 @@
 
 /// Reads the records of a file.
 ///
-/// A record that cannot be read at the end of the file is a torn tail: it was
-/// being written at a crash and nothing was answered on its strength. One
-/// that good records follow is damage.
+/// What cannot be read in the last batch is a torn tail: the batch was being
+/// written at a crash and nothing was answered on its strength. What cannot be
+/// read and has the ends of two batches after it was synced once: damage.
 ///
 /// # Errors
 ///
@@ -123,20 +127,24 @@
     }
     let mut records = Vec::new();
     let mut offset = FILE_HEADER.len();
+    let mut whole = None;
     while offset < bytes.len() {
         let Some(record) = read_at(bytes, offset) else {
-            if has_record_after(bytes, offset + 1) {
+            if count_batch_ends(bytes, offset + 1) > 1 {
                 return Err(FileDamage::Record { offset });
             }
             break;
         };
         offset += HEAD + record.body.len();
         records.push(record);
+        if record.kind == RecordKind::Batch {
+            whole = Some((records.len(), offset));
+        }
     }
-    Ok(FileRecords {
-        records,
-        good: offset,
-    })
+    // A file without any batch was written by an older version.
+    let (count, good) = whole.unwrap_or((records.len(), offset));
+    records.truncate(count);
+    Ok(FileRecords { records, good })
 }
 
 fn read_at(bytes: &[u8], offset: usize) -> Option<ReadRecord<'_>> {
@@ -156,8 +164,11 @@
     Some(ReadRecord { kind, body, offset })
 }
 
-fn has_record_after(bytes: &[u8], from: usize) -> bool {
-    (from..bytes.len()).any(|offset| read_at(bytes, offset).is_some())
+fn count_batch_ends(bytes: &[u8], from: usize) -> usize {
+    let records = (from..bytes.len()).filter_map(|offset| read_at(bytes, offset));
+    records
+        .filter(|record| record.kind == RecordKind::Batch)
+        .count()
 }
 
 fn number(bytes: &[u8]) -> u32 {
--- a/crates/node/src/process/store/replica_store.rs
+++ b/crates/node/src/process/store/replica_store.rs
@@ -58,6 +58,7 @@
             RecordKind::Hard => self.hard = read(body)?,
             RecordKind::Entry => self.keep_entry(read(body)?),
             RecordKind::Commit => self.commit = read(body)?,
+            RecordKind::Batch => {}
             RecordKind::Snapshot | RecordKind::Installed => {
                 let (place, state) = read(body)?;
                 self.keep_snapshot(place, state, kind == RecordKind::Installed);
@@ -215,6 +216,7 @@
         if self.buffer.is_empty() {
             return Ok(());
         }
+        write_record(RecordKind::Batch, &[], &mut self.buffer);
         self.file
             .write_all(&self.buffer)
             .and_then(|()| self.file.sync_data())
@@ -226,7 +228,11 @@
 
     /// Writes all that is kept into a new file, which takes the old one's
     /// place.
-    fn rewrite(&mut self) -> anyhow::Result<()> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system cannot write or sync.
+    pub fn rewrite(&mut self) -> anyhow::Result<()> {
         let mut bytes = FILE_HEADER.to_vec();
         let snapshot = encode(&(self.kept.place, &self.kept.state))?;
         write_record(RecordKind::Snapshot, &snapshot, &mut bytes);
@@ -235,6 +241,7 @@
             write_record(RecordKind::Entry, &encode(entry)?, &mut bytes);
         }
         write_record(RecordKind::Commit, &encode(&self.kept.commit)?, &mut bytes);
+        write_record(RecordKind::Batch, &[], &mut bytes);
         let old = self.folder.path.join(log_name(self.number));
         self.number += 1;
         let name = log_name(self.number);
--- a/crates/node/src/ring.rs
+++ b/crates/node/src/ring.rs
@@ -54,6 +54,12 @@
         let _ = self.sender.send(message).await;
     }
 
+    /// Waits for room and puts a message into the ring, from a thread that may
+    /// wait.
+    pub fn put_blocking(&self, message: T) {
+        let _ = self.sender.blocking_send(message);
+    }
+
     /// Returns how many messages found no room.
     pub fn dropped(&self) -> u64 {
         self.dropped.load(Ordering::Relaxed)
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -5,3 +5,4 @@
 pub mod model;
 pub mod read;
 pub mod reader;
+pub mod role;
--- a/crates/node/src/settings/read.rs
+++ b/crates/node/src/settings/read.rs
@@ -12,10 +12,55 @@
     ClusterSettings, InstanceSettings, KeySource, LogFormat, PeerSettings,
 };
 use crate::settings::reader::ObjectReader;
+use crate::settings::role::{read_role, RoleSettings};
 
 /// What an address must be.
 const ADDRESS_ALLOWED: &str = "an IP address and port, like \"127.0.0.1:7400\"";
 
+/// Settings of either kind.
+#[derive(Debug, Clone)]
+pub enum AnySettings {
+    /// Of an instance that answers queries from snapshots.
+    Instance(Box<InstanceSettings>),
+    /// Of an instance with a role in forwarding.
+    Role(Box<RoleSettings>),
+}
+
+/// Reads a settings file of either kind: one that names a role is of an
+/// instance in forwarding.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read; the inner result carries the findings.
+pub fn read_any_file(path: &Path) -> anyhow::Result<Result<AnySettings, FindingList>> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("could not read settings {}", path.display()))?;
+    Ok(read_any(&text))
+}
+
+/// Reads settings of either kind out of JSON with comments.
+///
+/// # Errors
+///
+/// Returns all findings at once.
+pub fn read_any(text: &str) -> Result<AnySettings, FindingList> {
+    let parsed = parse_to_ast(text, &Default::default(), &Default::default());
+    let value = parsed
+        .as_ref()
+        .ok()
+        .and_then(|parsed| parsed.value.as_ref());
+    let object = value.and_then(|value| value.as_object());
+    let Some(object) = object.filter(|object| object.get("role").is_some()) else {
+        return read_settings(text).map(|settings| AnySettings::Instance(Box::new(settings)));
+    };
+    let mut findings = FindingList::default();
+    let settings = read_role(text, object, &mut findings);
+    match settings {
+        Some(settings) if findings.is_empty() => Ok(AnySettings::Role(Box::new(settings))),
+        _ => Err(findings),
+    }
+}
+
 /// Reads a settings file.
 ///
 /// # Errors
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -87,6 +87,41 @@
         number
     }
 
+    /// Reads a number that may have a fraction.
+    pub fn decimal(&mut self, name: &'static str, findings: &mut FindingList) -> Option<f64> {
+        let value = self.field(name)?;
+        let literal = value.as_number_lit();
+        let number = literal.and_then(|literal| literal.value.parse::<f64>().ok());
+        let number = number.filter(|number| number.is_finite() && *number >= 0.0);
+        if number.is_none() {
+            self.report(value, name, "a number from 0", findings);
+        }
+        number
+    }
+
+    /// Reads a list of values out of their texts.
+    pub fn parsed_list<T: std::str::FromStr>(
+        &mut self,
+        name: &'static str,
+        allowed: &str,
+        findings: &mut FindingList,
+    ) -> Vec<T> {
+        let Some(value) = self.field(name) else {
+            return Vec::new();
+        };
+        let items = value.as_array().map(|array| {
+            let items = array.elements.iter();
+            items
+                .map(|item| item.as_string_lit()?.value.parse().ok())
+                .collect::<Option<Vec<T>>>()
+        });
+        let Some(Some(items)) = items else {
+            self.report(value, name, &format!("a list, each {allowed}"), findings);
+            return Vec::new();
+        };
+        items
+    }
+
     /// Reads true or false.
     pub fn flag(&mut self, name: &'static str, findings: &mut FindingList) -> Option<bool> {
         let value = self.field(name)?;
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -67,6 +67,14 @@
             change: |bytes| *bytes.last_mut().expect("bytes") ^= 1,
             result: Ok(2),
         },
+        DamageCase {
+            name: "tear inside the last batch, with its end on the disk",
+            change: |bytes| {
+                let middle = bytes.len() - 20;
+                bytes[middle] ^= 1;
+            },
+            result: Ok(2),
+        },
         DamageCase {
             name: "zeros at the end",
             change: |bytes| bytes.extend([0; 100]),
--- /dev/null
+++ b/crates/wire/src/dialect.rs
@@ -0,0 +1,79 @@
+//! The seam towards a platform: names, formats and calls of the forwarded
+//! conversations, and nothing that decides.
+//!
+//! The product's own is [`crate::native::NativeDialect`]; an adapter fills in
+//! another platform's.
+
+use wheelmast_core::finding::FindingList;
+use wheelmast_core::process::forward::directory::ServerNotice;
+use wheelmast_core::version::route_table::RouteDraft;
+
+/// Names of the headers that the conversations use, in lower case.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeaderNames {
+    /// Identity of a request.
+    pub request: &'static str,
+    /// Time a request has left, in milliseconds.
+    pub time_left: &'static str,
+    /// Proof of a server that it made an answer.
+    pub stamp: &'static str,
+    /// The server that is meant.
+    pub expect: &'static str,
+    /// A server's load: running, waiting and slots.
+    pub load: &'static str,
+    /// A server's word that it did not run a request.
+    pub not_run: &'static str,
+    /// Stamps of the parts in an answer.
+    pub parts: &'static str,
+    /// Number of the shards left out of an answer.
+    pub missing: &'static str,
+}
+
+/// A call to the control group or to an entry's listener for its balancer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ControlCall {
+    /// A server announces itself under this id.
+    Announce(String),
+    /// The server of this id leaves.
+    Withdraw(String),
+    /// An operator changes the route table.
+    PutTable,
+    /// An operator reads the route table.
+    GetTable,
+    /// The balancer asks whether the instance takes requests.
+    Ready,
+}
+
+/// Names, formats and calls.
+pub trait ForwardDialect: std::fmt::Debug + Copy + Default + Send + Sync + 'static {
+    /// Names of the headers.
+    const HEADERS: HeaderNames;
+
+    /// Tells which call a method and a path are.
+    fn call(method: &str, path: &str) -> Option<ControlCall>;
+
+    /// Reads a route table.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings at once.
+    fn read_table(text: &[u8]) -> Result<RouteDraft, FindingList>;
+
+    /// Reads the announcement of a server.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings at once.
+    fn read_notice(id: &str, text: &[u8]) -> Result<ServerNotice, FindingList>;
+}
+
+/// Returns the one finding that a text is not what was expected.
+pub fn unreadable(error: &serde_json::Error) -> FindingList {
+    let mut findings = FindingList::default();
+    let place = wheelmast_core::finding::FindingPlace::Text {
+        line: error.line(),
+        column: error.column(),
+    };
+    findings.add(place, error.to_string());
+    findings
+}
--- /dev/null
+++ b/crates/wire/src/group.rs
@@ -0,0 +1,115 @@
+//! Messages between the control group and the entries, as bincode in frames.
+//!
+//! A frame is the length of the message (u32, big-endian) and the message.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use wheelmast_core::process::control::log::ReplicaId;
+use wheelmast_core::process::control::message::ReplicaMessage;
+use wheelmast_core::process::control::state::{CommandOutcome, ControlCommand, MemberRecord};
+use wheelmast_core::process::forward::directory::ServerNotice;
+
+/// Largest frame, in bytes.
+pub const FRAME_BYTES: usize = 8 * 1024 * 1024;
+
+/// One message.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum GroupMessage {
+    /// A control instance says who it is, and which others it knows.
+    Hello {
+        /// The sender.
+        from: MemberRecord,
+        /// Whether it asks to be kept up to date.
+        learns: bool,
+        /// Addresses of the control instances that it knows.
+        known: Vec<SocketAddr>,
+    },
+    /// A message between replicas.
+    Replica {
+        /// The sender.
+        from: ReplicaId,
+        /// The receiver; another identity at its address takes no notice.
+        to: ReplicaId,
+        /// The message.
+        message: ReplicaMessage,
+    },
+    /// News of servers.
+    Notices(Vec<ServerNotice>),
+    /// News of a server that the sender will acknowledge once others hold it.
+    Keep {
+        /// The sender's name for it.
+        tag: u64,
+        /// The news.
+        notice: Box<ServerNotice>,
+    },
+    /// The news of this tag are held.
+    Kept(u64),
+    /// Servers heard of, with their sequence numbers.
+    Renewals(Vec<(Box<str>, u64)>),
+    /// Servers that are silent, or no longer.
+    Silent(Vec<(Box<str>, bool)>),
+    /// A question to the leader.
+    Ask {
+        /// The sender's name for it.
+        tag: u64,
+        /// The question.
+        ask: GroupAsk,
+    },
+    /// The answer to [`GroupMessage::Ask`].
+    Told {
+        /// The asker's name for it.
+        tag: u64,
+        /// The answer.
+        tell: GroupTell,
+    },
+    /// An entry asks for all that is known, and for what changes.
+    Subscribe {
+        /// Name of the entry.
+        instance: Box<str>,
+        /// Version of the route table it has; 0 for none.
+        have: u64,
+    },
+    /// A version of the route table that came in force.
+    Routes {
+        /// The version.
+        version: u64,
+        /// The table as the operator sent it.
+        text: Vec<u8>,
+    },
+    /// A quorum has confirmed that no version above this one was
+    /// acknowledged when the entry subscribed.
+    Confirmed {
+        /// The version; 0 if there is none yet.
+        version: u64,
+    },
+    /// Number of entries that are subscribed, and the control instances known.
+    Members {
+        /// Entries.
+        entries: u32,
+        /// Control instances.
+        control: Vec<SocketAddr>,
+    },
+    /// A sign of life.
+    Ping,
+}
+
+/// A question to the leader.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum GroupAsk {
+    /// Make this change.
+    Propose(ControlCommand),
+    /// Which version of the route table is in force for sure?
+    Read,
+}
+
+/// The leader's answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum GroupTell {
+    /// The change is made, with this outcome.
+    Done(CommandOutcome),
+    /// This version is in force.
+    Version(u64),
+    /// It cannot be said now.
+    Unknown,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,9 @@
 //! ([`operator`]). Nothing here decides.
 
 pub mod caller;
+pub mod dialect;
+pub mod group;
+pub mod native;
 pub mod operator;
 pub mod peer;
 pub mod prelude;
--- /dev/null
+++ b/crates/wire/src/native.rs
@@ -0,0 +1,83 @@
+//! The product's own names, formats and calls of the forwarded conversations.
+
+use serde::Deserialize;
+use wheelmast_core::finding::FindingList;
+use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
+use wheelmast_core::version::route_table::RouteDraft;
+
+use crate::dialect::{unreadable, ControlCall, ForwardDialect, HeaderNames};
+
+/// Path of a server's announcement, before its id.
+const UPSTREAM_PATH: &str = "/v1/servers/";
+/// Path of the route table.
+const ROUTES_PATH: &str = "/v1/routes";
+/// Path of the balancer's question.
+const READY_PATH: &str = "/ready";
+
+/// The product's own dialect.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NativeDialect;
+
+/// An announcement as JSON.
+#[derive(Debug, Deserialize)]
+struct NoticeBody {
+    service: Box<str>,
+    address: std::net::SocketAddr,
+    failure_domain: Box<str>,
+    slots: u32,
+    draining: bool,
+    sequence: u64,
+    #[serde(default)]
+    cold_ms: u64,
+}
+
+impl ForwardDialect for NativeDialect {
+    const HEADERS: HeaderNames = HeaderNames {
+        request: "wheelmast-request",
+        time_left: "wheelmast-time-left-ms",
+        stamp: "wheelmast-stamp",
+        expect: "wheelmast-expect-server",
+        load: "wheelmast-load",
+        not_run: "wheelmast-not-run",
+        parts: "wheelmast-parts",
+        missing: "wheelmast-missing",
+    };
+
+    fn call(method: &str, path: &str) -> Option<ControlCall> {
+        match (method, path) {
+            ("GET", READY_PATH) => return Some(ControlCall::Ready),
+            ("GET", ROUTES_PATH) => return Some(ControlCall::GetTable),
+            ("PUT", ROUTES_PATH) => return Some(ControlCall::PutTable),
+            _ => {}
+        }
+        let id = path.strip_prefix(UPSTREAM_PATH)?;
+        match method {
+            "PUT" => Some(ControlCall::Announce(id.to_string())),
+            "DELETE" => Some(ControlCall::Withdraw(id.to_string())),
+            _ => None,
+        }
+    }
+
+    fn read_table(text: &[u8]) -> Result<RouteDraft, FindingList> {
+        serde_json::from_slice(text).map_err(|error| unreadable(&error))
+    }
+
+    fn read_notice(id: &str, text: &[u8]) -> Result<ServerNotice, FindingList> {
+        let body: NoticeBody = serde_json::from_slice(text).map_err(|error| unreadable(&error))?;
+        let standing = if body.draining {
+            ServerStanding::Draining
+        } else {
+            ServerStanding::Ready
+        };
+        Ok(ServerNotice {
+            id: id.into(),
+            service: body.service,
+            address: Some(body.address),
+            domain: body.failure_domain,
+            slots: body.slots,
+            standing,
+            sequence: body.sequence,
+            cold_ms: body.cold_ms,
+        })
+    }
+}
