Pass a gathered request on to an entry near the shards

Change: one request to an entry there instead, with the version of the table, and the shards from here should it fail; near servers go first by a part of the objective.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -81,6 +81,8 @@
     Retry,
     /// Another is slow.
     Hedge,
+    /// Another entry stands nearer to the shards.
+    Relay,
 }
 
 /// A send.
@@ -100,6 +102,9 @@
     pub time_left: Duration,
     /// Whether the answer's headers are passed on.
     pub whole_head: bool,
+    /// Version of the table, if the server is another entry, which is to
+    /// answer the request as its own and with no older table.
+    pub relay: Option<u64>,
 }
 
 /// One decision about a request, for the log.
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -87,6 +87,8 @@
     pub route: usize,
     /// Whether its parts are merged.
     pub gathers: bool,
+    /// Whether another entry is asked to answer it.
+    pub relays: bool,
     /// When it came.
     pub arrived: Duration,
     /// When it should be answered.
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -12,8 +12,10 @@
 /// Largest part by which chance changes an expected time, so that entries that
 /// know the same do not all choose the same.
 const JITTER: f64 = 0.15;
-/// What an answer from another failure domain costs, as time.
-const FAR_COST: Duration = Duration::from_millis(6);
+/// What an answer from another failure domain costs, as a part of the
+/// objective: bytes between domains are dear, and a near server that answers
+/// in time is as good.
+const FAR_COST: f64 = 0.3;
 /// What a new connection costs, as time.
 const OPEN_COST: Duration = Duration::from_millis(5);
 /// What a server that failed last costs, as time.
@@ -23,6 +25,18 @@
 /// Part of a server's connections that all entries together use.
 const CONNECTION_USE: f64 = 0.85;
 
+/// Connections to another entry, at most.
+const RELAY_CONNECTIONS: usize = 64;
+
+/// What is expected of an answer.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ExpectedTimes {
+    /// Time an idle server typically takes.
+    pub(super) typical: Duration,
+    /// Time within which the whole answer should go out.
+    pub(super) objective: Duration,
+}
+
 /// The choice of a server.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ServerChoice {
@@ -48,7 +62,7 @@
         &mut self,
         upstream: UpstreamKey,
         tried: &[ServerKey],
-        typical: Duration,
+        times: ExpectedTimes,
         now: Duration,
     ) -> Result<ServerChoice, NoChoice> {
         let cap = self.connection_cap(upstream);
@@ -65,9 +79,9 @@
                 continue;
             }
             candidates += 1;
-            let expected = state.expect(typical, now);
+            let expected = state.expect(times.typical, now);
             let jitter = 1.0 + JITTER * self.rng.random::<f64>();
-            let cost = (expected + doubts(state, now)).as_secs_f64() * jitter;
+            let cost = (expected + doubts(state, times, now)).as_secs_f64() * jitter;
             if best.is_none_or(|(_, least, _)| cost < least) {
                 best = Some((*server, cost, expected));
             }
@@ -86,6 +100,9 @@
     /// Returns how many connections this entry may have to a server: its part
     /// of the server's limit, which all entries share.
     pub fn connection_cap(&self, upstream: UpstreamKey) -> usize {
+        if self.upstreams[upstream].is_entry {
+            return RELAY_CONNECTIONS;
+        }
         let connections = f64::from(self.upstreams[upstream].connections);
         let part = connections * CONNECTION_USE / f64::from(self.entries.max(1));
         (part as usize).max(1)
@@ -93,10 +110,10 @@
 }
 
 /// Returns what speaks against a server besides its expected time.
-fn doubts(state: &ServerState, now: Duration) -> Duration {
+fn doubts(state: &ServerState, times: ExpectedTimes, now: Duration) -> Duration {
     let mut doubt = FAILING_COST.mul_f64(state.failing);
     if !state.is_near {
-        doubt += FAR_COST;
+        doubt += times.objective.mul_f64(FAR_COST);
     }
     if state.idle == 0 {
         doubt += OPEN_COST;
--- a/crates/core/src/process/forward/gather.rs
+++ b/crates/core/src/process/forward/gather.rs
@@ -10,6 +10,7 @@
     AttemptCause, ForwardAction, ForwardAnswer, ForwardDecision, ForwardFailure,
 };
 use crate::process::forward::call::{CallState, PartState, PartStatus};
+use crate::process::forward::choose::ServerChoice;
 use crate::process::forward::input::{ForwardCall, ServerAnswer};
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::input::CallTag;
@@ -31,13 +32,21 @@
         let Some(table) = self.table.clone() else {
             return self.refuse(call.tag, ForwardFailure::NoTable, out);
         };
+        if call
+            .relayed
+            .is_some_and(|version| version > table.version())
+        {
+            // It would be answered with an older table than it came in with.
+            return self.refuse(call.tag, ForwardFailure::NoTable, out);
+        }
         let Some(route) = table.find(&call.host, &call.path) else {
             return self.refuse(call.tag, ForwardFailure::NoRoute, out);
         };
         if self.calls.len() >= self.options.in_flight {
             return self.refuse(call.tag, ForwardFailure::Overload, out);
         }
-        let state = self.lay_out(&call, table, route, now);
+        let relay = self.find_relay(&call, &table.routes()[route], now);
+        let state = self.lay_out(&call, table, route, relay, now);
         let (plan, count) = (state.plan, state.parts.len());
         let (name, version) = (state.rule().name.as_str().into(), state.table.version());
         self.decide(call.tag, out, || ForwardDecision::Admit {
@@ -47,8 +56,9 @@
         });
         let key = self.calls.insert(state);
         self.tags.insert(call.tag, key);
-        for part in 0..count {
-            self.send_first(key, part, now, out);
+        match relay {
+            Some(choice) => self.send_relay(key, choice, now, out),
+            None => (0..count).for_each(|part| self.send_first(key, part, now, out)),
         }
         self.timers.set(plan.limit, ForwardTimer::Limit(key));
         if plan.aim > now {
@@ -63,19 +73,25 @@
         call: &ForwardCall,
         table: Arc<RouteTable>,
         route: usize,
+        relay: Option<ServerChoice>,
         now: Duration,
     ) -> CallState {
         let rule = &table.routes()[route];
         let timing = self.timing(&rule.name);
         let plan = self.timings[timing].plan(rule, call.time_left, now);
-        let upstreams = self.targets(rule);
+        let upstreams = match relay {
+            // The entry that answers it counts it.
+            Some(choice) => vec![self.servers[choice.server].upstream],
+            None => self.targets(rule),
+        };
         for upstream in &upstreams {
             let bound = self.options.extra;
             self.upstreams[*upstream].budget.request(&bound, now);
         }
         CallState {
             tag: call.tag,
-            gathers: matches!(rule.target, RouteTarget::Gather(_)),
+            gathers: relay.is_none() && matches!(rule.target, RouteTarget::Gather(_)),
+            relays: relay.is_some(),
             route,
             arrived: now,
             plan,
@@ -88,7 +104,7 @@
         }
     }
 
-    fn targets(&mut self, rule: &RouteRule) -> Vec<UpstreamKey> {
+    pub(super) fn targets(&mut self, rule: &RouteRule) -> Vec<UpstreamKey> {
         match &rule.target {
             RouteTarget::Service(name) => vec![self.upstream(name)],
             RouteTarget::Split(parts) => {
@@ -100,7 +116,7 @@
         }
     }
 
-    fn send_first(
+    pub(super) fn send_first(
         &mut self,
         call: SlotKey,
         part: usize,
@@ -278,7 +294,9 @@
         for attempt in state.parts.iter().flat_map(|part| &part.attempts) {
             if let Some(orphan) = self.attempts.get_mut(*attempt) {
                 orphan.call = None;
-                let until = now + patience;
+                // Another entry has patience of its own.
+                let is_relay = orphan.cause == AttemptCause::Relay;
+                let until = if is_relay { now } else { now + patience };
                 self.timers.set(until, ForwardTimer::Orphan(*attempt));
             }
         }
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -5,7 +5,7 @@
 use crate::arena::{SlotKey, UpstreamKey};
 use crate::process::forward::answer::{AttemptCause, AttemptOrder, ForwardAction, ForwardDecision};
 use crate::process::forward::call::{ForwardAttempt, PartState, PartStatus};
-use crate::process::forward::choose::{NoChoice, ServerChoice};
+use crate::process::forward::choose::{ExpectedTimes, NoChoice, ServerChoice};
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::forward::server::OutstandingAttempt;
 
@@ -36,11 +36,14 @@
         let state = self.calls.get(call)?;
         let (upstream, tried) = (state.parts[part].upstream, state.parts[part].tried.clone());
         let timing = self.timing_names.get(&*state.rule().name).copied()?;
-        let typical = self.timings[timing].typical(state.rule());
-        self.choose(upstream, &tried, typical, now).ok()
+        let times = ExpectedTimes {
+            typical: self.timings[timing].typical(state.rule()),
+            objective: state.rule().objective(),
+        };
+        self.choose(upstream, &tried, times, now).ok()
     }
 
-    fn send_to(
+    pub(super) fn send_to(
         &mut self,
         call: SlotKey,
         part: usize,
@@ -52,8 +55,13 @@
         let Some(state) = self.calls.get_mut(call) else {
             return;
         };
-        let timing = self.timing_names.get(&*state.rule().name).copied();
-        let timing = timing.unwrap_or_default();
+        let relay = cause == AttemptCause::Relay;
+        let timing = if relay {
+            self.relay_timing
+        } else {
+            let timing = self.timing_names.get(&*state.rule().name).copied();
+            timing.unwrap_or_default()
+        };
         let typical = self.timings[timing].typical(state.rule());
         let slow = self.timings[timing].slow(state.rule());
         let server = &mut self.servers[choice.server];
@@ -69,6 +77,7 @@
         });
         state.sends += 1;
         let (tag, gathers) = (state.tag, state.gathers);
+        let version = state.table.version();
         let time_left = state.plan.given_up.saturating_sub(now + SEND_MARGIN);
         let part = &mut state.parts[part];
         part.attempts.push(attempt);
@@ -86,6 +95,7 @@
             AttemptCause::First => self.counters.sends += 1,
             AttemptCause::Retry => self.counters.retries += 1,
             AttemptCause::Hedge => self.counters.hedges += 1,
+            AttemptCause::Relay => self.counters.relays += 1,
         }
         let (service, id) = self.names(choice.server);
         self.decide(tag, out, || ForwardDecision::Send {
@@ -104,6 +114,7 @@
             instance,
             time_left,
             whole_head: !gathers,
+            relay: relay.then_some(version),
         }));
     }
 
@@ -115,7 +126,9 @@
         };
         let upstream = state.parts[part].upstream;
         let tried = state.parts[part].tried.clone();
-        let reason = self.choose(upstream, &tried, Duration::ZERO, now).err();
+        let reason = self
+            .choose(upstream, &tried, ExpectedTimes::default(), now)
+            .err();
         let Some(state) = self.calls.get_mut(call) else {
             return;
         };
@@ -126,7 +139,14 @@
                 self.upstreams[upstream].waiting.push_back((call, part));
             }
         } else if part_state.attempts.is_empty() {
-            part_state.status = PartStatus::Missing;
+            self.miss(call, part);
+        }
+    }
+
+    /// Gives a part up.
+    pub(super) fn miss(&mut self, call: SlotKey, part: usize) {
+        if let Some(state) = self.calls.get_mut(call) {
+            state.parts[part].status = PartStatus::Missing;
             state.missing += 1;
         }
     }
@@ -180,6 +200,9 @@
         let Some(state) = self.calls.get(call) else {
             return;
         };
+        if state.relays {
+            return self.sweep_relay(call, now, out);
+        }
         for part in 0..state.parts.len() {
             self.hedge_if_slow(call, part, now, out);
         }
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -1,9 +1,11 @@
 //! What comes into the forward machine.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::arena::{ServerKey, SlotKey};
 use crate::process::forward::directory::ServerNotice;
@@ -21,6 +23,22 @@
     pub path: Box<str>,
     /// Time the caller will wait, if it says so.
     pub time_left: Option<Duration>,
+    /// Version of the table in force at the entry that passed it on, if one
+    /// did; it is not passed on again.
+    pub relayed: Option<u64>,
+}
+
+/// Another entry instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryPeer {
+    /// Its name.
+    pub instance: Box<str>,
+    /// A number drawn at its start.
+    pub lifetime: u64,
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Where it takes callers' requests.
+    pub address: SocketAddr,
 }
 
 /// A server's own report of its load.
@@ -73,6 +91,8 @@
     Silent(Box<str>, bool),
     /// Number of entries that share the servers' limits.
     Entries(u32),
+    /// The entries that take requests, this one among them.
+    Peers(Vec<EntryPeer>),
     /// A caller's request.
     Call(ForwardCall),
     /// A caller left before its answer.
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -77,6 +77,8 @@
 pub(super) struct UpstreamState {
     pub(super) name: Box<str>,
     pub(super) connections: u32,
+    /// Whether it stands for the entries of a failure domain.
+    pub(super) is_entry: bool,
     pub(super) servers: Vec<ServerKey>,
     pub(super) budget: ExtraBudget,
     /// Parts that wait for a server with room.
@@ -102,6 +104,8 @@
     pub retries: u64,
     /// Sends beside a slow one.
     pub hedges: u64,
+    /// Requests passed on to an entry nearer to the shards.
+    pub relays: u64,
     /// Repeats that the bound on extra load did not allow.
     pub unaffordable: u64,
     /// Attempts whose connection was closed.
@@ -120,10 +124,14 @@
     pub(super) upstream_names: HashMap<Box<str>, UpstreamKey>,
     pub(super) servers: KeyArena<ServerKey, ServerState>,
     pub(super) server_ids: HashMap<Box<str>, ServerKey>,
+    /// Failure domains with entries, and what stands for these.
+    pub(super) peer_domains: Vec<(Box<str>, UpstreamKey)>,
     pub(super) calls: SlotArena<CallState>,
     pub(super) tags: HashMap<CallTag, SlotKey>,
     pub(super) attempts: SlotArena<ForwardAttempt>,
     pub(super) timings: Vec<RouteTiming>,
+    /// Place of the timing of requests passed on.
+    pub(super) relay_timing: usize,
     pub(super) timing_names: HashMap<Box<str>, usize>,
     pub(super) splits: HashMap<Box<str>, SplitCounter>,
     pub(super) timers: TimerHeap<ForwardTimer>,
@@ -143,10 +151,12 @@
             upstream_names: HashMap::new(),
             servers: KeyArena::default(),
             server_ids: HashMap::new(),
+            peer_domains: Vec::new(),
             calls: SlotArena::default(),
             tags: HashMap::new(),
             attempts: SlotArena::default(),
-            timings: Vec::new(),
+            timings: vec![RouteTiming::default()],
+            relay_timing: 0,
             timing_names: HashMap::new(),
             splits: HashMap::new(),
             timers: TimerHeap::default(),
@@ -162,6 +172,7 @@
             ForwardInput::Notice(notice) => self.notice(notice, now, out),
             ForwardInput::Silent(id, silent) => self.set_silent(&id, silent),
             ForwardInput::Entries(entries) => self.entries = entries.max(1),
+            ForwardInput::Peers(peers) => self.set_peers(peers, out),
             ForwardInput::Call(call) => self.begin(call, now, out),
             ForwardInput::CallerLeft(tag) => self.caller_left(tag, now, out),
             ForwardInput::Ended { attempt, end } => self.ended(attempt, end, now, out),
@@ -286,6 +297,7 @@
         let upstream = self.upstream(&notice.service);
         let mut state = ServerState::new(notice.id.clone(), upstream, address);
         state.is_near = notice.domain == self.options.domain;
+        state.domain = notice.domain;
         state.slots = notice.slots;
         state.warm_at = now + Duration::from_millis(notice.cold_ms);
         let server = self.servers.push(state);
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -13,6 +13,7 @@
 mod hedge;
 pub mod input;
 pub mod machine;
+mod relay;
 mod reply;
 pub mod server;
 pub mod split;
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -5,12 +5,15 @@
 use crate::arena::SlotKey;
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
 use crate::process::forward::call::{ForwardAttempt, PartStatus};
+use crate::process::forward::choose::ExpectedTimes;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::input::{AttemptEnd, ServerAnswer};
 use crate::process::forward::machine::ForwardMachine;
 
 /// Status of a server that is not the one that was meant.
 const MISDIRECTED: u16 = 421;
+/// Status that says that a request has not run and never will.
+const UNAVAILABLE: u16 = 503;
 /// First status of a server's failure.
 const SERVER_FAILURE: u16 = 500;
 
@@ -42,6 +45,23 @@
         }
     }
 
+    /// Returns what an end means that another entry gave: its own refusal is
+    /// no server's failure.
+    fn of_relay(end: &AttemptEnd, meaning: EndMeaning) -> EndMeaning {
+        match end {
+            AttemptEnd::Answer(answer) if (200..300).contains(&answer.status) => meaning,
+            AttemptEnd::Answer(answer) if answer.status >= SERVER_FAILURE => {
+                if answer.status == UNAVAILABLE {
+                    EndMeaning::NotRun
+                } else {
+                    EndMeaning::Broken
+                }
+            }
+            AttemptEnd::Answer(_) => EndMeaning::NotRun,
+            _ => meaning,
+        }
+    }
+
     fn word(self) -> &'static str {
         match self {
             EndMeaning::Final => "answer",
@@ -64,7 +84,10 @@
         let Some(state) = self.attempts.remove(attempt) else {
             return;
         };
-        let meaning = EndMeaning::of(&end);
+        let mut meaning = EndMeaning::of(&end);
+        if state.cause == AttemptCause::Relay {
+            meaning = EndMeaning::of_relay(&end, meaning);
+        }
         self.learn(attempt, &state, &end, meaning, now, out);
         self.settle(attempt, &state, end, meaning, now, out);
         self.serve_waiting(state.upstream, now, out);
@@ -203,6 +226,9 @@
         let Some(call) = self.calls.get(key) else {
             return;
         };
+        if call.relays {
+            return self.scatter_after_relay(key, now, out);
+        }
         let rule = call.rule();
         let state = &call.parts[part];
         let may_repeat = rule.idempotent || state.runs == 0;
@@ -231,6 +257,7 @@
         };
         let state = &call.parts[part];
         let (upstream, tried) = (state.upstream, state.tried.clone());
-        self.choose(upstream, &tried, Duration::ZERO, now).is_ok()
+        self.choose(upstream, &tried, ExpectedTimes::default(), now)
+            .is_ok()
     }
 }
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -40,6 +40,8 @@
     pub upstream: UpstreamKey,
     /// Where it takes requests.
     pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Box<str>,
     /// Whether it stands in the entry's own failure domain.
     pub is_near: bool,
     /// Whether it takes work.
@@ -74,6 +76,7 @@
             id,
             upstream,
             address,
+            domain: "".into(),
             is_near: false,
             standing: ServerStanding::Ready,
             silent: false,
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -22,7 +22,7 @@
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
-use crate::process::forward::image::RequestImage;
+use crate::process::forward::image::{RequestImage, RELAY_HEADER};
 use crate::process::forward::story::join_words;
 
 /// Least size of a connection's buffer that the HTTP library takes.
@@ -137,6 +137,7 @@
         host: host.into(),
         path: parts.uri.path().into(),
         time_left,
+        relayed: relayed_version(&parts.headers),
     };
     let id = parts.headers.get(D::HEADERS.request);
     let id = id.and_then(|id| id.to_str().ok()).map(str::to_string);
@@ -156,6 +157,11 @@
     }
 }
 
+fn relayed_version(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(RELAY_HEADER)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 fn respond<D: ForwardDialect>(answer: ForwardAnswer, id: &str) -> CallerResponse {
     match answer {
         ForwardAnswer::Server(answer) => server_response(*answer),
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -14,7 +14,8 @@
 
 use anyhow::bail;
 use tokio::io::AsyncWriteExt;
-use wheelmast_core::process::forward::input::ForwardInput;
+use tokio::sync::Notify;
+use wheelmast_core::process::forward::input::{EntryPeer, ForwardInput};
 use wheelmast_core::version::route_table::RouteTable;
 use wheelmast_wire::dialect::ForwardDialect;
 use wheelmast_wire::group::GroupMessage;
@@ -35,7 +36,8 @@
 #[derive(Debug)]
 pub struct GroupFeed<D> {
     entry: Rc<EntryDuty<D>>,
-    instance: Box<str>,
+    peer: EntryPeer,
+    leaving: Notify,
     known: RefCell<HashSet<SocketAddr>>,
     /// The newest table heard of.
     newest: RefCell<Option<Arc<RouteTable>>>,
@@ -44,11 +46,12 @@
 }
 
 impl<D: ForwardDialect> GroupFeed<D> {
-    /// Returns a feed for an entry of this name.
-    pub fn new(entry: Rc<EntryDuty<D>>, instance: &str) -> GroupFeed<D> {
+    /// Returns a feed for an entry that the others know as `peer`.
+    pub fn new(entry: Rc<EntryDuty<D>>, peer: EntryPeer) -> GroupFeed<D> {
         GroupFeed {
             entry,
-            instance: instance.into(),
+            peer,
+            leaving: Notify::new(),
             known: RefCell::default(),
             newest: RefCell::default(),
             confirmed: Cell::new(false),
@@ -62,6 +65,11 @@
         }
     }
 
+    /// Tells the group that the entry takes no more requests of others.
+    pub fn leave(&self) {
+        self.leaving.notify_waiters();
+    }
+
     async fn keep_following(self: Rc<Self>, address: SocketAddr) {
         let mut tries = 0;
         while tries < MOST_TRIES {
@@ -85,8 +93,8 @@
             .look(|machine| machine.table().map(|table| table.version()));
         let mut hello = Vec::new();
         let subscribe = GroupMessage::Subscribe {
-            instance: self.instance.clone(),
             have: have.unwrap_or(0),
+            peer: self.peer.clone(),
         };
         write_frame(&subscribe, &mut hello)?;
         stream.write_all(&hello).await?;
@@ -103,6 +111,11 @@
                     *heard = true;
                     self.take(message);
                 }
+                () = self.leaving.notified() => {
+                    let mut bytes = Vec::new();
+                    write_frame(&GroupMessage::Leaving, &mut bytes)?;
+                    tokio::time::timeout(PING_INTERVAL, writer.write_all(&bytes)).await??;
+                }
                 _ = ping.tick() => {
                     if last.elapsed() > SILENT_TIME {
                         bail!("silent");
@@ -129,8 +142,13 @@
             }
             GroupMessage::Routes { version, text } => self.take_routes(version, &text),
             GroupMessage::Confirmed { version } => self.confirm(version),
-            GroupMessage::Members { entries, control } => {
+            GroupMessage::Members {
+                entries,
+                peers,
+                control,
+            } => {
                 self.entry.step(ForwardInput::Entries(entries));
+                self.entry.step(ForwardInput::Peers(peers));
                 for address in control {
                     self.follow(address);
                 }
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -8,6 +8,8 @@
 use hyper::{Method, Uri};
 use wheelmast_wire::dialect::ForwardDialect;
 
+/// Header of a request that another entry passed on.
+pub const RELAY_HEADER: &str = "wheelmast-relayed";
 /// Headers that concern only one connection.
 const HOP_HEADERS: [&str; 8] = [
     "connection",
@@ -73,20 +75,34 @@
     }
 
     /// Returns the request as it is written to one server.
-    pub fn render<D: ForwardDialect>(&self, instance: &str, time_left: Duration) -> Vec<u8> {
+    pub fn render<D: ForwardDialect>(
+        &self,
+        instance: &str,
+        time_left: Duration,
+        relay: Option<u64>,
+    ) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(self.head.len() + self.body.len() + 96);
         bytes.extend_from_slice(&self.head);
         let millis = time_left.as_millis();
         let (left, expect) = (D::HEADERS.time_left, D::HEADERS.expect);
         // Writing to a vector cannot fail.
-        let _ = write!(bytes, "{left}: {millis}\r\n{expect}: {instance}\r\n\r\n");
+        let _ = write!(bytes, "{left}: {millis}\r\n{expect}: {instance}\r\n");
+        if let Some(version) = relay {
+            push_line(&mut bytes, RELAY_HEADER, version.to_string().as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
         bytes.extend_from_slice(&self.body);
         bytes
     }
 }
 
 fn passes<D: ForwardDialect>(name: &HeaderName, named: &[u8]) -> bool {
-    let own = [D::HEADERS.request, D::HEADERS.time_left, D::HEADERS.expect];
+    let own = [
+        D::HEADERS.request,
+        D::HEADERS.time_left,
+        D::HEADERS.expect,
+        RELAY_HEADER,
+    ];
     let text = name.as_str();
     let is_named = named
         .split(|byte| *byte == b',')
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -132,7 +132,7 @@
         image,
         mut cancelled,
     } = order;
-    let request = image.render::<D>(&order.instance, order.time_left);
+    let request = image.render::<D>(&order.instance, order.time_left, order.relay);
     let result = tokio::select! {
         biased;
         result = exchange(stream, buffer, &request) => result,
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -7,6 +7,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
+use wheelmast_core::process::forward::input::EntryPeer;
 use wheelmast_core::process::forward::machine::ForwardOptions;
 use wheelmast_wire::dialect::ForwardDialect;
 
@@ -55,7 +56,13 @@
     let callers = listen(callers).await?;
     let ready = listen(ready).await?;
     let (close, closing) = watch::channel(false);
-    let feed = Rc::new(GroupFeed::new(entry.clone(), &settings.instance));
+    let peer = EntryPeer {
+        instance: settings.instance.as_str().into(),
+        lifetime: rand::random(),
+        domain: settings.domain.as_str().into(),
+        address: callers.local_addr()?,
+    };
+    let feed = Rc::new(GroupFeed::new(entry.clone(), peer));
     for seed in settings.seed_peers() {
         feed.follow(seed);
     }
@@ -71,6 +78,7 @@
     terminate.recv().await;
     tracing::info!(target: "entry", "entry: leaving");
     entry.set_phase(EntryPhase::Leaving);
+    feed.leave();
     tokio::time::sleep(settings.grace.mul_f64(CLOSE_AFTER)).await;
     let _ = close.send(true);
     let _ = accepting.await;
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -157,6 +157,7 @@
         AttemptCause::First => "first",
         AttemptCause::Retry => "retry",
         AttemptCause::Hedge => "hedge",
+        AttemptCause::Relay => "relay",
     }
 }
 
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -8,6 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use wheelmast_core::process::control::message::ReplicaInput;
 use wheelmast_core::process::control::state::MemberRecord;
+use wheelmast_core::process::forward::input::EntryPeer;
 use wheelmast_wire::group::{GroupAsk, GroupMessage, GroupTell};
 
 use crate::connection::frame::{tune, write_frame, FrameReader};
@@ -57,8 +58,8 @@
                 peer = Some(from.address);
                 take_hello(node, from, learns, known);
             }
-            GroupMessage::Subscribe { instance, have } => {
-                return serve_entry(node, reader, &mut writer, instance, have).await;
+            GroupMessage::Subscribe { have, peer } => {
+                return serve_entry(node, reader, &mut writer, peer, have).await;
             }
             message => take(node, peer, message),
         }
@@ -145,11 +146,12 @@
     node: &Rc<GroupNode>,
     mut reader: FrameReader<R>,
     writer: &mut W,
-    instance: Box<str>,
+    peer: EntryPeer,
     have: u64,
 ) -> anyhow::Result<()> {
     let (sender, mut ring) = bounded_ring(SUBSCRIBER_RING);
     let key = node.next_tag();
+    let instance = peer.instance.clone();
     tracing::info!(target: "group", %instance, table_version = have, "entry: follows");
     let mut bytes = Vec::new();
     for message in first_messages(node, have) {
@@ -158,7 +160,8 @@
     node.state.borrow_mut().subscribers.insert(
         key,
         Subscriber {
-            instance: instance.clone(),
+            peer,
+            leaving: false,
             sender,
         },
     );
@@ -178,9 +181,11 @@
                     }
                     tokio::time::timeout(WRITE_TIME, writer.write_all(&bytes)).await??;
                 }
-                // Only signs of life come.
+                // Otherwise only signs of life come.
                 message = reader.next() => {
-                    message?;
+                    if let GroupMessage::Leaving = message? {
+                        leave(node, key);
+                    }
                 }
             }
         }
@@ -192,14 +197,18 @@
     result
 }
 
+/// Takes note that an entry takes no more requests of others.
+fn leave(node: &Rc<GroupNode>, key: u64) {
+    if let Some(subscriber) = node.state.borrow_mut().subscribers.get_mut(&key) {
+        subscriber.leaving = true;
+    }
+    node.tell_members();
+}
+
 fn first_messages(node: &Rc<GroupNode>, have: u64) -> Vec<GroupMessage> {
     let notices = node.all_notices();
     let state = node.state.borrow();
-    let (entries, control) = state.told.clone();
-    let mut messages = vec![
-        GroupMessage::Members { entries, control },
-        GroupMessage::Notices(notices),
-    ];
+    let mut messages = vec![state.told.message(), GroupMessage::Notices(notices)];
     let silent = state.directory.iter().filter(|record| record.silent);
     let silent = silent.map(|record| (record.notice.id.clone(), true));
     messages.push(GroupMessage::Silent(silent.collect()));
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -13,7 +13,7 @@
 
 use crate::process::group::disk::DiskOrder;
 use crate::process::group::link::keep_link;
-use crate::process::group::state::GroupState;
+use crate::process::group::state::{GroupRoll, GroupState};
 use crate::ring::bounded_ring;
 use crate::settings::role::RoleSettings;
 
@@ -151,7 +151,8 @@
         }
     }
 
-    fn tell_members(&self) {
+    /// Tells the entries of each other and of the group, if that changed.
+    pub fn tell_members(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let entries = state.count_entries(now);
@@ -159,11 +160,20 @@
         let mut control: Vec<SocketAddr> = contacts.map(|(address, _)| *address).collect();
         control.push(self.me.address);
         control.sort_unstable();
-        let news = (entries, control);
-        if news != state.told {
-            state.told = news.clone();
-            let (entries, control) = news;
-            state.tell_entries(GroupMessage::Members { entries, control });
+        let subscribers = state.subscribers.values();
+        let staying = subscribers.filter(|subscriber| !subscriber.leaving);
+        let mut peers: Vec<_> = staying.map(|subscriber| subscriber.peer.clone()).collect();
+        peers.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
+        peers.dedup();
+        let roll = GroupRoll {
+            entries,
+            peers,
+            control,
+        };
+        if roll != state.told {
+            let message = roll.message();
+            state.told = roll;
+            state.tell_entries(message);
         }
     }
 }
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -10,6 +10,7 @@
 use wheelmast_core::process::control::message::ReplicaAction;
 use wheelmast_core::process::control::replica::ReplicaMachine;
 use wheelmast_core::process::forward::directory::ServerDirectory;
+use wheelmast_core::process::forward::input::EntryPeer;
 use wheelmast_wire::group::{GroupMessage, GroupTell};
 
 use crate::ring::RingSender;
@@ -41,12 +42,36 @@
 /// An entry that follows this instance.
 #[derive(Debug)]
 pub struct Subscriber {
-    /// Name of the entry.
-    pub instance: Box<str>,
+    /// Who it is.
+    pub peer: EntryPeer,
+    /// Whether it takes no more requests of other entries.
+    pub leaving: bool,
     /// Takes messages for it.
     pub sender: RingSender<Rc<GroupMessage>>,
 }
 
+/// What entries are told of each other and of the group.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct GroupRoll {
+    /// Entries that share the servers' limits.
+    pub entries: u32,
+    /// Entries that take requests.
+    pub peers: Vec<EntryPeer>,
+    /// Control instances.
+    pub control: Vec<SocketAddr>,
+}
+
+impl GroupRoll {
+    /// Returns the message that tells it.
+    pub fn message(&self) -> GroupMessage {
+        GroupMessage::Members {
+            entries: self.entries,
+            peers: self.peers.clone(),
+            control: self.control.clone(),
+        }
+    }
+}
+
 /// What a control instance holds.
 #[derive(Debug, Default)]
 pub struct GroupState {
@@ -76,8 +101,8 @@
     pub subscribers: HashMap<u64, Subscriber>,
     /// When each entry was last subscribed.
     pub entries: HashMap<Box<str>, Duration>,
-    /// What the entries were told last: their number, and the instances.
-    pub told: (u32, Vec<SocketAddr>),
+    /// What the entries were told last of each other and of the group.
+    pub told: GroupRoll,
     /// Questions that wait for their answer.
     pub asks: HashMap<u64, oneshot::Sender<GroupTell>>,
     /// News that wait to be held by others.
@@ -88,7 +113,7 @@
     /// Returns the number of entries that share the servers' limits.
     pub fn count_entries(&mut self, now: Duration) -> u32 {
         for subscriber in self.subscribers.values() {
-            self.entries.insert(subscriber.instance.clone(), now);
+            self.entries.insert(subscriber.peer.instance.clone(), now);
         }
         self.entries.retain(|_, seen| now < *seen + ENTRY_LEASE);
         self.entries.len() as u32
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -9,6 +9,7 @@
 use wheelmast_core::process::control::message::ReplicaMessage;
 use wheelmast_core::process::control::state::{CommandOutcome, ControlCommand, MemberRecord};
 use wheelmast_core::process::forward::directory::ServerNotice;
+use wheelmast_core::process::forward::input::EntryPeer;
 
 /// Largest frame, in bytes.
 pub const FRAME_BYTES: usize = 8 * 1024 * 1024;
@@ -65,11 +66,13 @@
     },
     /// An entry asks for all that is known, and for what changes.
     Subscribe {
-        /// Name of the entry.
-        instance: Box<str>,
         /// Version of the route table it has; 0 for none.
         have: u64,
+        /// Who it is, for the other entries.
+        peer: EntryPeer,
     },
+    /// The entry takes no more requests of other entries.
+    Leaving,
     /// A version of the route table that came in force.
     Routes {
         /// The version.
@@ -85,8 +88,10 @@
     },
     /// Number of entries that are subscribed, and the control instances known.
     Members {
-        /// Entries.
+        /// Entries that share the servers' limits.
         entries: u32,
+        /// Entries that take requests.
+        peers: Vec<EntryPeer>,
         /// Control instances.
         control: Vec<SocketAddr>,
     },
