Ask an entry near far shards for all of them together

Ruled out: choosing better (a third must go far). Change: the far shards of a request go as one bundle to an entry next to them, which merges them; its answer names the shards that are in.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::arena::{ServerKey, SlotKey};
-use crate::process::forward::input::ServerAnswer;
+use crate::process::forward::input::{RelayOrder, ServerAnswer};
 use crate::process::input::CallTag;
 
 /// Why a request got no server's answer.
@@ -58,6 +58,8 @@
     Gathered {
         /// Stamps of the parts that are in.
         stamps: Vec<Box<str>>,
+        /// The services they are from, if another entry asked.
+        shards: Vec<Box<str>>,
         /// Shards left out.
         missing: usize,
         /// The records.
@@ -102,9 +104,8 @@
     pub time_left: Duration,
     /// Whether the answer's headers are passed on.
     pub whole_head: bool,
-    /// Version of the table, if the server is another entry, which is to
-    /// answer the request as its own and with no older table.
-    pub relay: Option<u64>,
+    /// What is asked, if the server is another entry.
+    pub relay: Option<RelayOrder>,
 }
 
 /// One decision about a request, for the log.
@@ -136,6 +137,8 @@
         instance: Box<str>,
         /// Why.
         cause: AttemptCause,
+        /// Whether it stands in the entry's failure domain.
+        near: bool,
         /// Expected time to an answer.
         expected: Duration,
         /// Servers that could have been asked.
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -87,8 +87,8 @@
     pub route: usize,
     /// Whether its parts are merged.
     pub gathers: bool,
-    /// Whether another entry is asked to answer it.
-    pub relays: bool,
+    /// Whether another entry asked for it, which takes what there is in time.
+    pub relayed: bool,
     /// When it came.
     pub arrived: Duration,
     /// When it should be answered.
@@ -129,12 +129,15 @@
 
     /// Tells whether enough parts are in for an answer.
     pub fn is_covered(&self) -> bool {
+        if self.relayed {
+            return self.answered > 0;
+        }
         self.answered > 0 && self.coverage() + 1e-9 >= self.rule().least_coverage
     }
 
     /// Tells whether enough parts can still come for an answer.
     pub fn is_coverable(&self) -> bool {
-        self.reachable() + 1e-9 >= self.rule().least_coverage
+        self.relayed || self.reachable() + 1e-9 >= self.rule().least_coverage
     }
 
     /// Tells whether any attempt ran, or may have.
@@ -148,8 +151,8 @@
 pub struct ForwardAttempt {
     /// The request; `None` once nobody waits for it.
     pub call: Option<SlotKey>,
-    /// Place of the part in the request.
-    pub part: usize,
+    /// Places of the parts in the request.
+    pub parts: Vec<usize>,
     /// The server asked.
     pub server: ServerKey,
     /// Its service.
@@ -160,6 +163,8 @@
     pub typical: Duration,
     /// Why it was sent.
     pub cause: AttemptCause,
+    /// Servers of each part that it may run on.
+    pub runs: u32,
     /// Key of the route's timing.
     pub timing: usize,
 }
--- a/crates/core/src/process/forward/gather.rs
+++ b/crates/core/src/process/forward/gather.rs
@@ -10,7 +10,6 @@
     AttemptCause, ForwardAction, ForwardAnswer, ForwardDecision, ForwardFailure,
 };
 use crate::process::forward::call::{CallState, PartState, PartStatus};
-use crate::process::forward::choose::ServerChoice;
 use crate::process::forward::input::{ForwardCall, ServerAnswer};
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::input::CallTag;
@@ -32,10 +31,8 @@
         let Some(table) = self.table.clone() else {
             return self.refuse(call.tag, ForwardFailure::NoTable, out);
         };
-        if call
-            .relayed
-            .is_some_and(|version| version > table.version())
-        {
+        let asked = call.relayed.as_ref();
+        if asked.is_some_and(|order| order.version > table.version()) {
             // It would be answered with an older table than it came in with.
             return self.refuse(call.tag, ForwardFailure::NoTable, out);
         }
@@ -45,8 +42,7 @@
         if self.calls.len() >= self.options.in_flight {
             return self.refuse(call.tag, ForwardFailure::Overload, out);
         }
-        let relay = self.find_relay(&call, &table.routes()[route], now);
-        let state = self.lay_out(&call, table, route, relay, now);
+        let state = self.lay_out(&call, table, route, now);
         let (plan, count) = (state.plan, state.parts.len());
         let (name, version) = (state.rule().name.as_str().into(), state.table.version());
         self.decide(call.tag, out, || ForwardDecision::Admit {
@@ -56,9 +52,11 @@
         });
         let key = self.calls.insert(state);
         self.tags.insert(call.tag, key);
-        match relay {
-            Some(choice) => self.send_relay(key, choice, now, out),
-            None => (0..count).for_each(|part| self.send_first(key, part, now, out)),
+        if call.relayed.is_none() {
+            self.send_bundles(key, now, out);
+        }
+        for part in 0..count {
+            self.send_first(key, part, now, out);
         }
         self.timers.set(plan.limit, ForwardTimer::Limit(key));
         if plan.aim > now {
@@ -73,25 +71,27 @@
         call: &ForwardCall,
         table: Arc<RouteTable>,
         route: usize,
-        relay: Option<ServerChoice>,
         now: Duration,
     ) -> CallState {
         let rule = &table.routes()[route];
         let timing = self.timing(&rule.name);
-        let plan = self.timings[timing].plan(rule, call.time_left, now);
-        let upstreams = match relay {
-            // The entry that answers it counts it.
-            Some(choice) => vec![self.servers[choice.server].upstream],
+        let mut plan = self.timings[timing].plan(rule, call.time_left, now);
+        let upstreams = match &call.relayed {
+            Some(order) => {
+                plan.aim = now + order.answer_in;
+                let shards = order.shards.iter();
+                shards.map(|name| self.upstream(name)).collect()
+            }
             None => self.targets(rule),
         };
-        for upstream in &upstreams {
-            let bound = self.options.extra;
-            self.upstreams[*upstream].budget.request(&bound, now);
+        if call.relayed.is_none() {
+            // The entry that took it from the caller counts it.
+            self.count_request(&upstreams, now);
         }
         CallState {
             tag: call.tag,
-            gathers: relay.is_none() && matches!(rule.target, RouteTarget::Gather(_)),
-            relays: relay.is_some(),
+            gathers: matches!(rule.target, RouteTarget::Gather(_)),
+            relayed: call.relayed.is_some(),
             route,
             arrived: now,
             plan,
@@ -104,6 +104,13 @@
         }
     }
 
+    fn count_request(&mut self, upstreams: &[UpstreamKey], now: Duration) {
+        let bound = self.options.extra;
+        for upstream in upstreams {
+            self.upstreams[*upstream].budget.request(&bound, now);
+        }
+    }
+
     pub(super) fn targets(&mut self, rule: &RouteRule) -> Vec<UpstreamKey> {
         match &rule.target {
             RouteTarget::Service(name) => vec![self.upstream(name)],
@@ -123,6 +130,13 @@
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
+        let is_unsent = self
+            .calls
+            .get(call)
+            .is_some_and(|state| state.parts[part].attempts.is_empty());
+        if !is_unsent {
+            return;
+        }
         if !self.send(call, part, AttemptCause::First, now, out) {
             self.wait_or_miss(call, part, now);
         }
@@ -193,8 +207,14 @@
         }
         let outcome = if missing == 0 { "whole" } else { "partial" };
         self.decide_end(&state, outcome, now, out);
+        let shards = if state.relayed {
+            self.answered_shards(&state)
+        } else {
+            Vec::new()
+        };
         let answer = ForwardAnswer::Gathered {
             stamps,
+            shards,
             missing,
             body: merge.finish(),
         };
@@ -204,6 +224,16 @@
         });
     }
 
+    fn answered_shards(&self, state: &CallState) -> Vec<Box<str>> {
+        let answered = state
+            .parts
+            .iter()
+            .filter(|part| matches!(part.status, PartStatus::Answered { .. }));
+        answered
+            .map(|part| self.upstreams[part.upstream].name.clone())
+            .collect()
+    }
+
     /// Ends a request with a server's own answer.
     pub(super) fn end_served(
         &mut self,
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -6,6 +6,7 @@
 use crate::process::forward::answer::{AttemptCause, AttemptOrder, ForwardAction, ForwardDecision};
 use crate::process::forward::call::{ForwardAttempt, PartState, PartStatus};
 use crate::process::forward::choose::{ExpectedTimes, NoChoice, ServerChoice};
+use crate::process::forward::input::RelayOrder;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::forward::server::OutstandingAttempt;
 
@@ -14,6 +15,25 @@
 /// Time kept for the way back when a server is told its time.
 const SEND_MARGIN: Duration = Duration::from_millis(3);
 
+/// An attempt that is to be sent.
+#[derive(Debug)]
+pub(super) struct AttemptSend {
+    /// Places of the parts in the request.
+    pub(super) parts: Vec<usize>,
+    /// Why.
+    pub(super) cause: AttemptCause,
+    /// The server.
+    pub(super) choice: ServerChoice,
+    /// Place of the timing that it counts for.
+    pub(super) timing: usize,
+    /// Time after which it is looked over.
+    pub(super) patience: Duration,
+    /// Servers of each part that it may run on.
+    pub(super) runs: u32,
+    /// What is asked, if the server is another entry.
+    pub(super) relay: Option<RelayOrder>,
+}
+
 impl ForwardMachine {
     /// Sends a part to a server, if there is one with room. Returns whether it
     /// did.
@@ -43,7 +63,7 @@
         self.choose(upstream, &tried, times, now).ok()
     }
 
-    pub(super) fn send_to(
+    fn send_to(
         &mut self,
         call: SlotKey,
         part: usize,
@@ -52,45 +72,68 @@
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
-        let Some(state) = self.calls.get_mut(call) else {
+        let Some(state) = self.calls.get(call) else {
             return;
         };
-        let relay = cause == AttemptCause::Relay;
-        let timing = if relay {
-            self.relay_timing
-        } else {
-            let timing = self.timing_names.get(&*state.rule().name).copied();
-            timing.unwrap_or_default()
-        };
-        let typical = self.timings[timing].typical(state.rule());
+        let timing = self.timing_names.get(&*state.rule().name).copied();
+        let timing = timing.unwrap_or_default();
         let slow = self.timings[timing].slow(state.rule());
+        let send = AttemptSend {
+            parts: vec![part],
+            cause,
+            choice,
+            timing,
+            patience: self.servers[choice.server].way() + slow,
+            runs: 1,
+            relay: None,
+        };
+        self.send_attempt(call, send, now, out);
+        if let Some(state) = self.calls.get_mut(call) {
+            let _ = state.parts[part].tried.try_push(choice.server);
+        }
+    }
+
+    /// Sends one attempt, for one part or for several.
+    pub(super) fn send_attempt(
+        &mut self,
+        call: SlotKey,
+        send: AttemptSend,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        let AttemptSend { cause, choice, .. } = send;
         let server = &mut self.servers[choice.server];
         let attempt = self.attempts.insert(ForwardAttempt {
             call: Some(call),
-            part,
+            parts: send.parts.clone(),
             server: choice.server,
             upstream: server.upstream,
             sent_at: now,
-            typical,
+            typical: self.timings[send.timing].typical(state.rule()),
             cause,
-            timing,
+            timing: send.timing,
+            runs: send.runs,
         });
         state.sends += 1;
         let (tag, gathers) = (state.tag, state.gathers);
-        let version = state.table.version();
         let time_left = state.plan.given_up.saturating_sub(now + SEND_MARGIN);
-        let part = &mut state.parts[part];
-        part.attempts.push(attempt);
-        let _ = part.tried.try_push(choice.server);
-        part.arrivals += 1;
-        part.runs += 1;
-        part.hedge_at = now + server.way() + slow;
+        for part in &send.parts {
+            let part = &mut state.parts[*part];
+            part.attempts.push(attempt);
+            part.arrivals += 1;
+            part.runs += send.runs;
+            part.hedge_at = now + send.patience;
+        }
         let outstanding = server.outstanding.len();
         server.outstanding.push(OutstandingAttempt {
             attempt,
             sent_at: now,
         });
         let (address, instance) = (server.address, server.id.clone());
+        let near = server.is_near;
         match cause {
             AttemptCause::First => self.counters.sends += 1,
             AttemptCause::Retry => self.counters.retries += 1,
@@ -102,6 +145,7 @@
             service,
             instance: id,
             cause,
+            near,
             expected: choice.expected,
             candidates: choice.candidates,
             outstanding,
@@ -114,7 +158,7 @@
             instance,
             time_left,
             whole_head: !gathers,
-            relay: relay.then_some(version),
+            relay: send.relay,
         }));
     }
 
@@ -200,13 +244,11 @@
         let Some(state) = self.calls.get(call) else {
             return;
         };
-        if state.relays {
-            return self.sweep_relay(call, now, out);
-        }
         for part in 0..state.parts.len() {
             self.hedge_if_slow(call, part, now, out);
         }
         self.plan_sweep(call, now);
+        self.check_end(call, now, out);
     }
 
     fn hedge_if_slow(
@@ -224,6 +266,13 @@
         if !part_state.is_open() || part_state.waits || now < part_state.hedge_at {
             return;
         }
+        if self.drop_silent_relay(call, part, now, out) {
+            return;
+        }
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        let part_state = &mut state.parts[part];
         if part_state.runs >= most || part_state.attempts.is_full() {
             part_state.hedge_at = Duration::MAX;
             return;
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -23,9 +23,28 @@
     pub path: Box<str>,
     /// Time the caller will wait, if it says so.
     pub time_left: Option<Duration>,
-    /// Version of the table in force at the entry that passed it on, if one
-    /// did; it is not passed on again.
-    pub relayed: Option<u64>,
+    /// What another entry asks for, if one passed it on.
+    pub relayed: Option<RelayOrder>,
+}
+
+/// What an entry asks of another that stands nearer to some shards.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayOrder {
+    /// Version of the table in force at the asking entry.
+    pub version: u64,
+    /// Time within which an answer is of use.
+    pub answer_in: Duration,
+    /// The services that hold the shards.
+    pub shards: Vec<Box<str>>,
+}
+
+/// Parts that another entry has gathered and merged.
+#[derive(Debug, Clone)]
+pub struct BundleAnswer {
+    /// Services and stamps of the parts that are in.
+    pub parts: Vec<(Box<str>, Box<str>)>,
+    /// Their merged records.
+    pub body: Bytes,
 }
 
 /// Another entry instance.
@@ -74,6 +93,8 @@
 pub enum AttemptEnd {
     /// A whole answer that belongs to the request.
     Answer(ServerAnswer),
+    /// Parts that another entry gathered.
+    Bundle(BundleAnswer),
     /// Nothing of the request was written: it has not run.
     Unsent,
     /// Anything else: it may have run.
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -1,29 +1,34 @@
-//! Passing a gathered request on to an entry that stands nearer to the shards.
+//! Asking another entry for the shards that stand nearer to it.
 //!
-//! An entry without shards in its own failure domain would fetch every part
-//! from afar. One answer of an entry there is a fraction of these bytes, and
-//! takes the same way. Should that entry fail, the shards are asked from here.
+//! An entry would fetch each part of a far shard by itself. Another entry next
+//! to these shards fetches and merges them, and its one answer is a fraction of
+//! these bytes over the same way. Should it fail, the shards are asked from
+//! here.
 
 use std::time::Duration;
 
 use crate::arena::{SlotKey, UpstreamKey};
 use crate::process::forward::answer::{AttemptCause, ForwardAction};
-use crate::process::forward::call::PartState;
+use crate::process::forward::call::PartStatus;
 use crate::process::forward::choose::{ExpectedTimes, ServerChoice};
 use crate::process::forward::directory::ServerStanding;
-use crate::process::forward::input::{EntryPeer, ForwardCall};
+use crate::process::forward::hedge::AttemptSend;
+use crate::process::forward::input::{BundleAnswer, EntryPeer, RelayOrder};
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::server::ServerState;
-use crate::version::route_table::{RouteRule, RouteTarget};
 
-/// Fraction of the shards that must be in another domain for a request to be
-/// passed on there.
-const FAR_SHARE: f64 = 0.9;
-/// Fraction of the shards in the own domain from which on it is not.
-const NEAR_SHARE: f64 = 0.5;
-/// Part of the objective after which an entry that has answered nothing since
-/// is given up.
-const GIVE_UP: f64 = 0.5;
+/// Fewest far shards that are asked for together.
+const LEAST_BUNDLE: usize = 3;
+/// Most entries that are asked for one request.
+const MOST_BUNDLES: usize = 2;
+/// Time that an entry is late before it is given up, as a part of the
+/// objective.
+const LATE_TIME: f64 = 0.5;
+/// Longest time to expect of an entry that is asked, as a part of the
+/// objective.
+const WORTH_ASKING: f64 = 0.6;
+/// Time that the way back and the merge of a bundle are given.
+const BUNDLE_MARGIN: Duration = Duration::from_millis(3);
 
 impl ForwardMachine {
     /// Takes over the entries that take requests.
@@ -72,140 +77,177 @@
         upstream
     }
 
-    /// Finds an entry to pass a request on to, if that is worth it.
-    pub(super) fn find_relay(
+    /// Asks other entries for the shards that have no server near this one.
+    pub(super) fn send_bundles(
         &mut self,
-        call: &ForwardCall,
-        rule: &RouteRule,
+        call: SlotKey,
         now: Duration,
-    ) -> Option<ServerChoice> {
-        let RouteTarget::Gather(names) = &rule.target else {
-            return None;
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.calls.get(call) else {
+            return;
         };
-        if call.relayed.is_some() || self.peer_domains.is_empty() {
-            return None;
+        if !state.gathers || self.peer_domains.is_empty() || state.plan.aim <= now {
+            return;
         }
-        let shards: Vec<UpstreamKey> = names.iter().map(|name| self.upstream(name)).collect();
-        let near = self.share_in(&shards, &self.options.domain);
-        if near >= NEAR_SHARE {
-            return None;
+        let own = self.options.domain.clone();
+        let mut far: Vec<usize> = (0..state.parts.len())
+            .filter(|part| !self.has_server_in(state.parts[*part].upstream, &own))
+            .collect();
+        for _ in 0..MOST_BUNDLES {
+            let Some((choice, parts)) = self.find_bundle(call, &far, now) else {
+                return;
+            };
+            far.retain(|part| !parts.contains(part));
+            self.send_bundle(call, choice, parts, now, out);
         }
-        let domains = self.peer_domains.clone();
-        let good = domains
-            .into_iter()
-            .filter(|(domain, _)| self.share_in(&shards, domain) >= FAR_SHARE);
-        let good: Vec<UpstreamKey> = good.map(|(_, upstream)| upstream).collect();
-        let times = ExpectedTimes {
-            typical: self.timings[self.relay_timing].typical(rule),
-            objective: rule.objective(),
-        };
-        let choices = good
-            .into_iter()
-            .filter_map(|upstream| self.choose(upstream, &[], times, now).ok());
-        let best = choices.min_by_key(|choice| choice.expected)?;
-        let server = &self.servers[best.server];
-        (now >= server.rest_until).then_some(best)
-    }
-
-    /// Returns the fraction of the shards that have a server in a domain.
-    fn share_in(&self, shards: &[UpstreamKey], domain: &str) -> f64 {
-        let with = shards.iter().filter(|shard| {
-            let mut servers = self.upstreams[**shard].servers.iter();
-            servers.any(|server| *self.servers[*server].domain == *domain)
-        });
-        with.count() as f64 / shards.len().max(1) as f64
     }
 
-    pub(super) fn send_relay(
+    /// Finds the domain with entries that has most of the far shards.
+    fn find_bundle(
         &mut self,
         call: SlotKey,
-        choice: ServerChoice,
+        far: &[usize],
         now: Duration,
-        out: &mut Vec<ForwardAction>,
-    ) {
-        self.send_to(call, 0, AttemptCause::Relay, choice, now, out);
-        if let Some(state) = self.calls.get_mut(call) {
-            let wait = state.rule().objective().mul_f64(GIVE_UP);
-            state.parts[0].hedge_at = now + wait;
+    ) -> Option<(ServerChoice, Vec<usize>)> {
+        let state = self.calls.get(call)?;
+        let times = ExpectedTimes {
+            typical: self.timings[self.relay_timing].typical(state.rule()),
+            objective: state.rule().objective(),
+        };
+        let upstreams: Vec<UpstreamKey> = state.parts.iter().map(|part| part.upstream).collect();
+        let mut best: Option<(ServerChoice, Vec<usize>)> = None;
+        for (domain, upstream) in self.peer_domains.clone() {
+            let parts: Vec<usize> = far
+                .iter()
+                .copied()
+                .filter(|part| self.has_server_in(upstreams[*part], &domain))
+                .collect();
+            let Ok(choice) = self.choose(upstream, &[], times, now) else {
+                continue;
+            };
+            let rests = now < self.servers[choice.server].rest_until;
+            let is_slow = choice.expected > times.objective.mul_f64(WORTH_ASKING);
+            if parts.len() < LEAST_BUNDLE || rests || is_slow {
+                continue;
+            }
+            let is_better = best.as_ref().is_none_or(|(other, most)| {
+                (parts.len(), other.expected) > (most.len(), choice.expected)
+            });
+            if is_better {
+                best = Some((choice, parts));
+            }
         }
+        best
+    }
+
+    /// Tells whether a service has a server in a domain that takes work and
+    /// answers.
+    fn has_server_in(&self, upstream: UpstreamKey, domain: &str) -> bool {
+        let mut servers = self.upstreams[upstream].servers.iter();
+        servers.any(|server| {
+            let state = &self.servers[*server];
+            *state.domain == *domain && !state.silent
+        })
     }
 
-    /// Gives up an entry that has answered nothing for too long.
-    pub(super) fn sweep_relay(
+    fn send_bundle(
         &mut self,
         call: SlotKey,
+        choice: ServerChoice,
+        parts: Vec<usize>,
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
-        let Some(state) = self.calls.get_mut(call) else {
+        let Some(state) = self.calls.get(call) else {
             return;
         };
-        let wait = state.rule().objective().mul_f64(GIVE_UP);
-        let attempt = state.parts[0].attempts.first().copied();
-        let server = attempt.and_then(|attempt| self.attempts.get(attempt));
-        let Some(server) = server.map(|attempt| attempt.server) else {
-            return;
+        let way = self.servers[choice.server].way();
+        let shards = parts.iter().map(|part| {
+            let upstream = state.parts[*part].upstream;
+            self.upstreams[upstream].name.clone()
+        });
+        let relay = RelayOrder {
+            version: state.table.version(),
+            answer_in: state.plan.aim.saturating_sub(now + way + BUNDLE_MARGIN),
+            shards: shards.collect(),
         };
-        if self.servers[server].stall(now) >= wait {
-            self.servers[server].rest(now);
-            return self.scatter_after_relay(call, now, out);
-        }
-        state.parts[0].hedge_at = now + wait / 4;
-        self.plan_sweep(call, now);
+        let send = AttemptSend {
+            cause: AttemptCause::Relay,
+            choice,
+            timing: self.relay_timing,
+            patience: state.plan.aim - now + state.rule().objective().mul_f64(LATE_TIME),
+            runs: state.rule().attempts,
+            relay: Some(relay),
+            parts,
+        };
+        self.send_attempt(call, send, now, out);
     }
 
-    /// Asks the shards from here after an entry failed to.
-    pub(super) fn scatter_after_relay(
+    /// Gives up an entry that has not answered in time, with the parts it was
+    /// asked for: it may have sent them to as many servers as the route allows.
+    /// Returns whether the part waited for an entry.
+    pub(super) fn drop_silent_relay(
         &mut self,
         call: SlotKey,
+        part: usize,
         now: Duration,
         out: &mut Vec<ForwardAction>,
-    ) {
+    ) -> bool {
         let Some(state) = self.calls.get_mut(call) else {
-            return;
+            return false;
         };
-        let may_have_run = state.parts[0].runs > 0;
-        let attempts = std::mem::take(&mut state.parts[0].attempts);
-        let rule = state.rule().clone();
-        state.relays = false;
-        state.gathers = true;
-        for attempt in attempts {
-            if let Some(attempt) = self.attempts.get_mut(attempt) {
-                attempt.call = None;
-            }
-            out.push(ForwardAction::Cancel(attempt));
-        }
-        let upstreams = self.targets(&rule);
-        let Some(state) = self.calls.get_mut(call) else {
-            return;
+        let Some(key) = state.parts[part].attempts.last().copied() else {
+            return false;
+        };
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return false;
         };
-        state.parts = upstreams.into_iter().map(PartState::new).collect();
-        for part in 0..state.parts.len() {
-            self.send_once_more(call, part, may_have_run, now, out);
+        if attempt.cause != AttemptCause::Relay {
+            return false;
         }
-        self.plan_sweep(call, now);
-        self.check_end(call, now, out);
+        attempt.call = None;
+        self.servers[attempt.server].rest(now);
+        for part in attempt.parts.clone() {
+            state.parts[part].attempts.clear();
+            if state.parts[part].is_open() {
+                state.parts[part].status = PartStatus::Missing;
+                state.missing += 1;
+            }
+        }
+        out.push(ForwardAction::Cancel(key));
+        true
     }
 
-    fn send_once_more(
-        &mut self,
-        call: SlotKey,
-        part: usize,
-        may_have_run: bool,
-        now: Duration,
-        out: &mut Vec<ForwardAction>,
-    ) {
+    /// Takes the parts that another entry gathered. Their records are merged
+    /// and cannot be taken apart: a part among them that came otherwise in the
+    /// meantime is taken from the bundle instead.
+    pub(super) fn take_bundle(&mut self, call: SlotKey, parts: &[usize], bundle: &BundleAnswer) {
         let Some(state) = self.calls.get_mut(call) else {
             return;
         };
-        if may_have_run {
-            state.parts[part].arrivals = 1;
-            state.parts[part].runs = 1;
-        }
-        if self.afford(call, part, now, out) {
-            return self.send_first(call, part, now, out);
+        let mut body = bundle.body.clone();
+        for (shard, stamp) in &bundle.parts {
+            let place = parts.iter().copied().find(|part| {
+                let upstream = state.parts[*part].upstream;
+                self.upstreams[upstream].name == *shard
+            });
+            let Some(place) = place else {
+                continue;
+            };
+            match state.parts[place].status {
+                PartStatus::Answered { .. } => {}
+                PartStatus::Missing => {
+                    state.missing -= 1;
+                    state.answered += 1;
+                }
+                PartStatus::Open => state.answered += 1,
+            }
+            state.parts[place].status = PartStatus::Answered {
+                stamp: stamp.clone(),
+                body: std::mem::take(&mut body),
+            };
         }
-        self.miss(call, part);
     }
 }
 
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -4,7 +4,7 @@
 
 use crate::arena::SlotKey;
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
-use crate::process::forward::call::{ForwardAttempt, PartStatus};
+use crate::process::forward::call::{ForwardAttempt, PartState, PartStatus};
 use crate::process::forward::choose::ExpectedTimes;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::input::{AttemptEnd, ServerAnswer};
@@ -12,8 +12,6 @@
 
 /// Status of a server that is not the one that was meant.
 const MISDIRECTED: u16 = 421;
-/// Status that says that a request has not run and never will.
-const UNAVAILABLE: u16 = 503;
 /// First status of a server's failure.
 const SERVER_FAILURE: u16 = 500;
 
@@ -41,24 +39,17 @@
                 EndMeaning::NotRun
             }
             AttemptEnd::Answer(answer) if answer.status >= SERVER_FAILURE => EndMeaning::Failure,
-            AttemptEnd::Answer(_) => EndMeaning::Final,
+            AttemptEnd::Answer(_) | AttemptEnd::Bundle(_) => EndMeaning::Final,
         }
     }
 
     /// Returns what an end means that another entry gave: its own refusal is
     /// no server's failure.
-    fn of_relay(end: &AttemptEnd, meaning: EndMeaning) -> EndMeaning {
+    fn of_relay(end: &AttemptEnd) -> EndMeaning {
         match end {
-            AttemptEnd::Answer(answer) if (200..300).contains(&answer.status) => meaning,
-            AttemptEnd::Answer(answer) if answer.status >= SERVER_FAILURE => {
-                if answer.status == UNAVAILABLE {
-                    EndMeaning::NotRun
-                } else {
-                    EndMeaning::Broken
-                }
-            }
-            AttemptEnd::Answer(_) => EndMeaning::NotRun,
-            _ => meaning,
+            AttemptEnd::Bundle(_) => EndMeaning::Final,
+            AttemptEnd::Unsent => EndMeaning::Unsent,
+            AttemptEnd::Answer(_) | AttemptEnd::Broken => EndMeaning::Broken,
         }
     }
 
@@ -73,6 +64,20 @@
     }
 }
 
+impl PartState {
+    /// Takes an attempt back out of the counts, if it did not run.
+    fn uncount(&mut self, meaning: EndMeaning, runs: u32) {
+        match meaning {
+            EndMeaning::Unsent => {
+                self.runs -= runs;
+                self.arrivals -= 1;
+            }
+            EndMeaning::NotRun => self.runs -= runs,
+            EndMeaning::Final | EndMeaning::Failure | EndMeaning::Broken => {}
+        }
+    }
+}
+
 impl ForwardMachine {
     pub(super) fn ended(
         &mut self,
@@ -86,7 +91,7 @@
         };
         let mut meaning = EndMeaning::of(&end);
         if state.cause == AttemptCause::Relay {
-            meaning = EndMeaning::of_relay(&end, meaning);
+            meaning = EndMeaning::of_relay(&end);
         }
         self.learn(attempt, &state, &end, meaning, now, out);
         self.settle(attempt, &state, end, meaning, now, out);
@@ -152,20 +157,14 @@
             return;
         };
         let tag = call.tag;
-        let part = &mut call.parts[state.part];
-        part.attempts.retain(|other| *other != attempt);
-        match meaning {
-            EndMeaning::Unsent => {
-                part.runs -= 1;
-                part.arrivals -= 1;
-            }
-            EndMeaning::NotRun => part.runs -= 1,
-            _ => {}
-        }
-        if !part.is_open() {
-            return;
+        let mut is_wanted = false;
+        for part in &state.parts {
+            let part = &mut call.parts[*part];
+            part.attempts.retain(|other| *other != attempt);
+            part.uncount(meaning, state.runs);
+            is_wanted |= part.is_open();
         }
-        if meaning != EndMeaning::Final {
+        if is_wanted && meaning != EndMeaning::Final {
             let (service, instance) = self.names(state.server);
             self.decide(tag, out, || ForwardDecision::Lost {
                 service,
@@ -175,16 +174,22 @@
             });
         }
         match end {
+            AttemptEnd::Bundle(bundle) => {
+                self.take_bundle(key, &state.parts, &bundle);
+                self.check_end(key, now, out);
+            }
             AttemptEnd::Answer(answer) if meaning == EndMeaning::Final => {
-                self.take_answer(key, state.part, answer, now, out);
+                return self.take_answer(key, state.parts[0], answer, now, out);
             }
             AttemptEnd::Answer(answer) if meaning == EndMeaning::Failure => {
                 if let Some(call) = self.calls.get_mut(key).filter(|call| !call.gathers) {
                     call.failure = Some(Box::new(answer));
                 }
-                self.try_again(key, state.part, now, out);
             }
-            _ => self.try_again(key, state.part, now, out),
+            _ => {}
+        }
+        for part in &state.parts {
+            self.try_again(key, *part, now, out);
         }
     }
 
@@ -199,6 +204,9 @@
         let Some(call) = self.calls.get_mut(key) else {
             return;
         };
+        if !call.parts[part].is_open() {
+            return;
+        }
         if !call.gathers {
             return self.end_served(key, Box::new(answer), now, out);
         }
@@ -226,11 +234,11 @@
         let Some(call) = self.calls.get(key) else {
             return;
         };
-        if call.relays {
-            return self.scatter_after_relay(key, now, out);
-        }
         let rule = call.rule();
         let state = &call.parts[part];
+        if !state.is_open() {
+            return;
+        }
         let may_repeat = rule.idempotent || state.runs == 0;
         let has_time = now < call.plan.limit;
         let is_allowed = may_repeat && has_time && state.runs < rule.attempts;
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -16,13 +16,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use wheelmast_core::process::forward::answer::{ForwardAnswer, ForwardFailure};
-use wheelmast_core::process::forward::input::{ForwardCall, ForwardInput, ServerAnswer};
+use wheelmast_core::process::forward::input::{
+    ForwardCall, ForwardInput, RelayOrder, ServerAnswer,
+};
 use wheelmast_core::process::input::CallTag;
 use wheelmast_core::version::route_table::CallerLimits;
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
-use crate::process::forward::image::{RequestImage, RELAY_HEADER};
+use crate::process::forward::image::{read_order, RequestImage, RELAY_HEADER, SHARDS_HEADER};
 use crate::process::forward::story::join_words;
 
 /// Least size of a connection's buffer that the HTTP library takes.
@@ -137,7 +139,7 @@
         host: host.into(),
         path: parts.uri.path().into(),
         time_left,
-        relayed: relayed_version(&parts.headers),
+        relayed: relay_order(&parts.headers),
     };
     let id = parts.headers.get(D::HEADERS.request);
     let id = id.and_then(|id| id.to_str().ok()).map(str::to_string);
@@ -157,9 +159,8 @@
     }
 }
 
-fn relayed_version(headers: &HeaderMap) -> Option<u64> {
-    let value = headers.get(RELAY_HEADER)?;
-    value.to_str().ok()?.parse().ok()
+fn relay_order(headers: &HeaderMap) -> Option<RelayOrder> {
+    read_order(headers.get(RELAY_HEADER)?.to_str().ok()?)
 }
 
 fn respond<D: ForwardDialect>(answer: ForwardAnswer, id: &str) -> CallerResponse {
@@ -167,15 +168,19 @@
         ForwardAnswer::Server(answer) => server_response(*answer),
         ForwardAnswer::Gathered {
             stamps,
+            shards,
             missing,
             body,
         } => {
-            let response = Response::builder()
+            let mut response = Response::builder()
                 .status(StatusCode::OK)
                 .header(D::HEADERS.request, id)
                 .header(D::HEADERS.parts, join_words(&stamps))
-                .header(D::HEADERS.missing, missing)
-                .body(Full::new(Bytes::from(body)));
+                .header(D::HEADERS.missing, missing);
+            if !shards.is_empty() {
+                response = response.header(SHARDS_HEADER, join_words(&shards));
+            }
+            let response = response.body(Full::new(Bytes::from(body)));
             response.unwrap_or_else(|_| failure_response(ForwardFailure::Failed, None))
         }
         ForwardAnswer::Failure {
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -6,10 +6,13 @@
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
 use hyper::{Method, Uri};
+use wheelmast_core::process::forward::input::RelayOrder;
 use wheelmast_wire::dialect::ForwardDialect;
 
 /// Header of a request that another entry passed on.
 pub const RELAY_HEADER: &str = "wheelmast-relayed";
+/// Header of an answer to another entry: the shards that are in.
+pub const SHARDS_HEADER: &str = "wheelmast-shards";
 /// Headers that concern only one connection.
 const HOP_HEADERS: [&str; 8] = [
     "connection",
@@ -79,7 +82,7 @@
         &self,
         instance: &str,
         time_left: Duration,
-        relay: Option<u64>,
+        relay: Option<&RelayOrder>,
     ) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(self.head.len() + self.body.len() + 96);
         bytes.extend_from_slice(&self.head);
@@ -87,8 +90,8 @@
         let (left, expect) = (D::HEADERS.time_left, D::HEADERS.expect);
         // Writing to a vector cannot fail.
         let _ = write!(bytes, "{left}: {millis}\r\n{expect}: {instance}\r\n");
-        if let Some(version) = relay {
-            push_line(&mut bytes, RELAY_HEADER, version.to_string().as_bytes());
+        if let Some(order) = relay {
+            push_line(&mut bytes, RELAY_HEADER, render_order(order).as_bytes());
         }
         bytes.extend_from_slice(b"\r\n");
         bytes.extend_from_slice(&self.body);
@@ -96,6 +99,26 @@
     }
 }
 
+/// Writes what another entry is asked for: version of the table, time for the
+/// answer in milliseconds, and the shards.
+fn render_order(order: &RelayOrder) -> String {
+    let millis = order.answer_in.as_millis();
+    format!("{};{millis};{}", order.version, order.shards.join(","))
+}
+
+/// Reads what another entry asks for.
+pub fn read_order(text: &str) -> Option<RelayOrder> {
+    let mut fields = text.splitn(3, ';');
+    let version = fields.next()?.parse().ok()?;
+    let millis = fields.next()?.parse().ok()?;
+    let shards = fields.next()?.split(',').map(Into::into).collect();
+    Some(RelayOrder {
+        version,
+        answer_in: Duration::from_millis(millis),
+        shards,
+    })
+}
+
 fn passes<D: ForwardDialect>(name: &HeaderName, named: &[u8]) -> bool {
     let own = [
         D::HEADERS.request,
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -6,16 +6,19 @@
 use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
+use hyper::StatusCode;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use wheelmast_core::arena::ServerKey;
 use wheelmast_core::process::forward::answer::AttemptOrder;
-use wheelmast_core::process::forward::input::{AttemptEnd, ForwardInput, LoadReport, ServerAnswer};
+use wheelmast_core::process::forward::input::{
+    AttemptEnd, BundleAnswer, ForwardInput, LoadReport, ServerAnswer,
+};
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::connection::exchange::{exchange, ExchangeFailure, WholeAnswer};
 use crate::process::forward::entry::EntryDuty;
-use crate::process::forward::image::{is_hop, RequestImage};
+use crate::process::forward::image::{is_hop, RequestImage, SHARDS_HEADER};
 
 /// Longest time a connection may take to open.
 const CONNECT_TIME: Duration = Duration::from_millis(700);
@@ -132,13 +135,14 @@
         image,
         mut cancelled,
     } = order;
-    let request = image.render::<D>(&order.instance, order.time_left, order.relay);
+    let request = image.render::<D>(&order.instance, order.time_left, order.relay.as_ref());
     let result = tokio::select! {
         biased;
         result = exchange(stream, buffer, &request) => result,
         _ = &mut cancelled => Err(ExchangeFailure::Broken),
     };
     let (end, keep) = match result {
+        Ok(answer) if order.relay.is_some() => read_bundle::<D>(answer, &image),
         Ok(answer) => read_end::<D>(answer, &image, order.whole_head),
         Err(ExchangeFailure::Unsent) => (AttemptEnd::Unsent, None),
         Err(ExchangeFailure::Broken) => (AttemptEnd::Broken, None),
@@ -183,6 +187,40 @@
     (AttemptEnd::Answer(end), answer.keep)
 }
 
+/// Reads the parts that another entry gathered.
+fn read_bundle<D: ForwardDialect>(
+    answer: WholeAnswer,
+    image: &RequestImage,
+) -> (AttemptEnd, Option<Duration>) {
+    if answer.status == StatusCode::SERVICE_UNAVAILABLE.as_u16() {
+        // It has not asked any shard, and will not.
+        return (AttemptEnd::Unsent, answer.keep);
+    }
+    let id = find(&answer.headers, D::HEADERS.request);
+    let stamps = list(&answer.headers, D::HEADERS.parts);
+    let shards = list(&answer.headers, SHARDS_HEADER);
+    let is_bundle = answer.status == StatusCode::OK.as_u16()
+        && id == Some(image.id.as_bytes())
+        && stamps.len() == shards.len();
+    if !is_bundle {
+        return (AttemptEnd::Broken, None);
+    }
+    let bundle = BundleAnswer {
+        parts: shards.into_iter().zip(stamps).collect(),
+        body: answer.body,
+    };
+    (AttemptEnd::Bundle(bundle), answer.keep)
+}
+
+fn list(headers: &[(Box<str>, Box<[u8]>)], name: &str) -> Vec<Box<str>> {
+    let value = find(headers, name).and_then(|value| std::str::from_utf8(value).ok());
+    let words = value.unwrap_or_default().split(',').map(str::trim);
+    words
+        .filter(|word| !word.is_empty())
+        .map(Into::into)
+        .collect()
+}
+
 fn find<'a>(headers: &'a [(Box<str>, Box<[u8]>)], name: &str) -> Option<&'a [u8]> {
     let mut lines = headers.iter();
     let line = lines.find(|(line, _)| line.eq_ignore_ascii_case(name));
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -119,13 +119,14 @@
             service,
             instance,
             cause,
+            near,
             expected,
             candidates,
             outstanding,
         } => {
             let expected_ms = millis(*expected);
             let cause = cause_word(*cause);
-            tracing::info!(target: "entry", request, %service, server = %instance, cause, expected_ms, candidates, outstanding, "route: sent");
+            tracing::info!(target: "entry", request, %service, server = %instance, cause, near, expected_ms, candidates, outstanding, "route: sent");
         }
         ForwardDecision::Lost {
             service,
