--- /dev/null
+++ b/crates/core/tests/forward/bundles.rs
@@ -0,0 +1,130 @@
+//! Asking another entry for the shards that stand nearer to it.
+
+use std::time::Duration;
+
+use wheelmast_core::process::forward::answer::{ForwardAnswer, ForwardFailure};
+use wheelmast_core::process::forward::input::{AttemptEnd, RelayOrder};
+
+use crate::harness::{route, shards, table, Harness, HOME};
+
+/// Two shards here, four there, and an entry there.
+fn split_world() -> Harness {
+    let mut harness = Harness::new();
+    harness.obey(table(3, vec![route("q", shards(6))]));
+    for shard in 0..6 {
+        let domain = if shard < 2 { HOME } else { "there" };
+        harness.serve_in(&format!("s{shard}"), domain);
+    }
+    harness.meet(&["there"]);
+    harness
+}
+
+fn bundle_place(harness: &Harness) -> usize {
+    let mut orders = harness.sends.iter();
+    orders
+        .position(|order| order.relay.is_some())
+        .expect("a bundle")
+}
+
+#[test]
+fn far_shards_are_asked_for_together() {
+    let mut harness = split_world();
+    let call = harness.call("q");
+    assert_eq!(harness.sends.len(), 3, "two parts and a bundle");
+    let bundle = bundle_place(&harness);
+    let order = harness.sends[bundle].relay.clone().expect("an order");
+    assert_eq!(order.version, 3);
+    assert_eq!(order.shards.len(), 4);
+    assert!(order.answer_in < Duration::from_millis(100));
+    harness.end_bundle(bundle, &["s2", "s3", "s4", "s5"], b"");
+    for send in (0..3).filter(|send| *send != bundle) {
+        harness.end_well(send, b"");
+    }
+    let (stamps, missing) = harness.gathered(call).expect("an answer");
+    assert_eq!((stamps.len(), missing), (6, 0));
+}
+
+#[test]
+fn an_entry_that_refuses_costs_nothing() {
+    let mut harness = split_world();
+    harness.call("q");
+    let bundle = bundle_place(&harness);
+    harness.end(bundle, AttemptEnd::Unsent);
+    assert_eq!(harness.sends.len(), 7, "its shards are asked from here");
+}
+
+#[test]
+fn an_entry_that_may_have_asked_is_not_asked_around() {
+    // It may have sent the parts to as many servers as the route allows.
+    for silent in [false, true] {
+        let mut harness = split_world();
+        let call = harness.call("q");
+        let bundle = bundle_place(&harness);
+        if silent {
+            harness.pass(160);
+            assert_eq!(harness.cancels.len(), 1, "it is given up");
+        } else {
+            harness.end(bundle, AttemptEnd::Broken);
+        }
+        assert_eq!(harness.sends.len(), 3);
+        assert_eq!(harness.failure_of(call), Some(ForwardFailure::Failed));
+        harness.call("q");
+        assert!(harness.sends[3..].iter().all(|order| order.relay.is_none()));
+    }
+}
+
+#[test]
+fn shards_left_out_of_a_bundle_are_missing() {
+    let mut harness = split_world();
+    let call = harness.call("q");
+    let bundle = bundle_place(&harness);
+    harness.end_bundle(bundle, &["s2", "s4"], b"");
+    for send in (0..3).filter(|send| *send != bundle) {
+        harness.end_well(send, b"");
+    }
+    let (stamps, missing) = harness.gathered(call).expect("an answer");
+    assert_eq!((stamps.len(), missing), (4, 2));
+}
+
+#[test]
+fn a_request_of_another_entry_is_answered_as_it_stands_in_time() {
+    let mut harness = split_world();
+    let order = RelayOrder {
+        version: 3,
+        answer_in: Duration::from_millis(30),
+        shards: vec!["s0".into(), "s1".into()],
+    };
+    let call = harness.call_as("q", None, Some(order));
+    assert!(harness.sends.iter().all(|order| order.relay.is_none()));
+    harness.end_well(1, b"");
+    harness.pass(31);
+    let Some(ForwardAnswer::Gathered {
+        shards, missing, ..
+    }) = harness.answer_to(call)
+    else {
+        panic!("an answer");
+    };
+    assert_eq!(shards, &[harness.sends[1].instance[..2].into()]);
+    assert_eq!(*missing, 1);
+}
+
+#[test]
+fn a_request_of_an_entry_with_a_newer_table_is_refused() {
+    let mut harness = split_world();
+    let order = RelayOrder {
+        version: 4,
+        answer_in: Duration::from_millis(30),
+        shards: vec!["s0".into()],
+    };
+    let call = harness.call_as("q", None, Some(order));
+    assert_eq!(harness.failure_of(call), Some(ForwardFailure::NoTable));
+    assert!(harness.sends.is_empty());
+}
+
+#[test]
+fn an_entry_that_left_is_not_asked() {
+    let mut harness = split_world();
+    harness.meet(&[]);
+    harness.call("q");
+    assert_eq!(harness.sends.len(), 6);
+}
--- /dev/null
+++ b/crates/core/tests/forward/main.rs
@@ -0,0 +1,8 @@
+//! Forwarding: what is decided for requests that pass through.
+
+mod harness;
+
+mod bundles;
+mod chance;
+mod ends;
+mod parts;
