Let a candidate behind in terms win, and take back a replica that was replaced

Ruled out: two more findings were the play's own (a dead node's disk went on writing; a repair that was not decided counted as one). Change: a refused pre-vote tells the term; a replica that hears no leader asks to be kept up to date, as one without a vote does.

--- a/crates/core/src/process/control/elect.rs
+++ b/crates/core/src/process/control/elect.rs
@@ -32,6 +32,9 @@
         // Whoever heard of a leader a short while ago wants no other.
         let is_led = self.is_leader() || now < self.heard + self.timing.election;
         let granted = !is_led && term > self.hard.term && self.accepts_log(last);
+        // A refusal tells the own term: a candidate that is behind in terms and
+        // ahead in its log would ask for a term that is over for ever.
+        let term = if granted { term } else { self.hard.term };
         out.push(ReplicaAction::Send {
             to: from,
             message: ReplicaMessage::PreVote { term, granted },
@@ -46,6 +49,9 @@
         now: Duration,
         out: &mut Vec<ReplicaAction>,
     ) {
+        if !granted && term > self.hard.term {
+            return self.step_down(term, out);
+        }
         if !granted || term != self.hard.term + 1 {
             return;
         }
--- a/crates/core/src/process/control/members.rs
+++ b/crates/core/src/process/control/members.rs
@@ -25,6 +25,12 @@
         self.members.contains(&self.id)
     }
 
+    /// Tells whether this replica asks to be kept up to date: it has no vote, or
+    /// it hears no leader and may have been replaced while it was away.
+    pub fn asks_to_learn(&self) -> bool {
+        !self.is_voter() || self.leader.is_none()
+    }
+
     /// Returns the replicas, where the log keeps them.
     pub fn member_records(&self) -> &[MemberRecord] {
         &self.records
--- a/crates/core/src/process/control/message.rs
+++ b/crates/core/src/process/control/message.rs
@@ -20,7 +20,7 @@
     },
     /// The answer to [`ReplicaMessage::AskPreVote`].
     PreVote {
-        /// The term asked for.
+        /// The term asked for, or the own one with a refusal.
         term: u64,
         /// Whether it would.
         granted: bool,
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
+use wheelmast_core::process::control::replica::ReplicaMachine;
 use wheelmast_core::process::control::state::MemberRecord;
 use wheelmast_wire::group::GroupMessage;
 
@@ -119,7 +120,7 @@
         known.sort_unstable();
         GroupMessage::Hello {
             from: self.me.clone(),
-            learns: replica.is_some_and(|replica| !replica.is_voter()),
+            learns: replica.is_some_and(ReplicaMachine::asks_to_learn),
             known,
         }
     }
