--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Settings: every finding with its line and column, all at once.
 
-use wheelmast_node::settings::read::read_settings;
+use wheelmast_node::settings::read::{read_any, read_settings, AnySettings};
 
 struct SettingsCase {
     name: &'static str,
@@ -86,3 +86,56 @@
         let _ = read_settings(&format!("{kept}{text}"));
     }
 }
+
+#[test]
+fn settings_that_name_a_role_are_of_the_other_kind() {
+    let entry = r#"{
+      "role": "entry", "instance": "e1", "failure_domain": "d", "address": "127.0.0.1",
+      "peer_port": 7380, "seeds": ["127.0.0.2:80", "127.0.0.3:80"],
+      "listen": {"callers": "127.0.0.1:81", "ready": "127.0.0.1:82"},
+      "extra_load": {"ratio": 0.2, "slack": 54, "window_s": 10}
+    }"#;
+    let read = read_any(entry).expect("good settings");
+    let AnySettings::Role(settings) = read else {
+        panic!("it names a role");
+    };
+    assert_eq!(settings.seed_peers()[1].to_string(), "127.0.0.3:7380");
+    assert!((settings.extra.slack - 54.0).abs() < 1e-9);
+    struct RoleCase {
+        from: &'static str,
+        to: &'static str,
+        finding: &'static str,
+    }
+    let cases = [
+        RoleCase {
+            from: "\"role\": \"entry\"",
+            to: "\"role\": \"entri\"",
+            finding: "role: must be one of entry, control",
+        },
+        RoleCase {
+            from: "\"ready\": \"127.0.0.1:82\"",
+            to: "\"raedy\": \"127.0.0.1:82\"",
+            finding: "listen.ready: missing; the role needs it",
+        },
+        RoleCase {
+            from: "\"ratio\": 0.2",
+            to: "\"ratio\": -1",
+            finding: "ratio: must be a number from 0",
+        },
+        RoleCase {
+            from: "127.0.0.2:80",
+            to: "there",
+            finding: "seeds: must be a list",
+        },
+        RoleCase {
+            from: "\"role\": \"entry\"",
+            to: "\"role\": \"control\"",
+            finding: "listen.control: missing",
+        },
+    ];
+    for case in cases {
+        let text = entry.replace(case.from, case.to);
+        let findings = read_any(&text).expect_err(case.finding).to_string();
+        assert!(findings.contains(case.finding), "{findings}");
+    }
+}
