--- a/crates/core/src/process/forward/gather.rs
+++ b/crates/core/src/process/forward/gather.rs
@@ -29,18 +29,18 @@
     pub(super) fn begin(&mut self, call: ForwardCall, now: Duration, out: &mut Vec<ForwardAction>) {
         self.counters.calls += 1;
         let Some(table) = self.table.clone() else {
-            return self.refuse(call.tag, ForwardFailure::NoTable, out);
+            return self.turn_away(call.tag, ForwardFailure::NoTable, out);
         };
         let asked = call.relayed.as_ref();
         if asked.is_some_and(|order| order.version > table.version()) {
             // It would be answered with an older table than it came in with.
-            return self.refuse(call.tag, ForwardFailure::NoTable, out);
+            return self.turn_away(call.tag, ForwardFailure::NoTable, out);
         }
         let Some(route) = table.find(&call.host, &call.path) else {
-            return self.refuse(call.tag, ForwardFailure::NoRoute, out);
+            return self.turn_away(call.tag, ForwardFailure::NoRoute, out);
         };
         if self.calls.len() >= self.options.in_flight {
-            return self.refuse(call.tag, ForwardFailure::Overload, out);
+            return self.turn_away(call.tag, ForwardFailure::Overload, out);
         }
         let state = self.lay_out(&call, table, route, now);
         let (plan, count) = (state.plan, state.parts.len());
@@ -285,6 +285,18 @@
         self.refuse(state.tag, failure, out);
     }
 
+    /// Refuses a request that was not let in.
+    fn turn_away(&mut self, call: CallTag, failure: ForwardFailure, out: &mut Vec<ForwardAction>) {
+        self.decide(call, out, || ForwardDecision::End {
+            outcome: failure.word(),
+            parts: 0,
+            missing: 0,
+            after: Duration::ZERO,
+            sends: 0,
+        });
+        self.refuse(call, failure, out);
+    }
+
     fn refuse(&mut self, call: CallTag, failure: ForwardFailure, out: &mut Vec<ForwardAction>) {
         self.counters.failed += 1;
         let is_worth = failure.is_unrun() && failure != ForwardFailure::NoRoute;
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -127,6 +127,11 @@
             part.runs += send.runs;
             part.hedge_at = now + send.patience;
         }
+        let counts = &mut self.upstreams[server.upstream].counts;
+        counts.sends += 1;
+        if matches!(cause, AttemptCause::Retry | AttemptCause::Hedge) {
+            counts.extras += 1;
+        }
         let outstanding = server.outstanding.len();
         server.outstanding.push(OutstandingAttempt {
             attempt,
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -83,6 +83,19 @@
     pub(super) budget: ExtraBudget,
     /// Parts that wait for a server with room.
     pub(super) waiting: VecDeque<(SlotKey, usize)>,
+    /// Counts since the start.
+    pub(super) counts: UpstreamCounts,
+}
+
+/// Counts of a service since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct UpstreamCounts {
+    /// Sends to its servers.
+    pub sends: u64,
+    /// Those beyond the first of a request.
+    pub extras: u64,
+    /// Sends that brought no answer that could be used.
+    pub losses: u64,
 }
 
 /// Counts since the start.
@@ -203,6 +216,24 @@
         self.calls.len()
     }
 
+    /// Iterates over the services: name, counts, servers that take work, and
+    /// repeats that the bound on extra load leaves room for.
+    pub fn services(
+        &self,
+        now: Duration,
+    ) -> impl Iterator<Item = (&str, UpstreamCounts, usize, f64)> {
+        let bound = self.options.extra;
+        self.upstreams.iter().map(move |(_, upstream)| {
+            let room = upstream.budget.room(&bound, self.entries, now);
+            (
+                &*upstream.name,
+                upstream.counts,
+                upstream.servers.len(),
+                room,
+            )
+        })
+    }
+
     /// Returns the number of servers that take work.
     pub fn server_count(&self) -> usize {
         let servers = self.servers.iter();
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -110,6 +110,9 @@
     ) {
         let server = &mut self.servers[state.server];
         server.settle(attempt);
+        if meaning != EndMeaning::Final {
+            self.upstreams[state.upstream].counts.losses += 1;
+        }
         let work = (now - state.sent_at).saturating_sub(server.way());
         match meaning {
             EndMeaning::Final => {
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod network;
 pub mod search;
 pub mod server;
+pub mod shard;
 pub mod world;
--- /dev/null
+++ b/crates/fake/src/shard.rs
@@ -0,0 +1,126 @@
+//! A stand-in for a server behind an entry that forwards: it answers with a
+//! stamp and fixed-size records, and announces itself in the native dialect.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use wheelmast_wire::dialect::ForwardDialect;
+use wheelmast_wire::native::NativeDialect;
+
+/// Size of a record in bytes.
+const RECORD_BYTES: usize = 16;
+
+/// A server that is running.
+#[derive(Debug, Clone)]
+pub struct FakeShard {
+    /// Identity of its lifetime.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    domain: String,
+    seen: Arc<Mutex<Vec<String>>>,
+    sequence: Arc<Mutex<u64>>,
+}
+
+impl FakeShard {
+    /// Starts a server whose records all begin with `letter`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no port.
+    pub async fn start(service: &str, domain: &str, letter: u8) -> std::io::Result<FakeShard> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let shard = FakeShard {
+            id: format!("{service}-{}", address.port()),
+            service: service.to_string(),
+            address,
+            domain: domain.to_string(),
+            seen: Arc::default(),
+            sequence: Arc::default(),
+        };
+        let server = shard.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(server.clone().serve(stream, letter));
+            }
+        });
+        Ok(shard)
+    }
+
+    /// Returns the identities of the requests that it ran, in order.
+    pub fn seen(&self) -> Vec<String> {
+        self.seen
+            .lock()
+            .map_or_else(|_| Vec::new(), |seen| seen.clone())
+    }
+
+    /// Returns the call and the body of its next announcement.
+    pub fn announcement(&self, draining: bool) -> (String, String) {
+        let sequence = self.sequence.lock().map_or(0, |mut sequence| {
+            *sequence += 1;
+            *sequence
+        });
+        let body = format!(
+            r#"{{"service":"{}","address":"{}","failure_domain":"{}","slots":4,"draining":{draining},"sequence":{sequence}}}"#,
+            self.service, self.address, self.domain
+        );
+        (format!("/v1/servers/{}", self.id), body)
+    }
+
+    async fn serve(self, mut stream: TcpStream, letter: u8) -> std::io::Result<()> {
+        let mut bytes = Vec::new();
+        loop {
+            let end = loop {
+                let end = bytes.windows(4).position(|part| part == b"\r\n\r\n");
+                if let Some(end) = end {
+                    break end + 4;
+                }
+                if stream.read_buf(&mut bytes).await? == 0 {
+                    return Ok(());
+                }
+            };
+            let head = String::from_utf8_lossy(&bytes[..end]).to_string();
+            bytes.drain(..end);
+            let answer = self.answer(&head, letter);
+            stream.write_all(&answer).await?;
+        }
+    }
+
+    fn answer(&self, head: &str, letter: u8) -> Vec<u8> {
+        let names = NativeDialect::HEADERS;
+        let request = header(head, names.request).unwrap_or_default();
+        let expected = header(head, names.expect);
+        let mut lines = format!("{}: {request}\r\n", names.request);
+        if expected.is_some_and(|expected| expected != self.id) {
+            lines.push_str(&format!("{}: 1\r\n", names.not_run));
+            return format!("HTTP/1.1 421 Misdirected\r\n{lines}content-length: 0\r\n\r\n").into();
+        }
+        if let Ok(mut seen) = self.seen.lock() {
+            seen.push(request.to_string());
+        }
+        lines.push_str(&format!("{}: {}.{request}\r\n", names.stamp, self.id));
+        let body: Vec<u8> = (0..3u8)
+            .flat_map(|number| {
+                let mut record = [letter; RECORD_BYTES];
+                record[RECORD_BYTES - 1] = number;
+                record
+            })
+            .collect();
+        let length = body.len();
+        let head = format!("HTTP/1.1 200 OK\r\n{lines}content-length: {length}\r\n\r\n");
+        [head.into_bytes(), body].concat()
+    }
+}
+
+/// Returns the value of a header of a head.
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then_some(value.trim())
+    })
+}
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -146,6 +146,16 @@
         }
     }
 
+    /// Renders the metrics.
+    pub fn render_metrics(&self) -> String {
+        let stories = self.stories.borrow();
+        let machine = self.machine.borrow();
+        let dropped = stories.lines_dropped();
+        stories
+            .measures
+            .render(&machine, self.started.elapsed(), dropped)
+    }
+
     /// Takes a request in and returns where its answer comes.
     pub fn admit(
         self: &Rc<Self>,
--- /dev/null
+++ b/crates/node/src/process/forward/measure.rs
@@ -0,0 +1,106 @@
+//! Metrics of an entry.
+//!
+//! The machine counts for itself; its counts are copied when somebody asks.
+//! Only the time to an answer is recorded at each request.
+
+use std::fmt;
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram, with_local_recorder};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusRecorder};
+use wheelmast_core::process::forward::machine::ForwardMachine;
+
+/// Upper bounds of the buckets of answer times, in seconds.
+const BUCKETS: [f64; 12] = [
+    0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.15, 0.2, 0.3, 0.6, 1.0, 2.0,
+];
+/// Most routes whose answers are counted by name; the others count together.
+const NAMED_ROUTES: usize = 200;
+/// Name that the other routes count under.
+const OTHER_ROUTES: &str = "other";
+
+/// The metrics of an entry.
+pub struct EntryMeasures {
+    recorder: PrometheusRecorder,
+    routes: std::collections::HashSet<Box<str>>,
+}
+
+impl fmt::Debug for EntryMeasures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("EntryMeasures")
+    }
+}
+
+impl Default for EntryMeasures {
+    fn default() -> Self {
+        let builder = PrometheusBuilder::new();
+        // There are buckets, so that this cannot fail.
+        let builder = builder
+            .set_buckets(&BUCKETS)
+            .unwrap_or_else(|_| PrometheusBuilder::new());
+        EntryMeasures {
+            recorder: builder.build_recorder(),
+            routes: Default::default(),
+        }
+    }
+}
+
+impl EntryMeasures {
+    /// Takes note of how a request on a route ended.
+    pub fn ended(&mut self, route: &str, outcome: &'static str, after: Duration) {
+        let is_known = self.routes.contains(route);
+        if !is_known && self.routes.len() < NAMED_ROUTES {
+            self.routes.insert(route.into());
+        }
+        let is_named = self.routes.contains(route);
+        let route = if is_named { route } else { OTHER_ROUTES }.to_string();
+        with_local_recorder(&self.recorder, || {
+            counter!("wheelmast_forward_answers_total", "route" => route.clone(), "outcome" => outcome)
+                .increment(1);
+            histogram!("wheelmast_forward_answer_seconds", "route" => route)
+                .record(after.as_secs_f64());
+        });
+    }
+
+    /// Renders all metrics.
+    pub fn render(&self, machine: &ForwardMachine, now: Duration, lines_dropped: u64) -> String {
+        with_local_recorder(&self.recorder, || copy(machine, now, lines_dropped));
+        self.recorder.handle().render()
+    }
+}
+
+fn copy(machine: &ForwardMachine, now: Duration, lines_dropped: u64) {
+    let counts = machine.counters();
+    let totals = [
+        ("wheelmast_forward_requests_total", counts.calls),
+        ("wheelmast_forward_whole_total", counts.whole),
+        ("wheelmast_forward_partial_total", counts.partial),
+        ("wheelmast_forward_failed_total", counts.failed),
+        ("wheelmast_forward_callers_left_total", counts.left),
+        ("wheelmast_forward_sends_total", counts.sends),
+        ("wheelmast_forward_retries_total", counts.retries),
+        ("wheelmast_forward_hedges_total", counts.hedges),
+        ("wheelmast_forward_relays_total", counts.relays),
+        ("wheelmast_forward_unaffordable_total", counts.unaffordable),
+        ("wheelmast_forward_cancels_total", counts.cancels),
+        ("wheelmast_log_lines_dropped_total", lines_dropped),
+    ];
+    for (name, total) in totals {
+        counter!(name).absolute(total);
+    }
+    let version = machine.table().map_or(0, |table| table.version());
+    gauge!("wheelmast_route_table_version").set(version as f64);
+    gauge!("wheelmast_forward_running").set(machine.call_count() as f64);
+    gauge!("wheelmast_servers_ready").set(machine.server_count() as f64);
+    for (service, counts, servers, room) in machine.services(now) {
+        let service = service.to_string();
+        counter!("wheelmast_service_sends_total", "service" => service.clone())
+            .absolute(counts.sends);
+        counter!("wheelmast_service_extras_total", "service" => service.clone())
+            .absolute(counts.extras);
+        counter!("wheelmast_service_losses_total", "service" => service.clone())
+            .absolute(counts.losses);
+        gauge!("wheelmast_service_servers", "service" => service.clone()).set(servers as f64);
+        gauge!("wheelmast_service_extra_room", "service" => service).set(room);
+    }
+}
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -11,6 +11,7 @@
 use wheelmast_core::process::forward::machine::ForwardOptions;
 use wheelmast_wire::dialect::ForwardDialect;
 
+use crate::process::expose::expose_metrics;
 use crate::process::forward::callers::{accept, answer_balancer, listen};
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
 use crate::process::forward::feed::GroupFeed;
@@ -68,6 +69,11 @@
     }
     tokio::task::spawn_local(entry.clone().keep_time());
     tokio::task::spawn_local(answer_balancer(entry.clone(), ready));
+    if let Some(address) = settings.metrics {
+        let measured = entry.clone();
+        let render = move || measured.render_metrics();
+        tokio::task::spawn_local(expose_metrics(address, render));
+    }
     let accepting = tokio::task::spawn_local(accept(entry.clone(), callers, closing));
     let follower = feed.clone();
     tokio::task::spawn_local(watch_seeds(path, move |seeds| {
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -10,6 +10,8 @@
 use wheelmast_core::process::forward::answer::{AttemptCause, ForwardDecision, ForwardEvent};
 use wheelmast_core::process::input::CallTag;
 
+use crate::process::forward::measure::EntryMeasures;
+
 /// One in so many plain successes is told in full.
 const TELL_EVERY: u64 = 64;
 /// Lines kept of a request.
@@ -27,11 +29,14 @@
 /// The stories of the requests at work.
 #[derive(Debug, Default)]
 pub struct StoryBook {
+    /// The metrics of the requests that ended.
+    pub measures: EntryMeasures,
     stories: HashMap<CallTag, RequestStory>,
     plain: u64,
     tokens: f64,
     at: Option<std::time::Instant>,
     dropped: u64,
+    dropped_ever: u64,
 }
 
 impl StoryBook {
@@ -60,10 +65,26 @@
         }
     }
 
+    /// Returns the number of lines that were not told.
+    pub fn lines_dropped(&self) -> u64 {
+        self.dropped_ever
+    }
+
+    fn measure(&mut self, decisions: &[ForwardDecision]) {
+        let route = match decisions.first() {
+            Some(ForwardDecision::Admit { route, .. }) => route,
+            _ => "none",
+        };
+        if let Some(ForwardDecision::End { outcome, after, .. }) = decisions.last() {
+            self.measures.ended(route, outcome, *after);
+        }
+    }
+
     fn end(&mut self, call: CallTag) {
         let Some(story) = self.stories.remove(&call) else {
             return;
         };
+        self.measure(&story.decisions);
         if story.is_plain {
             self.plain += 1;
             if !self.plain.is_multiple_of(TELL_EVERY) {
@@ -72,6 +93,7 @@
         }
         if !self.has_room(story.decisions.len()) {
             self.dropped += story.decisions.len() as u64;
+            self.dropped_ever += story.decisions.len() as u64;
             return;
         }
         let dropped = std::mem::take(&mut self.dropped);
--- /dev/null
+++ b/crates/node/src/process/group/measure.rs
@@ -0,0 +1,51 @@
+//! Metrics of a control instance, copied when somebody asks.
+
+use metrics::{gauge, with_local_recorder};
+use metrics_exporter_prometheus::PrometheusBuilder;
+
+use crate::process::group::node::GroupNode;
+
+/// Renders all metrics of a control instance.
+pub fn render_group(node: &GroupNode) -> String {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    with_local_recorder(&recorder, || copy(node));
+    recorder.handle().render()
+}
+
+fn copy(node: &GroupNode) {
+    let now = node.now();
+    let state = node.state.borrow();
+    let servers = state.directory.iter();
+    let silent = servers.filter(|record| record.silent).count();
+    let waiting = state.batch.saturating_sub(state.lasting);
+    let gauges = [
+        ("wheelmast_route_table_version", state.published.version),
+        ("wheelmast_group_entries", state.subscribers.len() as u64),
+        ("wheelmast_group_contacts", state.count_contacts(now) as u64),
+        ("wheelmast_servers_known", state.directory.len() as u64),
+        ("wheelmast_servers_silent", silent as u64),
+        ("wheelmast_disk_batches_total", state.lasting),
+        ("wheelmast_disk_batches_waiting", waiting),
+        ("wheelmast_group_asks_waiting", state.asks.len() as u64),
+    ];
+    for (name, value) in gauges {
+        gauge!(name).set(value as f64);
+    }
+    let replica = state.replica.as_ref();
+    gauge!("wheelmast_replica_up").set(if replica.is_some() { 1.0 } else { 0.0 });
+    let Some(replica) = replica else {
+        return;
+    };
+    let flags = [
+        ("wheelmast_replica_leads", replica.is_leader()),
+        ("wheelmast_replica_votes", replica.is_voter()),
+        ("wheelmast_replica_has_leader", replica.leader().is_some()),
+    ];
+    for (name, flag) in flags {
+        gauge!(name).set(if flag { 1.0 } else { 0.0 });
+    }
+    gauge!("wheelmast_replica_term").set(replica.term() as f64);
+    gauge!("wheelmast_replica_commit_index").set(replica.commit_index() as f64);
+    gauge!("wheelmast_replica_members").set(replica.member_records().len() as f64);
+    gauge!("wheelmast_replica_learners").set(replica.learners().count() as f64);
+}
--- a/crates/node/src/process/group/mod.rs
+++ b/crates/node/src/process/group/mod.rs
@@ -8,6 +8,7 @@
 pub mod disk;
 pub mod inbound;
 pub mod link;
+pub mod measure;
 pub mod node;
 pub mod replica;
 pub mod run;
--- a/crates/node/src/process/group/run.rs
+++ b/crates/node/src/process/group/run.rs
@@ -11,10 +11,12 @@
 use wheelmast_core::process::control::state::MemberRecord;
 use wheelmast_wire::dialect::ForwardDialect;
 
+use crate::process::expose::expose_metrics;
 use crate::process::forward::callers::listen;
 use crate::process::group::answer::accept_calls;
 use crate::process::group::disk::start_disk;
 use crate::process::group::inbound::accept_peers;
+use crate::process::group::measure::render_group;
 use crate::process::group::node::GroupNode;
 use crate::process::group::replica::make_replica;
 use crate::process::group::state::GroupState;
@@ -77,6 +79,11 @@
     tokio::task::spawn_local(accept_calls::<D>(node.clone(), calls));
     let seeded = node.clone();
     tokio::task::spawn_local(watch_seeds(path, move |seeds| seeded.set_seeds(seeds)));
+    if let Some(address) = node.settings.metrics {
+        let measured = node.clone();
+        let render = move || render_group(&measured);
+        tokio::task::spawn_local(expose_metrics(address, render));
+    }
     if founds {
         let founder = node.clone();
         tokio::task::spawn_local(async move {
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod duty;
 pub mod entry;
+pub mod expose;
 pub mod fence;
 pub mod forward;
 pub mod gossip;
