Tell a request's story from logs, check and apply routes, read a data folder

The log has a thread of its own and drops what nobody reads; the end-to-end test floods an entry whose output nobody reads (300 requests, all answered).

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -5,11 +5,13 @@
 use clap::{ArgMatches, Command};
 
 use crate::cmd::completions::CompletionsCommand;
+use crate::cmd::data::DataCommand;
 use crate::cmd::demo::DemoCommand;
 use crate::cmd::explain::ExplainCommand;
 use crate::cmd::load::LoadCommand;
 use crate::cmd::measure::MeasureCommand;
 use crate::cmd::query::QueryCommand;
+use crate::cmd::route::RouteCommand;
 use crate::cmd::table::TableCommand;
 use crate::cmd::watch::WatchCommand;
 
@@ -25,6 +27,8 @@
         .subcommand(QueryCommand::command())
         .subcommand(LoadCommand::command())
         .subcommand(TableCommand::command())
+        .subcommand(RouteCommand::command())
+        .subcommand(DataCommand::command())
         .subcommand(ExplainCommand::command())
         .subcommand(WatchCommand::command())
         .subcommand(MeasureCommand::command())
@@ -42,6 +46,8 @@
         Some(("query", matches)) => QueryCommand::new(matches)?.run(),
         Some(("load", matches)) => LoadCommand::new(matches)?.run(),
         Some(("table", matches)) => TableCommand::new(matches)?.run(),
+        Some(("route", matches)) => RouteCommand::new(matches)?.run(),
+        Some(("data", matches)) => DataCommand::new(matches)?.run(),
         Some(("explain", matches)) => ExplainCommand::new(matches)?.run(),
         Some(("watch", matches)) => WatchCommand::new(matches)?.run(),
         Some(("measure", matches)) => MeasureCommand::new(matches)?.run(),
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -142,6 +142,23 @@
         self.send(request.body(Full::new(body))?).await
     }
 
+    /// Puts a text to a path of the instance at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no response at all.
+    pub async fn put(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        text: String,
+    ) -> anyhow::Result<WholeResponse> {
+        let request = Request::put(format!("http://{address}{path}"))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(text)))?;
+        self.send(request).await
+    }
+
     /// Opens a response that goes on, such as a stream of decisions.
     ///
     /// # Errors
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -2,10 +2,13 @@
 
 pub mod common;
 pub mod completions;
+pub mod data;
 pub mod demo;
 pub mod explain;
 pub mod load;
 pub mod measure;
 pub mod query;
+pub mod route;
+pub mod stories;
 pub mod table;
 pub mod watch;
--- /dev/null
+++ b/crates/cli/src/cmd/route.rs
@@ -0,0 +1,248 @@
+//! `wheelmast route`: check, compare, apply and read the route table.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use anyhow::{bail, Context};
+use clap::{Arg, ArgMatches, Command};
+use wheelmast_core::finding::FindingList;
+use wheelmast_core::version::route_table::{RouteRule, RouteTable};
+use wheelmast_wire::dialect::ForwardDialect;
+use wheelmast_wire::native::NativeDialect;
+
+use crate::client::HttpClient;
+use crate::cmd::common::{block_on, instance_arg, instances};
+
+/// Path of the route table at a control instance.
+const ROUTES_PATH: &str = "/v1/routes";
+/// Exit code for findings and failures.
+const EXIT_FAILURE: u8 = 1;
+
+/// What is to be done.
+enum RouteStep {
+    Check(PathBuf),
+    Plan(PathBuf),
+    Apply(PathBuf),
+    Status,
+}
+
+/// The subcommand with its arguments.
+pub struct RouteCommand {
+    step: RouteStep,
+    instances: Vec<SocketAddr>,
+}
+
+impl RouteCommand {
+    /// Returns the description of the arguments.
+    pub fn command() -> Command {
+        let file = || {
+            Arg::new("file")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(clap::value_parser!(PathBuf))
+                .help("Route table as JSON")
+        };
+        let instance = || instance_arg("Listener for operators of a control instance");
+        Command::new("route")
+            .about("Check, compare, apply and read the route table")
+            .after_help(
+                "The highest version wins; the same or a lower one is acknowledged and changes \
+                 nothing.\n\nExamples:\n  \
+                 wheelmast route check routes.json\n  \
+                 wheelmast route plan routes.json --instance 127.0.0.1:7401\n  \
+                 wheelmast route apply routes.json --instance 127.0.0.1:7401",
+            )
+            .subcommand_required(true)
+            .subcommand(
+                Command::new("check")
+                    .about("Report all findings")
+                    .arg(file()),
+            )
+            .subcommand(
+                Command::new("plan")
+                    .about("Show what would change")
+                    .arg(file())
+                    .arg(instance()),
+            )
+            .subcommand(
+                Command::new("apply")
+                    .about("Put it in force")
+                    .arg(file())
+                    .arg(instance()),
+            )
+            .subcommand(
+                Command::new("status")
+                    .about("Show the version in force at each instance, confirmed by a quorum")
+                    .arg(instance()),
+            )
+    }
+
+    /// Reads the arguments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an argument is missing.
+    pub fn new(matches: &ArgMatches) -> anyhow::Result<RouteCommand> {
+        let (name, matches) = matches
+            .subcommand()
+            .context("could not find a subcommand")?;
+        let file = || {
+            let file = matches.get_one::<PathBuf>("file").cloned();
+            file.context("could not find FILE")
+        };
+        let step = match name {
+            "check" => RouteStep::Check(file()?),
+            "plan" => RouteStep::Plan(file()?),
+            "apply" => RouteStep::Apply(file()?),
+            _ => RouteStep::Status,
+        };
+        let instances = match step {
+            RouteStep::Check(_) => Vec::new(),
+            _ => instances(matches),
+        };
+        Ok(RouteCommand { step, instances })
+    }
+
+    /// Does what was asked.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file or an instance cannot be read.
+    pub fn run(&self) -> anyhow::Result<ExitCode> {
+        match &self.step {
+            RouteStep::Check(file) => self.check(file),
+            RouteStep::Plan(file) => self.plan(file),
+            RouteStep::Apply(file) => self.apply(file),
+            RouteStep::Status => self.status(),
+        }
+    }
+
+    fn check(&self, file: &Path) -> anyhow::Result<ExitCode> {
+        match read_table(&read_file(file)?) {
+            Ok(table) => {
+                let (version, routes) = (table.version(), table.routes().len());
+                println!(
+                    "{}: version {version}, {routes} routes, no findings",
+                    file.display()
+                );
+                Ok(ExitCode::SUCCESS)
+            }
+            Err(findings) => Ok(report(file, &findings)),
+        }
+    }
+
+    fn plan(&self, file: &Path) -> anyhow::Result<ExitCode> {
+        let new = match read_table(&read_file(file)?) {
+            Ok(table) => table,
+            Err(findings) => return Ok(report(file, &findings)),
+        };
+        let old = read_table(&self.fetch(self.first()?)?)?;
+        println!("version {} to {}", old.version(), new.version());
+        if new.version() <= old.version() {
+            println!("it would be acknowledged and change nothing");
+            return Ok(ExitCode::SUCCESS);
+        }
+        for line in changes(&old, &new) {
+            println!("{line}");
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+
+    fn apply(&self, file: &Path) -> anyhow::Result<ExitCode> {
+        let text = read_file(file)?;
+        if let Err(findings) = read_table(&text) {
+            return Ok(report(file, &findings));
+        }
+        let client = HttpClient::default();
+        let text = String::from_utf8(text).context("could not read the table as text")?;
+        let reply = block_on(client.put(self.first()?, ROUTES_PATH, text))?;
+        if !reply.status.is_success() {
+            let body = String::from_utf8_lossy(&reply.body);
+            bail!(
+                "could not apply {}: {} {body}",
+                file.display(),
+                reply.status
+            );
+        }
+        println!("{}: acknowledged", file.display());
+        Ok(ExitCode::SUCCESS)
+    }
+
+    fn status(&self) -> anyhow::Result<ExitCode> {
+        let mut code = ExitCode::SUCCESS;
+        for instance in &self.instances {
+            match self
+                .fetch(*instance)
+                .and_then(|text| Ok(read_table(&text)?))
+            {
+                Ok(table) => println!(
+                    "{instance}  version {}, {} routes, {} services",
+                    table.version(),
+                    table.routes().len(),
+                    table.services().len()
+                ),
+                Err(error) => {
+                    println!("{instance}  {error:#}");
+                    code = ExitCode::from(EXIT_FAILURE);
+                }
+            }
+        }
+        Ok(code)
+    }
+
+    fn first(&self) -> anyhow::Result<SocketAddr> {
+        let first = self.instances.first().copied();
+        first.context("could not find --instance")
+    }
+
+    fn fetch(&self, instance: SocketAddr) -> anyhow::Result<Vec<u8>> {
+        let reply = block_on(HttpClient::default().get(instance, ROUTES_PATH))?;
+        if !reply.status.is_success() {
+            let body = String::from_utf8_lossy(&reply.body);
+            bail!("could not read the table: {} {body}", reply.status);
+        }
+        Ok(reply.body.to_vec())
+    }
+}
+
+fn read_file(file: &Path) -> anyhow::Result<Vec<u8>> {
+    std::fs::read(file).with_context(|| format!("could not read table {}", file.display()))
+}
+
+fn read_table(text: &[u8]) -> Result<RouteTable, FindingList> {
+    NativeDialect::read_table(text).and_then(RouteTable::check)
+}
+
+fn report(file: &Path, findings: &FindingList) -> ExitCode {
+    for finding in findings.items() {
+        eprintln!("{}:{finding}", file.display());
+    }
+    ExitCode::from(EXIT_FAILURE)
+}
+
+/// Returns a line for each route that is new, gone or other than before.
+pub fn changes(old: &RouteTable, new: &RouteTable) -> Vec<String> {
+    let by_place = |table: &RouteTable| -> BTreeMap<(String, String), RouteRule> {
+        let routes = table.routes().iter();
+        routes
+            .map(|route| ((route.host.clone(), route.prefix.clone()), route.clone()))
+            .collect()
+    };
+    let (old, new) = (by_place(old), by_place(new));
+    let mut lines = Vec::new();
+    for (place, route) in &new {
+        let (host, prefix) = place;
+        match old.get(place) {
+            None => lines.push(format!("+ {host}{prefix}  {:?}", route.target)),
+            Some(before) if before != route => {
+                lines.push(format!("~ {host}{prefix}  {before:?} to {route:?}"));
+            }
+            Some(_) => {}
+        }
+    }
+    let gone = old.keys().filter(|place| !new.contains_key(*place));
+    lines.extend(gone.map(|(host, prefix)| format!("- {host}{prefix}")));
+    lines
+}
--- /dev/null
+++ b/crates/cli/src/cmd/stories.rs
@@ -0,0 +1,103 @@
+//! One request's story out of the logs of several processes.
+
+use std::io::Read;
+use std::path::{Path, PathBuf};
+
+use anyhow::{bail, Context};
+use serde_json::{Map, Value};
+
+/// Fields of a log line that are not told beside its message.
+const FRAME_FIELDS: [&str; 5] = ["timestamp", "level", "message", "target", "request"];
+
+/// One line about a request.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoryLine {
+    /// When it was written, by the process's own clock.
+    pub at: String,
+    /// The file that it stood in.
+    pub process: String,
+    /// What it says.
+    pub text: String,
+}
+
+/// Reads the lines about a request out of a file, a folder of files, or
+/// standard input (`-`), in the order of their times.
+///
+/// # Errors
+///
+/// Fails if a file cannot be read, or if no line tells of the request.
+pub fn read_story(request: &str, place: &Path) -> anyhow::Result<Vec<StoryLine>> {
+    let mut lines = Vec::new();
+    for file in files_at(place)? {
+        let (process, text) = read_log(&file)?;
+        let own = text.lines().filter(|line| line.contains(request));
+        lines.extend(own.filter_map(|line| read_line(&process, request, line)));
+    }
+    if lines.is_empty() {
+        bail!(
+            "could not find request {request} in {}; plain successes are told only now and then",
+            place.display()
+        );
+    }
+    lines.sort();
+    Ok(lines)
+}
+
+fn files_at(place: &Path) -> anyhow::Result<Vec<PathBuf>> {
+    if !place.is_dir() {
+        return Ok(vec![place.to_path_buf()]);
+    }
+    let entries = std::fs::read_dir(place)
+        .with_context(|| format!("could not read folder {}", place.display()))?;
+    let mut files = Vec::new();
+    for entry in entries {
+        let path = entry?.path();
+        if path.is_file() {
+            files.push(path);
+        }
+    }
+    files.sort();
+    Ok(files)
+}
+
+fn read_log(file: &Path) -> anyhow::Result<(String, String)> {
+    let mut bytes = Vec::new();
+    let read = if file == Path::new("-") {
+        std::io::stdin().read_to_end(&mut bytes).map(|_| ())
+    } else {
+        std::fs::read(file).map(|read| bytes = read)
+    };
+    read.with_context(|| format!("could not read log {}", file.display()))?;
+    let process = file.file_stem().unwrap_or_default();
+    Ok((
+        process.to_string_lossy().to_string(),
+        String::from_utf8_lossy(&bytes).to_string(),
+    ))
+}
+
+/// Reads a line; what stands before the first brace (a stream that joins
+/// several processes may put a name there) tells the process.
+fn read_line(process: &str, request: &str, line: &str) -> Option<StoryLine> {
+    let (prefix, json) = line.split_at(line.find('{')?);
+    let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
+    if fields.get("request")?.as_str()? != request {
+        return None;
+    }
+    let named = prefix.split_whitespace().last();
+    let message = fields.get("message").and_then(Value::as_str);
+    let others = fields
+        .iter()
+        .filter(|(name, _)| !FRAME_FIELDS.contains(&name.as_str()));
+    let others: Vec<String> = others
+        .map(|(name, value)| match value {
+            Value::String(text) => format!("{name}={text}"),
+            other => format!("{name}={other}"),
+        })
+        .collect();
+    let at = fields.get("timestamp").and_then(Value::as_str);
+    Some(StoryLine {
+        at: at.unwrap_or_default().to_string(),
+        process: named.unwrap_or(process).to_string(),
+        text: format!("{} {}", message.unwrap_or_default(), others.join(" ")),
+    })
+}
--- /dev/null
+++ b/crates/cli/tests/stories.rs
@@ -0,0 +1,70 @@
+//! One request's story out of the logs of several processes, and what a
+//! change of the route table changes.
+
+use std::path::Path;
+
+use wheelmast_cli::cmd::route::changes;
+use wheelmast_cli::cmd::stories::read_story;
+use wheelmast_core::version::route_table::{RouteDraft, RouteTable};
+
+const ENTRY: &str = r#"{"timestamp":"2026-01-01T00:00:01Z","level":"INFO","message":"route: admitted","request":"r1","route":"q","table_version":5,"target":"entry"}
+{"timestamp":"2026-01-01T00:00:01Z","level":"INFO","message":"route: admitted","request":"r2","route":"q"}
+{"timestamp":"2026-01-01T00:00:03Z","level":"INFO","message":"route: ended","request":"r1","outcome":"partial","missing":1}
+"#;
+const OTHER: &str = r#"{"timestamp":"2026-01-01T00:00:02Z","level":"INFO","message":"route: sent","request":"r1","cause":"first"}
+not a line of a log r1
+"#;
+
+#[test]
+fn a_story_is_told_in_order_over_processes() {
+    let folder = tempfile::TempDir::new().expect("a folder");
+    std::fs::write(folder.path().join("entry-1.log"), ENTRY).expect("written");
+    std::fs::write(folder.path().join("entry-2.log"), OTHER).expect("written");
+    let story = read_story("r1", folder.path()).expect("a story");
+    let told: Vec<(&str, &str)> = story
+        .iter()
+        .map(|line| (&*line.process, &*line.text))
+        .collect();
+    let wanted = [
+        ("entry-1", "route: admitted route=q table_version=5"),
+        ("entry-2", "route: sent cause=first"),
+        ("entry-1", "route: ended missing=1 outcome=partial"),
+    ];
+    assert_eq!(told, wanted);
+    let error = read_story("r9", folder.path()).expect_err("nobody tells of it");
+    assert!(error.to_string().contains("could not find request r9"));
+    assert!(read_story("r1", Path::new("/nowhere")).is_err());
+}
+
+fn table(version: u64, routes: &str) -> RouteTable {
+    let text = format!(
+        r#"{{"version": {version}, "services": [{{"name": "s", "connections": 1}}], "routes": [{routes}]}}"#
+    );
+    let draft: RouteDraft = serde_json::from_str(&text).expect("a draft");
+    RouteTable::check(draft).expect("a table")
+}
+
+fn route(prefix: &str, attempts: u32) -> String {
+    format!(
+        r#"{{"name": "r", "host": "h", "prefix": "{prefix}", "idempotent": true, "rank": 0,
+          "time_limit_ms": 1, "objective_ms": 1, "attempts": {attempts},
+          "target": {{"service": "s"}}}}"#
+    )
+}
+
+#[test]
+fn a_plan_names_what_is_new_gone_and_other() {
+    let old = table(
+        1,
+        &[route("/a/", 1), route("/b/", 1), route("/c/", 1)].join(","),
+    );
+    let new = table(
+        2,
+        &[route("/a/", 1), route("/b/", 2), route("/d/", 1)].join(","),
+    );
+    let marks: Vec<String> = changes(&old, &new)
+        .iter()
+        .map(|line| line.chars().take(6).collect())
+        .collect();
+    assert_eq!(marks, ["~ h/b/", "+ h/d/", "- h/c/"]);
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -6,7 +6,6 @@
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use tokio::signal::unix::{signal, SignalKind};
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 use wheelmast_core::prelude::{GuardSet, ServiceTable, TablePolicy};
 use wheelmast_node::prelude::{
@@ -15,6 +14,7 @@
 use wheelmast_node::process::forward::run::run_entry;
 use wheelmast_node::process::group::run::run_control;
 use wheelmast_node::process::member::initialize;
+use wheelmast_node::process::output::start_output;
 use wheelmast_node::settings::read::{read_any_file, AnySettings};
 use wheelmast_node::settings::role::{DialectKind, RoleKind, RoleSettings};
 use wheelmast_platform::PlatformDialect;
@@ -23,8 +23,6 @@
 
 /// Exit code for findings and failures.
 const EXIT_FAILURE: u8 = 1;
-/// Log lines that may wait for standard output; more are dropped and counted.
-const LOG_LINES: usize = 4000;
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
@@ -106,7 +104,7 @@
         println!("{}: no findings", path.display());
         return Ok(ExitCode::SUCCESS);
     }
-    let _writer = start_role_log(&settings.log_level)?;
+    let _writer = start_output(&settings.log_level)?;
     tracing::info!(
         version = clap::crate_version!(),
         instance = %settings.instance,
@@ -132,24 +130,6 @@
     }
 }
 
-/// Starts the log of an instance with a role: JSON lines on standard output,
-/// by a thread of its own, so that an output that nobody reads delays nothing.
-fn start_role_log(level: &str) -> anyhow::Result<WorkerGuard> {
-    let filter =
-        EnvFilter::try_new(level).with_context(|| format!("could not read log level {level}"))?;
-    let (writer, guard) = NonBlockingBuilder::default()
-        .buffered_lines_limit(LOG_LINES)
-        .lossy(true)
-        .finish(std::io::stdout());
-    tracing_subscriber::fmt()
-        .json()
-        .flatten_event(true)
-        .with_env_filter(filter)
-        .with_writer(writer)
-        .init();
-    Ok(guard)
-}
-
 fn make_folder(settings: &InstanceSettings) -> anyhow::Result<ExitCode> {
     let cluster = settings.cluster.as_ref();
     let cluster = cluster.context("could not initialize: the settings name no cluster")?;
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -17,6 +17,7 @@
 use crate::process::forward::image::RequestImage;
 use crate::process::forward::pool::{ServerPool, UpstreamOrder};
 use crate::process::forward::story::StoryBook;
+use crate::process::output::lines_unwritten;
 
 /// A request that waits for its answer.
 #[derive(Debug)]
@@ -57,13 +58,15 @@
 
 impl<D: ForwardDialect> EntryDuty<D> {
     /// Returns an entry that knows nothing yet.
-    pub fn new(options: ForwardOptions) -> EntryDuty<D> {
+    ///
+    /// Of plain successes, the log tells one in `plain_every` in full.
+    pub fn new(options: ForwardOptions, plain_every: u32) -> EntryDuty<D> {
         EntryDuty {
             machine: RefCell::new(ForwardMachine::new(options)),
             pool: ServerPool::default(),
             cancels: RefCell::default(),
             calls: RefCell::default(),
-            stories: RefCell::default(),
+            stories: RefCell::new(StoryBook::new(plain_every)),
             spare: RefCell::default(),
             tags: Cell::new(0),
             phase: Cell::new(EntryPhase::Learning),
@@ -150,7 +153,7 @@
     pub fn render_metrics(&self) -> String {
         let stories = self.stories.borrow();
         let machine = self.machine.borrow();
-        let dropped = stories.lines_dropped();
+        let dropped = stories.lines_dropped() + lines_unwritten();
         stories
             .measures
             .render(&machine, self.started.elapsed(), dropped)
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -46,12 +46,13 @@
     path: std::path::PathBuf,
 ) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let entry = Rc::new(EntryDuty::<D>::new(ForwardOptions {
+    let options = ForwardOptions {
         domain: settings.domain.as_str().into(),
         extra: settings.extra,
         seed: rand::random(),
         ..ForwardOptions::default()
-    }));
+    };
+    let entry = Rc::new(EntryDuty::<D>::new(options, settings.log_plain_every));
     let callers = settings.callers.context("could not find listen.callers")?;
     let ready = settings.ready.context("could not find listen.ready")?;
     let callers = listen(callers).await?;
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -12,8 +12,6 @@
 
 use crate::process::forward::measure::EntryMeasures;
 
-/// One in so many plain successes is told in full.
-const TELL_EVERY: u64 = 64;
 /// Lines kept of a request.
 const KEPT_LINES: usize = 160;
 /// Lines told in a second, at most.
@@ -27,11 +25,13 @@
 }
 
 /// The stories of the requests at work.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StoryBook {
     /// The metrics of the requests that ended.
     pub measures: EntryMeasures,
     stories: HashMap<CallTag, RequestStory>,
+    /// One in so many plain successes is told in full.
+    plain_every: u32,
     plain: u64,
     tokens: f64,
     at: Option<std::time::Instant>,
@@ -40,6 +40,20 @@
 }
 
 impl StoryBook {
+    /// Returns a book that tells one in `plain_every` plain successes.
+    pub fn new(plain_every: u32) -> StoryBook {
+        StoryBook {
+            measures: EntryMeasures::default(),
+            stories: HashMap::new(),
+            plain_every: plain_every.max(1),
+            plain: 0,
+            tokens: LINES_PER_SECOND,
+            at: None,
+            dropped: 0,
+            dropped_ever: 0,
+        }
+    }
+
     /// Begins the story of a request.
     pub fn begin(&mut self, call: CallTag, id: &str) {
         let story = RequestStory {
@@ -87,7 +101,7 @@
         self.measure(&story.decisions);
         if story.is_plain {
             self.plain += 1;
-            if !self.plain.is_multiple_of(TELL_EVERY) {
+            if !self.plain.is_multiple_of(u64::from(self.plain_every)) {
                 return;
             }
         }
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -16,6 +16,7 @@
 pub mod measures;
 pub mod member;
 pub mod operators;
+pub mod output;
 pub mod peers;
 pub mod ready;
 pub mod reload;
--- /dev/null
+++ b/crates/node/src/process/output.rs
@@ -0,0 +1,44 @@
+//! The log of an instance with a role: JSON lines on standard output.
+//!
+//! A thread of its own writes them. Where nobody reads, or slowly, lines are
+//! dropped and counted; no request waits for its log.
+
+use std::sync::OnceLock;
+
+use anyhow::Context;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::EnvFilter;
+
+/// Lines that may wait for standard output.
+const WAITING_LINES: usize = 4000;
+
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Starts the log. It ends, with what waits written, when the guard is dropped.
+///
+/// # Errors
+///
+/// Fails if the level cannot be read.
+pub fn start_output(level: &str) -> anyhow::Result<WorkerGuard> {
+    let filter =
+        EnvFilter::try_new(level).with_context(|| format!("could not read log level {level}"))?;
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(WAITING_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
+    DROPPED.get_or_init(|| writer.error_counter());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .init();
+    Ok(guard)
+}
+
+/// Returns how many lines found no room.
+pub fn lines_unwritten() -> u64 {
+    DROPPED
+        .get()
+        .map_or(0, |dropped| dropped.dropped_lines() as u64)
+}
--- a/crates/node/src/process/store/folder.rs
+++ b/crates/node/src/process/store/folder.rs
@@ -134,6 +134,21 @@
         }
     }
 
+    /// Opens the folder of a replica that drew its own identity, and makes
+    /// none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is none, or if another process uses it.
+    pub fn open_existing(path: &Path) -> anyhow::Result<(DataFolder, ReplicaId)> {
+        let file = path.join(REPLICA_NAME);
+        let text = std::fs::read(&file)
+            .with_context(|| format!("could not read identity {}", file.display()))?;
+        let own: OwnIdentity = serde_json::from_slice(&text)
+            .with_context(|| format!("could not read identity {}", file.display()))?;
+        Ok((DataFolder::lock(path)?, own.replica))
+    }
+
     fn lock(path: &Path) -> anyhow::Result<DataFolder> {
         let file = path.join(LOCK_NAME);
         let lock = OpenOptions::new()
--- a/crates/node/src/settings/role.rs
+++ b/crates/node/src/settings/role.rs
@@ -12,6 +12,8 @@
 
 /// What an address must be.
 const ADDRESS_ALLOWED: &str = "an IP address and port, like \"127.0.0.1:7400\"";
+/// One in so many plain successes is told in full, unless the settings say.
+const DEFAULT_PLAIN_EVERY: u32 = 64;
 /// Time for a graceful end, unless the settings name one.
 const DEFAULT_GRACE: Duration = Duration::from_secs(6);
 
@@ -72,6 +74,8 @@
     pub grace: Duration,
     /// Least level of log lines.
     pub log_level: String,
+    /// One in so many plain successes is told in full in the log.
+    pub log_plain_every: u32,
 }
 
 impl RoleSettings {
@@ -117,6 +121,7 @@
     let tolerate = reader.number("tolerate", 0, 3, findings);
     let lease = reader.number("lease_ms", 100, 600_000, findings);
     let grace = reader.number("grace_ms", 100, 600_000, findings);
+    let plain_every = reader.number("log_plain_every", 1, 1_000_000, findings);
     let log_level = reader.text("log_level", findings);
     let extra = reader.object("extra_load", findings);
     let extra = extra.map(|extra| read_extra(extra, findings));
@@ -145,6 +150,7 @@
         lease: lease.map_or(Duration::from_secs(5), millis),
         grace: grace.map_or(DEFAULT_GRACE, millis),
         log_level: log_level.unwrap_or_else(|| "info".to_string()),
+        log_plain_every: plain_every.unwrap_or(DEFAULT_PLAIN_EVERY),
     })
 }
 
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -23,7 +23,13 @@
 
 impl Daemon {
     fn start(&mut self) {
-        let output = std::fs::File::create(self.settings.with_extension("log")).expect("a log");
+        let file = std::fs::File::create(self.settings.with_extension("log")).expect("a log");
+        // Nobody reads the log of the first entry: no request may wait for it.
+        let output = if self.name == "n3" {
+            Stdio::piped()
+        } else {
+            Stdio::from(file)
+        };
         let child = Command::new(env!("CARGO_BIN_EXE_wheelmastd"))
             .arg("--settings")
             .arg(&self.settings)
@@ -172,7 +178,7 @@
         let text = format!(
             r#"{{{role} "instance": "n{number}", "failure_domain": "{domain}", "address": "{address}",
             "peer_port": {peers}, "seeds": [{seeds}], "first_start": {first}, "tolerate": 1,
-            "grace_ms": 1500, "extra_load": {{"ratio": 0.2, "slack": 100}}}}"#
+            "grace_ms": 1500, "log_plain_every": 1, "extra_load": {{"ratio": 0.2, "slack": 100}}}}"#
         );
         let path = self.folder.path().join(format!("n{number}.json"));
         std::fs::write(&path, text).expect("written");
@@ -298,6 +304,18 @@
     assert_eq!(desks[0].seen().len(), before);
     assert_eq!(desks[1].seen().len(), 10);
 
+    // Its log holds 64 KB in a pipe and no more; requests go on all the same.
+    let begin = Instant::now();
+    for number in 0..300 {
+        let reply = deployed.query(3, "/q/x", &format!("flood{number}"));
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+    assert!(
+        begin.elapsed() < Duration::from_secs(10),
+        "{:?}",
+        begin.elapsed()
+    );
+
     // One replica is killed, another loses its disk: nothing is lost.
     deployment.daemons[0].kill();
     let newer = route_table(8);
