Say in each line when its decision was made

Cause: a request's lines are written when it ends, and bore that time: the story of a partial answer read as if its hedge and its end were one moment. Change: at_ms in each line, from the request's arrival.

--- a/crates/cli/src/cmd/stories.rs
+++ b/crates/cli/src/cmd/stories.rs
@@ -39,7 +39,8 @@
             place.display()
         );
     }
-    lines.sort();
+    // Stable: the lines of a process keep their order.
+    lines.sort_by(|a, b| a.at.cmp(&b.at));
     Ok(lines)
 }
 
--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -111,6 +111,8 @@
 /// One decision about a request, for the log.
 #[derive(Debug, Clone)]
 pub struct ForwardEvent {
+    /// When, since the process started.
+    pub at: Duration,
     /// The request.
     pub call: CallTag,
     /// What was decided.
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -149,6 +149,8 @@
     pub(super) splits: HashMap<Box<str>, SplitCounter>,
     pub(super) timers: TimerHeap<ForwardTimer>,
     pub(super) counters: ForwardCounters,
+    /// Time of the step that is being taken.
+    clock: Duration,
 }
 
 impl ForwardMachine {
@@ -174,12 +176,14 @@
             splits: HashMap::new(),
             timers: TimerHeap::default(),
             counters: ForwardCounters::default(),
+            clock: Duration::ZERO,
         }
     }
 
     /// Takes one input at time `now` (since the process started) and appends
     /// what is to be done to `out`.
     pub fn step(&mut self, now: Duration, input: ForwardInput, out: &mut Vec<ForwardAction>) {
+        self.clock = now;
         match input {
             ForwardInput::Table(table) => self.adopt(table),
             ForwardInput::Notice(notice) => self.notice(notice, now, out),
@@ -371,6 +375,7 @@
             return;
         }
         out.push(ForwardAction::Decide(ForwardEvent {
+            at: self.clock,
             call,
             decision: decision(),
         }));
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -20,7 +20,7 @@
 #[derive(Debug, Default)]
 struct RequestStory {
     id: Box<str>,
-    decisions: Vec<ForwardDecision>,
+    decisions: Vec<(Duration, ForwardDecision)>,
     is_plain: bool,
 }
 
@@ -72,7 +72,7 @@
         let is_end = matches!(event.decision, ForwardDecision::End { .. });
         story.is_plain &= is_plain(&event.decision);
         if story.decisions.len() < KEPT_LINES || is_end {
-            story.decisions.push(event.decision);
+            story.decisions.push((event.at, event.decision));
         }
         if is_end {
             self.end(event.call);
@@ -84,12 +84,12 @@
         self.dropped_ever
     }
 
-    fn measure(&mut self, decisions: &[ForwardDecision]) {
+    fn measure(&mut self, decisions: &[(Duration, ForwardDecision)]) {
         let route = match decisions.first() {
-            Some(ForwardDecision::Admit { route, .. }) => route,
+            Some((_, ForwardDecision::Admit { route, .. })) => route,
             _ => "none",
         };
-        if let Some(ForwardDecision::End { outcome, after, .. }) = decisions.last() {
+        if let Some((_, ForwardDecision::End { outcome, after, .. })) = decisions.last() {
             self.measures.ended(route, outcome, *after);
         }
     }
@@ -114,8 +114,14 @@
         if dropped > 0 {
             tracing::warn!(target: "entry", lines = dropped, "log: lines dropped");
         }
-        for decision in &story.decisions {
-            tell(&story.id, decision);
+        // Lines are written when a request ends; each says how long after its
+        // arrival the decision was made.
+        let arrived = story
+            .decisions
+            .first()
+            .map_or(Duration::ZERO, |(at, _)| *at);
+        for (at, decision) in &story.decisions {
+            tell(&story.id, millis(*at - arrived), decision);
         }
     }
 
@@ -141,7 +147,7 @@
     }
 }
 
-fn tell(request: &str, decision: &ForwardDecision) {
+fn tell(request: &str, at_ms: f64, decision: &ForwardDecision) {
     match decision {
         ForwardDecision::Admit {
             route,
@@ -149,7 +155,7 @@
             time_left,
         } => {
             let time_left_ms = millis(*time_left);
-            tracing::info!(target: "entry", request, %route, table_version = version, time_left_ms, "route: admitted");
+            tracing::info!(target: "entry", request, at_ms, %route, table_version = version, time_left_ms, "route: admitted");
         }
         ForwardDecision::Send {
             service,
@@ -162,7 +168,7 @@
         } => {
             let expected_ms = millis(*expected);
             let cause = cause_word(*cause);
-            tracing::info!(target: "entry", request, %service, server = %instance, cause, near, expected_ms, candidates, outstanding, "route: sent");
+            tracing::info!(target: "entry", request, at_ms, %service, server = %instance, cause, near, expected_ms, candidates, outstanding, "route: sent");
         }
         ForwardDecision::Lost {
             service,
@@ -171,10 +177,10 @@
             after,
         } => {
             let after_ms = millis(*after);
-            tracing::info!(target: "entry", request, %service, server = %instance, reason, after_ms, "route: attempt lost");
+            tracing::info!(target: "entry", request, at_ms, %service, server = %instance, reason, after_ms, "route: attempt lost");
         }
         ForwardDecision::NoBudget { service } => {
-            tracing::info!(target: "entry", request, %service, "route: repeat not affordable");
+            tracing::info!(target: "entry", request, at_ms, %service, "route: repeat not affordable");
         }
         ForwardDecision::End {
             outcome,
@@ -184,7 +190,7 @@
             sends,
         } => {
             let after_ms = millis(*after);
-            tracing::info!(target: "entry", request, outcome, parts, missing, after_ms, sends, "route: ended");
+            tracing::info!(target: "entry", request, at_ms, outcome, parts, missing, after_ms, sends, "route: ended");
         }
     }
 }
