--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -159,6 +159,13 @@
         /// Time since its sending.
         after: Duration,
     },
+    /// A part was given up: its service has no server left to ask.
+    NoServer {
+        /// The service.
+        service: Box<str>,
+        /// Its servers that take work, all of them asked already.
+        servers: usize,
+    },
     /// A repeat was wanted and the budget for extra load was spent.
     NoBudget {
         /// The service.
--- a/crates/core/src/process/forward/gather.rs
+++ b/crates/core/src/process/forward/gather.rs
@@ -138,7 +138,7 @@
             return;
         }
         if !self.send(call, part, AttemptCause::First, now, out) {
-            self.wait_or_miss(call, part, now);
+            self.wait_or_miss(call, part, now, out);
         }
     }
 
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -169,7 +169,13 @@
 
     /// Lets a part wait for a server with room, or gives it up if its service
     /// has none.
-    pub(super) fn wait_or_miss(&mut self, call: SlotKey, part: usize, now: Duration) {
+    pub(super) fn wait_or_miss(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
         let Some(state) = self.calls.get(call) else {
             return;
         };
@@ -188,16 +194,21 @@
                 self.upstreams[upstream].waiting.push_back((call, part));
             }
         } else if part_state.attempts.is_empty() {
-            self.miss(call, part);
+            self.miss(call, part, out);
         }
     }
 
-    /// Gives a part up.
-    pub(super) fn miss(&mut self, call: SlotKey, part: usize) {
-        if let Some(state) = self.calls.get_mut(call) {
-            state.parts[part].status = PartStatus::Missing;
-            state.missing += 1;
-        }
+    /// Gives a part up whose service has no server left to ask.
+    fn miss(&mut self, call: SlotKey, part: usize, out: &mut Vec<ForwardAction>) {
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        state.parts[part].status = PartStatus::Missing;
+        state.missing += 1;
+        let (tag, upstream) = (state.tag, state.parts[part].upstream);
+        let servers = self.upstreams[upstream].servers.len();
+        let service = self.upstreams[upstream].name.clone();
+        self.decide(tag, out, || ForwardDecision::NoServer { service, servers });
     }
 
     /// Gives the parts that wait for a service another try.
@@ -221,7 +232,7 @@
             state.parts[part].waits = false;
             let cause = cause_of(&state.parts[part]);
             if !self.send(call, part, cause, now, out) {
-                self.wait_or_miss(call, part, now);
+                self.wait_or_miss(call, part, now, out);
                 self.check_end(call, now, out);
             }
         }
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -143,7 +143,9 @@
         ForwardDecision::Admit { .. } => true,
         ForwardDecision::Send { cause, .. } => *cause != AttemptCause::Retry,
         ForwardDecision::End { outcome, .. } => matches!(*outcome, "whole" | "served"),
-        ForwardDecision::Lost { .. } | ForwardDecision::NoBudget { .. } => false,
+        ForwardDecision::Lost { .. }
+        | ForwardDecision::NoServer { .. }
+        | ForwardDecision::NoBudget { .. } => false,
     }
 }
 
@@ -179,6 +181,9 @@
             let after_ms = millis(*after);
             tracing::info!(target: "entry", request, at_ms, %service, server = %instance, reason, after_ms, "route: attempt lost");
         }
+        ForwardDecision::NoServer { service, servers } => {
+            tracing::info!(target: "entry", request, at_ms, %service, servers, "route: no server to ask");
+        }
         ForwardDecision::NoBudget { service } => {
             tracing::info!(target: "entry", request, at_ms, %service, "route: repeat not affordable");
         }
