Open no connection to a server that has as many of our requests as slots

The machine also took connections that were in use for idle ones. Change: without an idle connection a server with as many own requests as slots counts as full; idle connections are counted as they are taken and closed.

--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -74,7 +74,10 @@
             if state.standing != ServerStanding::Ready || tried.contains(server) {
                 continue;
             }
-            if state.outstanding.len() >= cap {
+            let would_open = state.idle == 0;
+            if state.outstanding.len() >= cap
+                || (would_open && state.outstanding.len() >= state.slots as usize)
+            {
                 is_full = true;
                 continue;
             }
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -137,6 +137,7 @@
             attempt,
             sent_at: now,
         });
+        server.idle = server.idle.saturating_sub(1);
         let (address, instance) = (server.address, server.id.clone());
         let near = server.is_near;
         match cause {
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -69,11 +69,21 @@
         self.idle.borrow_mut().remove(&server);
     }
 
-    /// Returns the number of idle connections to a server that can still be
-    /// used.
-    fn count(&self, server: ServerKey) -> u32 {
+    /// Tells the machine how many idle connections to a server can be used.
+    fn tell_idle<D: ForwardDialect>(&self, entry: &Rc<EntryDuty<D>>, server: ServerKey) {
+        let now = Instant::now();
         let idle = self.idle.borrow();
-        idle.get(&server).map_or(0, |links| links.len() as u32)
+        let links = idle.get(&server).map(|links| {
+            let live = links.iter();
+            live.filter(|link| link.until > now && !link.orders.is_closed())
+                .count()
+        });
+        let idle_count = links.unwrap_or(0) as u32;
+        drop(idle);
+        entry.step(ForwardInput::Idle {
+            server,
+            idle: idle_count,
+        });
     }
 
     fn keep(&self, server: ServerKey, until: Instant) -> oneshot::Receiver<UpstreamOrder> {
@@ -108,8 +118,7 @@
     while let Some(keep) = serve(&entry, &mut stream, &mut buffer, order).await {
         let until = Instant::now() + keep;
         let orders = entry.pool.keep(server, until);
-        let idle = entry.pool.count(server);
-        entry.step(ForwardInput::Idle { server, idle });
+        entry.pool.tell_idle(&entry, server);
         tokio::select! {
             biased;
             next = orders => match next {
@@ -117,8 +126,10 @@
                 Err(_) => return,
             },
             // It ended, or has bytes where none are due.
-            _ = stream.readable() => return,
-            () = tokio::time::sleep_until(until.into()) => return,
+            _ = stream.readable() => return entry.pool.tell_idle(&entry, server),
+            () = tokio::time::sleep_until(until.into()) => {
+                return entry.pool.tell_idle(&entry, server);
+            }
         }
     }
 }
