Read as a newcomer: smaller files, one way to accept, one disk for two tests

Begin and end of a request, and sending and hedging, stand in files of their own; five loops that accept connections are one function; the play of the two control tests shares its disk.

--- a/crates/core/src/process/forward/gather.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -1,20 +1,18 @@
-//! Starting a request, and ending it.
+//! Ending a request: whole, partial, with a server's answer, or refused.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
 
-use crate::arena::{SlotKey, UpstreamKey};
+use crate::arena::SlotKey;
 use crate::process::forward::answer::{
     AttemptCause, ForwardAction, ForwardAnswer, ForwardDecision, ForwardFailure,
 };
-use crate::process::forward::call::{CallState, PartState, PartStatus};
-use crate::process::forward::input::{ForwardCall, ServerAnswer};
+use crate::process::forward::call::{CallState, PartStatus};
+use crate::process::forward::input::ServerAnswer;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::input::CallTag;
 use crate::request::records::RecordMerge;
-use crate::version::route_table::{RouteRule, RouteTable, RouteTarget};
 
 /// Least time after which a refused caller should come back.
 const LEAST_RETRY: Duration = Duration::from_millis(60);
@@ -26,122 +24,6 @@
 const LEFT_TIME: Duration = Duration::from_millis(250);
 
 impl ForwardMachine {
-    pub(super) fn begin(&mut self, call: ForwardCall, now: Duration, out: &mut Vec<ForwardAction>) {
-        self.counters.calls += 1;
-        let Some(table) = self.table.clone() else {
-            return self.turn_away(call.tag, ForwardFailure::NoTable, out);
-        };
-        let asked = call.relayed.as_ref();
-        if asked.is_some_and(|order| order.version > table.version()) {
-            // It would be answered with an older table than it came in with.
-            return self.turn_away(call.tag, ForwardFailure::NoTable, out);
-        }
-        let Some(route) = table.find(&call.host, &call.path) else {
-            return self.turn_away(call.tag, ForwardFailure::NoRoute, out);
-        };
-        if self.calls.len() >= self.options.in_flight {
-            return self.turn_away(call.tag, ForwardFailure::Overload, out);
-        }
-        let state = self.lay_out(&call, table, route, now);
-        let (plan, count) = (state.plan, state.parts.len());
-        let (name, version) = (state.rule().name.as_str().into(), state.table.version());
-        self.decide(call.tag, out, || ForwardDecision::Admit {
-            route: name,
-            version,
-            time_left: plan.given_up - now,
-        });
-        let key = self.calls.insert(state);
-        self.tags.insert(call.tag, key);
-        if call.relayed.is_none() {
-            self.send_bundles(key, now, out);
-        }
-        for part in 0..count {
-            self.send_first(key, part, now, out);
-        }
-        self.timers.set(plan.limit, ForwardTimer::Limit(key));
-        if plan.aim > now {
-            self.timers.set(plan.aim, ForwardTimer::Aim(key));
-        }
-        self.plan_sweep(key, now);
-        self.check_end(key, now, out);
-    }
-
-    fn lay_out(
-        &mut self,
-        call: &ForwardCall,
-        table: Arc<RouteTable>,
-        route: usize,
-        now: Duration,
-    ) -> CallState {
-        let rule = &table.routes()[route];
-        let timing = self.timing(&rule.name);
-        let mut plan = self.timings[timing].plan(rule, call.time_left, now);
-        let upstreams = match &call.relayed {
-            Some(order) => {
-                plan.aim = now + order.answer_in;
-                let shards = order.shards.iter();
-                shards.map(|name| self.upstream(name)).collect()
-            }
-            None => self.targets(rule),
-        };
-        if call.relayed.is_none() {
-            // The entry that took it from the caller counts it.
-            self.count_request(&upstreams, now);
-        }
-        CallState {
-            tag: call.tag,
-            gathers: matches!(rule.target, RouteTarget::Gather(_)),
-            relayed: call.relayed.is_some(),
-            route,
-            arrived: now,
-            plan,
-            parts: upstreams.into_iter().map(PartState::new).collect(),
-            answered: 0,
-            missing: 0,
-            failure: None,
-            sends: 0,
-            table,
-        }
-    }
-
-    fn count_request(&mut self, upstreams: &[UpstreamKey], now: Duration) {
-        let bound = self.options.extra;
-        for upstream in upstreams {
-            self.upstreams[*upstream].budget.request(&bound, now);
-        }
-    }
-
-    pub(super) fn targets(&mut self, rule: &RouteRule) -> Vec<UpstreamKey> {
-        match &rule.target {
-            RouteTarget::Service(name) => vec![self.upstream(name)],
-            RouteTarget::Split(parts) => {
-                let counter = self.splits.entry(rule.name.as_str().into()).or_default();
-                let index = counter.next(parts);
-                vec![self.upstream(&parts[index].service)]
-            }
-            RouteTarget::Gather(names) => names.iter().map(|name| self.upstream(name)).collect(),
-        }
-    }
-
-    pub(super) fn send_first(
-        &mut self,
-        call: SlotKey,
-        part: usize,
-        now: Duration,
-        out: &mut Vec<ForwardAction>,
-    ) {
-        let is_unsent = self
-            .calls
-            .get(call)
-            .is_some_and(|state| state.parts[part].attempts.is_empty());
-        if !is_unsent {
-            return;
-        }
-        if !self.send(call, part, AttemptCause::First, now, out) {
-            self.wait_or_miss(call, part, now, out);
-        }
-    }
-
     /// Ends a request if nothing more can come of it, or all is in.
     pub(super) fn check_end(&mut self, call: SlotKey, now: Duration, out: &mut Vec<ForwardAction>) {
         let Some(state) = self.calls.get(call) else {
@@ -286,7 +168,12 @@
     }
 
     /// Refuses a request that was not let in.
-    fn turn_away(&mut self, call: CallTag, failure: ForwardFailure, out: &mut Vec<ForwardAction>) {
+    pub(super) fn turn_away(
+        &mut self,
+        call: CallTag,
+        failure: ForwardFailure,
+        out: &mut Vec<ForwardAction>,
+    ) {
         self.decide(call, out, || ForwardDecision::End {
             outcome: failure.word(),
             parts: 0,
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -2,7 +2,7 @@
 //! forwards.
 //!
 //! One entry point, [`ForwardMachine::step`]. Its parts stand in files of
-//! their own: choose, gather, hedge and reply.
+//! their own: begin, send, choose, hedge, relay, reply and end.
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -5,16 +5,18 @@
 //! the control group and at the entries alike.
 
 pub mod answer;
+mod begin;
 pub mod call;
 pub mod choose;
 pub mod directory;
+mod end;
 pub mod extra;
-mod gather;
 mod hedge;
 pub mod input;
 pub mod machine;
 mod relay;
 mod reply;
+mod send;
 pub mod server;
 pub mod split;
 pub mod timing;
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -12,9 +12,9 @@
 use crate::process::forward::call::PartStatus;
 use crate::process::forward::choose::{ExpectedTimes, ServerChoice};
 use crate::process::forward::directory::ServerStanding;
-use crate::process::forward::hedge::AttemptSend;
 use crate::process::forward::input::{BundleAnswer, EntryPeer, RelayOrder};
 use crate::process::forward::machine::ForwardMachine;
+use crate::process::forward::send::AttemptSend;
 use crate::process::forward::server::ServerState;
 
 /// Fewest far shards that are asked for together.
--- /dev/null
+++ b/crates/core/src/process/forward/send.rs
@@ -0,0 +1,252 @@
+//! Sending a part to a server, or letting it wait for one with room.
+
+use std::time::Duration;
+
+use crate::arena::{SlotKey, UpstreamKey};
+use crate::process::forward::answer::{AttemptCause, AttemptOrder, ForwardAction, ForwardDecision};
+use crate::process::forward::call::{ForwardAttempt, PartState, PartStatus};
+use crate::process::forward::choose::{ExpectedTimes, NoChoice, ServerChoice};
+use crate::process::forward::input::RelayOrder;
+use crate::process::forward::machine::ForwardMachine;
+use crate::process::forward::server::OutstandingAttempt;
+
+/// Time kept for the way back when a server is told its time.
+const SEND_MARGIN: Duration = Duration::from_millis(3);
+
+/// An attempt that is to be sent.
+#[derive(Debug)]
+pub(super) struct AttemptSend {
+    /// Places of the parts in the request.
+    pub(super) parts: Vec<usize>,
+    /// Why.
+    pub(super) cause: AttemptCause,
+    /// The server.
+    pub(super) choice: ServerChoice,
+    /// Place of the timing that it counts for.
+    pub(super) timing: usize,
+    /// Time after which it is looked over.
+    pub(super) patience: Duration,
+    /// Servers of each part that it may run on.
+    pub(super) runs: u32,
+    /// What is asked, if the server is another entry.
+    pub(super) relay: Option<RelayOrder>,
+}
+
+impl ForwardMachine {
+    /// Sends a part to a server, if there is one with room. Returns whether it
+    /// did.
+    pub(super) fn send(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        cause: AttemptCause,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) -> bool {
+        let Some(choice) = self.choose_for(call, part, now) else {
+            return false;
+        };
+        self.send_to(call, part, cause, choice, now, out);
+        true
+    }
+
+    pub(super) fn choose_for(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        now: Duration,
+    ) -> Option<ServerChoice> {
+        let state = self.calls.get(call)?;
+        let (upstream, tried) = (state.parts[part].upstream, state.parts[part].tried.clone());
+        let timing = self.timing_names.get(&*state.rule().name).copied()?;
+        let times = ExpectedTimes {
+            typical: self.timings[timing].typical(state.rule()),
+            objective: state.rule().objective(),
+        };
+        self.choose(upstream, &tried, times, now).ok()
+    }
+
+    pub(super) fn send_to(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        cause: AttemptCause,
+        choice: ServerChoice,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
+        let timing = self.timing_names.get(&*state.rule().name).copied();
+        let timing = timing.unwrap_or_default();
+        let slow = self.timings[timing].slow(state.rule());
+        let send = AttemptSend {
+            parts: vec![part],
+            cause,
+            choice,
+            timing,
+            patience: self.servers[choice.server].way() + slow,
+            runs: 1,
+            relay: None,
+        };
+        self.send_attempt(call, send, now, out);
+        if let Some(state) = self.calls.get_mut(call) {
+            let _ = state.parts[part].tried.try_push(choice.server);
+        }
+    }
+
+    /// Sends one attempt, for one part or for several.
+    pub(super) fn send_attempt(
+        &mut self,
+        call: SlotKey,
+        send: AttemptSend,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        let AttemptSend { cause, choice, .. } = send;
+        let server = &mut self.servers[choice.server];
+        let attempt = self.attempts.insert(ForwardAttempt {
+            call: Some(call),
+            parts: send.parts.clone(),
+            server: choice.server,
+            upstream: server.upstream,
+            sent_at: now,
+            typical: self.timings[send.timing].typical(state.rule()),
+            cause,
+            timing: send.timing,
+            runs: send.runs,
+        });
+        state.sends += 1;
+        let (tag, gathers) = (state.tag, state.gathers);
+        let time_left = state.plan.given_up.saturating_sub(now + SEND_MARGIN);
+        for part in &send.parts {
+            let part = &mut state.parts[*part];
+            part.attempts.push(attempt);
+            part.arrivals += 1;
+            part.runs += send.runs;
+            part.hedge_at = now + send.patience;
+        }
+        let counts = &mut self.upstreams[server.upstream].counts;
+        counts.sends += 1;
+        if matches!(cause, AttemptCause::Retry | AttemptCause::Hedge) {
+            counts.extras += 1;
+        }
+        let outstanding = server.outstanding.len();
+        server.outstanding.push(OutstandingAttempt {
+            attempt,
+            sent_at: now,
+        });
+        server.idle = server.idle.saturating_sub(1);
+        let (address, instance) = (server.address, server.id.clone());
+        let near = server.is_near;
+        match cause {
+            AttemptCause::First => self.counters.sends += 1,
+            AttemptCause::Retry => self.counters.retries += 1,
+            AttemptCause::Hedge => self.counters.hedges += 1,
+            AttemptCause::Relay => self.counters.relays += 1,
+        }
+        let (service, id) = self.names(choice.server);
+        self.decide(tag, out, || ForwardDecision::Send {
+            service,
+            instance: id,
+            cause,
+            near,
+            expected: choice.expected,
+            candidates: choice.candidates,
+            outstanding,
+        });
+        out.push(ForwardAction::Send(AttemptOrder {
+            attempt,
+            call: tag,
+            server: choice.server,
+            address,
+            instance,
+            time_left,
+            whole_head: !gathers,
+            relay: send.relay,
+        }));
+    }
+
+    /// Lets a part wait for a server with room, or gives it up if its service
+    /// has none.
+    pub(super) fn wait_or_miss(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
+        let upstream = state.parts[part].upstream;
+        let tried = state.parts[part].tried.clone();
+        let reason = self
+            .choose(upstream, &tried, ExpectedTimes::default(), now)
+            .err();
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        let part_state = &mut state.parts[part];
+        if reason == Some(NoChoice::Full) {
+            if !part_state.waits {
+                part_state.waits = true;
+                self.upstreams[upstream].waiting.push_back((call, part));
+            }
+        } else if part_state.attempts.is_empty() {
+            self.miss(call, part, out);
+        }
+    }
+
+    /// Gives a part up whose service has no server left to ask.
+    fn miss(&mut self, call: SlotKey, part: usize, out: &mut Vec<ForwardAction>) {
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        state.parts[part].status = PartStatus::Missing;
+        state.missing += 1;
+        let (tag, upstream) = (state.tag, state.parts[part].upstream);
+        let servers = self.upstreams[upstream].servers.len();
+        let service = self.upstreams[upstream].name.clone();
+        self.decide(tag, out, || ForwardDecision::NoServer { service, servers });
+    }
+
+    /// Gives the parts that wait for a service another try.
+    pub(super) fn serve_waiting(
+        &mut self,
+        upstream: UpstreamKey,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let count = self.upstreams[upstream].waiting.len();
+        for _ in 0..count {
+            let Some((call, part)) = self.upstreams[upstream].waiting.pop_front() else {
+                return;
+            };
+            let Some(state) = self.calls.get_mut(call) else {
+                continue;
+            };
+            if !state.parts[part].is_open() {
+                continue;
+            }
+            state.parts[part].waits = false;
+            let cause = cause_of(&state.parts[part]);
+            if !self.send(call, part, cause, now, out) {
+                self.wait_or_miss(call, part, now, out);
+                self.check_end(call, now, out);
+            }
+        }
+    }
+}
+
+fn cause_of(part: &PartState) -> AttemptCause {
+    if part.arrivals == 0 {
+        AttemptCause::First
+    } else {
+        AttemptCause::Retry
+    }
+}
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -1,14 +1,18 @@
 //! The replicated log under loss, duplication, reorder, cuts and crashes: no
 //! accepted change is lost, and a rule that is off is noticed.
 
+#[path = "support/disk.rs"]
+mod disk;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
+use disk::Disk;
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRng, TestRunner};
 use wheelmast_core::process::control::fence::{ClaimOutcome, ClaimRequest};
-use wheelmast_core::process::control::log::{HardState, LogEntry, LogPlace, ReplicaId};
+use wheelmast_core::process::control::log::ReplicaId;
 use wheelmast_core::process::control::message::{
     ProposalEnd, ReplicaAction, ReplicaInput, ReplicaMessage, ReplicaTiming,
 };
@@ -50,40 +54,6 @@
     ]
 }
 
-/// What a disk has kept.
-#[derive(Debug, Clone, Default)]
-struct Disk {
-    hard: HardState,
-    place: LogPlace,
-    state: ControlState,
-    entries: Vec<LogEntry>,
-    commit: u64,
-}
-
-impl Disk {
-    fn keep(&mut self, action: &ReplicaAction) {
-        match action {
-            ReplicaAction::KeepHard(hard) => self.hard = *hard,
-            ReplicaAction::KeepCommit(commit) => self.commit = *commit,
-            ReplicaAction::KeepEntry(entry) => {
-                self.entries.retain(|kept| kept.index < entry.index);
-                self.entries.push(entry.clone());
-            }
-            ReplicaAction::KeepSnapshot {
-                place,
-                state,
-                is_installed,
-            } => {
-                self.place = *place;
-                self.state = (**state).clone();
-                let all = *is_installed;
-                self.entries.retain(|kept| !all && kept.index > place.index);
-            }
-            _ => {}
-        }
-    }
-}
-
 struct Node {
     machine: Option<ReplicaMachine>,
     disk: Disk,
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -1,18 +1,22 @@
 //! A group that keeps its replicas in its own log: founding, learners, lost
 //! disks, replacements, stalled disks, one-way cuts, sure reads.
 
+#[path = "support/disk.rs"]
+mod disk;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use disk::Disk;
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRng, TestRunner};
-use wheelmast_core::process::control::log::{HardState, LogEntry, LogPlace, ReplicaId};
+use wheelmast_core::process::control::log::{LogEntry, ReplicaId};
 use wheelmast_core::process::control::message::{
     ProposalEnd, ReplicaAction, ReplicaInput, ReplicaMessage, ReplicaTiming,
 };
 use wheelmast_core::process::control::replica::{ReplicaMachine, ReplicaRules, ReplicaStart};
-use wheelmast_core::process::control::state::{ControlCommand, ControlState, MemberRecord};
+use wheelmast_core::process::control::state::{ControlCommand, MemberRecord};
 
 /// Messages at one moment that no group should need.
 const STORM: usize = 5000;
@@ -54,39 +58,6 @@
     ]
 }
 
-#[derive(Debug, Clone, Default)]
-struct Disk {
-    hard: HardState,
-    place: LogPlace,
-    state: ControlState,
-    entries: Vec<LogEntry>,
-    commit: u64,
-}
-
-impl Disk {
-    fn keep(&mut self, action: &ReplicaAction) {
-        match action {
-            ReplicaAction::KeepHard(hard) => self.hard = *hard,
-            ReplicaAction::KeepCommit(commit) => self.commit = *commit,
-            ReplicaAction::KeepEntry(entry) => {
-                self.entries.retain(|kept| kept.index < entry.index);
-                self.entries.push(entry.clone());
-            }
-            ReplicaAction::KeepSnapshot {
-                place,
-                state,
-                is_installed,
-            } => {
-                self.place = *place;
-                self.state = (**state).clone();
-                let all = *is_installed;
-                self.entries.retain(|kept| !all && kept.index > place.index);
-            }
-            _ => {}
-        }
-    }
-}
-
 struct Node {
     id: ReplicaId,
     machine: Option<ReplicaMachine>,
--- a/crates/node/src/connection/mod.rs
+++ b/crates/node/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for a connection: to upstream servers, and from clients.
 
+pub mod accept;
 pub mod attempt;
 pub mod exchange;
 pub mod frame;
--- a/crates/node/src/process/expose.rs
+++ b/crates/node/src/process/expose.rs
@@ -15,12 +15,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
+use crate::connection::accept::next_stream;
+
 /// Format of what is rendered.
 const TEXT_FORMAT: &str = "text/plain; version=0.0.4";
 /// Longest time that a reader may take for the head of its question.
 const HEAD_TIME: Duration = Duration::from_secs(10);
-/// Time after which a listener that cannot accept tries again.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// Answers readers of metrics until the process ends.
 ///
@@ -36,10 +36,7 @@
     };
     let render = Rc::new(render);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = next_stream(&listener).await;
         let render = render.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |_: Request<Incoming>| {
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -23,14 +23,13 @@
 use wheelmast_core::version::route_table::CallerLimits;
 use wheelmast_wire::dialect::ForwardDialect;
 
+use crate::connection::accept::next_stream;
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
 use crate::process::forward::image::{read_order, RequestImage, RELAY_HEADER, SHARDS_HEADER};
 use crate::process::forward::story::join_words;
 
 /// Least size of a connection's buffer that the HTTP library takes.
 const LEAST_BUFFER: usize = 8192;
-/// Time after which a listener that cannot accept tries again.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 type CallerResponse = Response<Full<Bytes>>;
 
@@ -42,20 +41,12 @@
 ) {
     let mut closed = closing.clone();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let stream = tokio::select! {
+            stream = next_stream(&listener) => stream,
             _ = closed.wait_for(|closing| *closing) => return,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                let (entry, closing) = (entry.clone(), closing.clone());
-                tokio::task::spawn_local(serve(entry, stream, closing));
-            }
-            Err(error) => {
-                tracing::warn!(target: "entry", "callers: could not accept, {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let (entry, closing) = (entry.clone(), closing.clone());
+        tokio::task::spawn_local(serve(entry, stream, closing));
     }
 }
 
@@ -64,7 +55,6 @@
     stream: TcpStream,
     mut closing: watch::Receiver<bool>,
 ) {
-    let _ = stream.set_nodelay(true);
     let limits = entry.look(|machine| machine.table().map(|table| table.limits()));
     let limits = limits.unwrap_or_default();
     let handler = entry.clone();
@@ -229,10 +219,7 @@
 /// Answers the balancer until the entry ends.
 pub async fn answer_balancer<D: ForwardDialect>(entry: Rc<EntryDuty<D>>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = next_stream(&listener).await;
         let entry = entry.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(move |_: Request<Incoming>| {
--- a/crates/node/src/process/group/answer.rs
+++ b/crates/node/src/process/group/answer.rs
@@ -19,14 +19,13 @@
 use wheelmast_wire::dialect::{ControlCall, ForwardDialect};
 use wheelmast_wire::group::GroupTell;
 
+use crate::connection::accept::next_stream;
 use crate::process::group::node::GroupNode;
 
 /// Largest body of a call.
 const BODY_BYTES: usize = 1024 * 1024;
 /// Longest time for the head of a call; connections may be idle as long.
 const HEAD_TIME: Duration = Duration::from_secs(15);
-/// Time after which a listener that cannot accept tries again.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// When a caller that was refused should come back, in seconds.
 const COME_BACK: &str = "0.2";
 /// Body of an acknowledgement.
@@ -37,13 +36,9 @@
 /// Answers servers and operators until the instance ends.
 pub async fn accept_calls<D: ForwardDialect>(node: Rc<GroupNode>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = next_stream(&listener).await;
         let node = node.clone();
         tokio::task::spawn_local(async move {
-            let _ = stream.set_nodelay(true);
             let service = service_fn(move |request| {
                 let node = node.clone();
                 async move { Ok::<_, Infallible>(answer::<D>(node, request).await) }
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -11,6 +11,7 @@
 use wheelmast_core::process::forward::input::EntryPeer;
 use wheelmast_wire::group::{GroupAsk, GroupMessage, GroupTell};
 
+use crate::connection::accept::next_stream;
 use crate::connection::frame::{tune, write_frame, FrameReader};
 use crate::process::group::node::GroupNode;
 use crate::process::group::state::Subscriber;
@@ -22,18 +23,13 @@
 const BATCH: usize = 64;
 /// Longest time that a write may take.
 const WRITE_TIME: Duration = Duration::from_secs(2);
-/// Time after which a listener that cannot accept tries again.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two tries to confirm the table for an entry.
 const CONFIRM_PAUSE: Duration = Duration::from_millis(150);
 
 /// Accepts connections of other instances.
 pub async fn accept_peers(node: Rc<GroupNode>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = next_stream(&listener).await;
         let node = node.clone();
         tokio::task::spawn_local(async move {
             if let Err(error) = serve_peer(&node, stream).await {
