--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -34,7 +34,8 @@
     plain_every: u32,
     plain: u64,
     tokens: f64,
-    at: Option<std::time::Instant>,
+    /// Time of the last story that was told or dropped.
+    at: Duration,
     dropped: u64,
     dropped_ever: u64,
 }
@@ -48,7 +49,7 @@
             plain_every: plain_every.max(1),
             plain: 0,
             tokens: LINES_PER_SECOND,
-            at: None,
+            at: Duration::ZERO,
             dropped: 0,
             dropped_ever: 0,
         }
@@ -75,7 +76,7 @@
             story.decisions.push((event.at, event.decision));
         }
         if is_end {
-            self.end(event.call);
+            self.end(event.call, event.at);
         }
     }
 
@@ -94,7 +95,7 @@
         }
     }
 
-    fn end(&mut self, call: CallTag) {
+    fn end(&mut self, call: CallTag, now: Duration) {
         let Some(story) = self.stories.remove(&call) else {
             return;
         };
@@ -105,7 +106,7 @@
                 return;
             }
         }
-        if !self.has_room(story.decisions.len()) {
+        if !self.has_room(story.decisions.len(), now) {
             self.dropped += story.decisions.len() as u64;
             self.dropped_ever += story.decisions.len() as u64;
             return;
@@ -125,10 +126,9 @@
         }
     }
 
-    fn has_room(&mut self, lines: usize) -> bool {
-        let now = std::time::Instant::now();
-        let elapsed = self.at.map_or(1.0, |at| (now - at).as_secs_f64());
-        self.at = Some(now);
+    fn has_room(&mut self, lines: usize, now: Duration) -> bool {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = now;
         self.tokens = (self.tokens + elapsed * LINES_PER_SECOND).min(LINES_PER_SECOND);
         if self.tokens < lines as f64 {
             return false;
