--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -179,6 +179,8 @@
         parts: usize,
         /// Shards left out.
         missing: usize,
+        /// The services of the shards left out of a partial answer.
+        left_out: Vec<Box<str>>,
         /// Time since its arrival.
         after: Duration,
         /// Sends made for it.
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -106,6 +106,19 @@
         });
     }
 
+    /// Names the shards that an answer leaves out, if it has any.
+    fn left_out(&self, state: &CallState) -> Vec<Box<str>> {
+        if !state.gathers || state.answered == 0 {
+            return Vec::new();
+        }
+        let out = state
+            .parts
+            .iter()
+            .filter(|part| !matches!(part.status, PartStatus::Answered { .. }));
+        out.map(|part| self.upstreams[part.upstream].name.clone())
+            .collect()
+    }
+
     fn answered_shards(&self, state: &CallState) -> Vec<Box<str>> {
         let answered = state
             .parts
@@ -178,6 +191,7 @@
             outcome: failure.word(),
             parts: 0,
             missing: 0,
+            left_out: Vec::new(),
             after: Duration::ZERO,
             sends: 0,
         });
@@ -253,6 +267,7 @@
         self.decide(state.tag, out, || ForwardDecision::End {
             outcome,
             parts: state.answered,
+            left_out: self.left_out(state),
             missing: state.parts.len() - state.answered,
             after: now - state.arrived,
             sends: state.sends,
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -121,8 +121,14 @@
             .decisions
             .first()
             .map_or(Duration::ZERO, |(at, _)| *at);
+        let left_out = match story.decisions.last() {
+            Some((_, ForwardDecision::End { left_out, .. })) => left_out.clone(),
+            _ => Vec::new(),
+        };
         for (at, decision) in &story.decisions {
-            tell(&story.id, millis(*at - arrived), decision);
+            if is_telling(decision, &left_out) {
+                tell(&story.id, millis(*at - arrived), decision);
+            }
         }
     }
 
@@ -138,6 +144,17 @@
     }
 }
 
+/// Tells whether a decision says something about a partial answer: of the
+/// first sends, only those of the shards that are left out do.
+fn is_telling(decision: &ForwardDecision, left_out: &[Box<str>]) -> bool {
+    match decision {
+        ForwardDecision::Send { service, cause, .. } if *cause == AttemptCause::First => {
+            left_out.is_empty() || left_out.contains(service)
+        }
+        _ => true,
+    }
+}
+
 fn is_plain(decision: &ForwardDecision) -> bool {
     match decision {
         ForwardDecision::Admit { .. } => true,
@@ -191,11 +208,13 @@
             outcome,
             parts,
             missing,
+            left_out,
             after,
             sends,
         } => {
+            let left_out = join_words(left_out);
             let after_ms = millis(*after);
-            tracing::info!(target: "entry", request, at_ms, outcome, parts, missing, after_ms, sends, "route: ended");
+            tracing::info!(target: "entry", request, at_ms, outcome, parts, missing, left_out, after_ms, sends, "route: ended");
         }
     }
 }
