--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -12,6 +12,8 @@
 
 use crate::process::forward::measure::EntryMeasures;
 
+/// One in so many partial answers is told in full; the others tell their end.
+const PARTIAL_EVERY: u64 = 4;
 /// Lines kept of a request.
 const KEPT_LINES: usize = 160;
 /// Lines told in a second, at most.
@@ -24,6 +26,21 @@
     is_plain: bool,
 }
 
+impl RequestStory {
+    fn is_partial(&self) -> bool {
+        matches!(
+            self.decisions.last(),
+            Some((_, ForwardDecision::End { outcome, .. })) if *outcome == "partial"
+        )
+    }
+
+    /// Drops all but the end, which names what was left out.
+    fn keep_end(&mut self) {
+        let last = self.decisions.len().saturating_sub(1);
+        self.decisions.drain(..last);
+    }
+}
+
 /// The stories of the requests at work.
 #[derive(Debug)]
 pub struct StoryBook {
@@ -33,6 +50,7 @@
     /// One in so many plain successes is told in full.
     plain_every: u32,
     plain: u64,
+    partial: u64,
     tokens: f64,
     /// Time of the last story that was told or dropped.
     at: Duration,
@@ -48,6 +66,7 @@
             stories: HashMap::new(),
             plain_every: plain_every.max(1),
             plain: 0,
+            partial: 0,
             tokens: LINES_PER_SECOND,
             at: Duration::ZERO,
             dropped: 0,
@@ -106,6 +125,13 @@
                 return;
             }
         }
+        let mut story = story;
+        if story.is_partial() {
+            self.partial += 1;
+            if self.partial % PARTIAL_EVERY != 1 {
+                story.keep_end();
+            }
+        }
         if !self.has_room(story.decisions.len(), now) {
             self.dropped += story.decisions.len() as u64;
             self.dropped_ever += story.decisions.len() as u64;
