--- a/crates/node/src/settings/role.rs
+++ b/crates/node/src/settings/role.rs
@@ -14,6 +14,8 @@
 const ADDRESS_ALLOWED: &str = "an IP address and port, like \"127.0.0.1:7400\"";
 /// One in so many plain successes is told in full, unless the settings say.
 const DEFAULT_PLAIN_EVERY: u32 = 64;
+/// Least levels of log lines.
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
 /// Time for a graceful end, unless the settings name one.
 const DEFAULT_GRACE: Duration = Duration::from_secs(6);
 
@@ -122,7 +124,7 @@
     let lease = reader.number("lease_ms", 100, 600_000, findings);
     let grace = reader.number("grace_ms", 100, 600_000, findings);
     let plain_every = reader.number("log_plain_every", 1, 1_000_000, findings);
-    let log_level = reader.text("log_level", findings);
+    let log_level = reader.word("log_level", &LOG_LEVELS, findings);
     let extra = reader.object("extra_load", findings);
     let extra = extra.map(|extra| read_extra(extra, findings));
     let listen = reader.object("listen", findings);
@@ -149,7 +151,7 @@
         extra: extra.unwrap_or_default(),
         lease: lease.map_or(Duration::from_secs(5), millis),
         grace: grace.map_or(DEFAULT_GRACE, millis),
-        log_level: log_level.unwrap_or_else(|| "info".to_string()),
+        log_level: log_level.unwrap_or("info").to_string(),
         log_plain_every: plain_every.unwrap_or(DEFAULT_PLAIN_EVERY),
     })
 }
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -122,6 +122,16 @@
             to: "\"ratio\": -1",
             finding: "ratio: must be a number from 0",
         },
+        RoleCase {
+            from: "\"peer_port\"",
+            to: "\"log_level\": \"infos\", \"peer_port\"",
+            finding: "log_level: must be one of off, error",
+        },
+        RoleCase {
+            from: "127.0.0.1:82\"",
+            to: "127.0.0.1:82\", \"metrics\": \"here\"",
+            finding: "metrics: must be an IP address and port",
+        },
         RoleCase {
             from: "127.0.0.2:80",
             to: "there",
