Choose a server once for a send, and look a route's timing up once

Found on reading the change again: a part that could not be sent, or was to be sent again, had its server chosen two or three times, once to see whether there is one, once to send, once for the reason; each send looked its route's timing up by name twice, though the request is laid out with it. Change: sending says why it could not; the request keeps the place of its timing; one function names shards. What is decided is the same. Checked: the 30 tests of forwarding, among them the play by chance, as before.

--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -80,6 +80,7 @@
             gathers: matches!(rule.target, RouteTarget::Gather(_)),
             relayed: call.relayed.is_some(),
             route,
+            timing,
             arrived: now,
             plan,
             parts: upstreams.into_iter().map(PartState::new).collect(),
@@ -98,7 +99,7 @@
         }
     }
 
-    pub(super) fn targets(&mut self, rule: &RouteRule) -> Vec<UpstreamKey> {
+    fn targets(&mut self, rule: &RouteRule) -> Vec<UpstreamKey> {
         match &rule.target {
             RouteTarget::Service(name) => vec![self.upstream(name)],
             RouteTarget::Split(parts) => {
@@ -110,7 +111,7 @@
         }
     }
 
-    pub(super) fn send_first(
+    fn send_first(
         &mut self,
         call: SlotKey,
         part: usize,
@@ -124,8 +125,8 @@
         if !is_unsent {
             return;
         }
-        if !self.send(call, part, AttemptCause::First, now, out) {
-            self.wait_or_miss(call, part, now, out);
+        if let Err(reason) = self.send(call, part, AttemptCause::First, now, out) {
+            self.wait_or_miss(call, part, reason, out);
         }
     }
 }
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -85,6 +85,8 @@
     pub table: Arc<RouteTable>,
     /// Place of its route in the table.
     pub route: usize,
+    /// Place of its route's timing.
+    pub timing: usize,
     /// Whether its parts are merged.
     pub gathers: bool,
     /// Whether another entry asked for it, which takes what there is in time.
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -29,7 +29,7 @@
 const RELAY_CONNECTIONS: usize = 64;
 
 /// What is expected of an answer.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct ExpectedTimes {
     /// Time an idle server typically takes.
     pub(super) typical: Duration,
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -90,7 +90,7 @@
         let outcome = if missing == 0 { "whole" } else { "partial" };
         self.decide_end(&state, outcome, now, out);
         let shards = if state.relayed {
-            self.answered_shards(&state)
+            self.shard_names(&state, true)
         } else {
             Vec::new()
         };
@@ -106,25 +106,13 @@
         });
     }
 
-    /// Names the shards that an answer leaves out, if it has any.
-    fn left_out(&self, state: &CallState) -> Vec<Box<str>> {
-        if !state.gathers || state.answered == 0 {
-            return Vec::new();
-        }
-        let out = state
+    /// Names the shards that are in, or those that are not.
+    fn shard_names(&self, state: &CallState, answered: bool) -> Vec<Box<str>> {
+        let named = state
             .parts
             .iter()
-            .filter(|part| !matches!(part.status, PartStatus::Answered { .. }));
-        out.map(|part| self.upstreams[part.upstream].name.clone())
-            .collect()
-    }
-
-    fn answered_shards(&self, state: &CallState) -> Vec<Box<str>> {
-        let answered = state
-            .parts
-            .iter()
-            .filter(|part| matches!(part.status, PartStatus::Answered { .. }));
-        answered
+            .filter(|part| matches!(part.status, PartStatus::Answered { .. }) == answered);
+        named
             .map(|part| self.upstreams[part.upstream].name.clone())
             .collect()
     }
@@ -267,7 +255,11 @@
         self.decide(state.tag, out, || ForwardDecision::End {
             outcome,
             parts: state.answered,
-            left_out: self.left_out(state),
+            left_out: if state.gathers && state.answered > 0 {
+                self.shard_names(state, false)
+            } else {
+                Vec::new()
+            },
             missing: state.parts.len() - state.answered,
             after: now - state.arrived,
             sends: state.sends,
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -67,7 +67,7 @@
             return;
         }
         part_state.hedge_at = now + LOOK_AGAIN;
-        let Some(choice) = self.choose_for(call, part, now) else {
+        let Ok(choice) = self.choose_for(call, part, now) else {
             return;
         };
         if !self.pays(call, part, choice, now) || !self.afford(call, part, now, out) {
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -12,7 +12,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
-use crate::arena::{ArenaKey, KeyArena, ServerKey, SlotArena, SlotKey, UpstreamKey};
+use crate::arena::{KeyArena, ServerKey, SlotArena, SlotKey, UpstreamKey};
 use crate::process::forward::answer::{ForwardAction, ForwardDecision, ForwardEvent};
 use crate::process::forward::call::{CallState, ForwardAttempt};
 use crate::process::forward::directory::{
@@ -387,9 +387,4 @@
         let service = self.upstreams[state.upstream].name.clone();
         (service, state.id.clone())
     }
-
-    /// Returns a server's key as a number, for the driver's own tables.
-    pub fn server_index(server: ServerKey) -> usize {
-        server.index()
-    }
 }
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -5,7 +5,6 @@
 use crate::arena::SlotKey;
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
 use crate::process::forward::call::{ForwardAttempt, PartState, PartStatus};
-use crate::process::forward::choose::ExpectedTimes;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::input::{AttemptEnd, ServerAnswer};
 use crate::process::forward::machine::ForwardMachine;
@@ -245,10 +244,12 @@
         let may_repeat = rule.idempotent || state.runs == 0;
         let has_time = now < call.plan.limit;
         let is_allowed = may_repeat && has_time && state.runs < rule.attempts;
-        if is_allowed && !state.attempts.is_full() && self.has_server(key, part, now) {
-            let is_paid = self.afford(key, part, now, out);
-            if is_paid && self.send(key, part, AttemptCause::Retry, now, out) {
-                return self.plan_sweep(key, now);
+        if is_allowed && !state.attempts.is_full() {
+            if let Ok(choice) = self.choose_for(key, part, now) {
+                if self.afford(key, part, now, out) {
+                    self.send_to(key, part, AttemptCause::Retry, choice, now, out);
+                    return self.plan_sweep(key, now);
+                }
             }
         }
         let Some(call) = self.calls.get_mut(key) else {
@@ -261,14 +262,4 @@
         }
         self.check_end(key, now, out);
     }
-
-    fn has_server(&mut self, key: SlotKey, part: usize, now: Duration) -> bool {
-        let Some(call) = self.calls.get(key) else {
-            return false;
-        };
-        let state = &call.parts[part];
-        let (upstream, tried) = (state.upstream, state.tried.clone());
-        self.choose(upstream, &tried, ExpectedTimes::default(), now)
-            .is_ok()
-    }
 }
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -33,8 +33,7 @@
 }
 
 impl ForwardMachine {
-    /// Sends a part to a server, if there is one with room. Returns whether it
-    /// did.
+    /// Sends a part to a server, if there is one with room.
     pub(super) fn send(
         &mut self,
         call: SlotKey,
@@ -42,28 +41,26 @@
         cause: AttemptCause,
         now: Duration,
         out: &mut Vec<ForwardAction>,
-    ) -> bool {
-        let Some(choice) = self.choose_for(call, part, now) else {
-            return false;
-        };
+    ) -> Result<(), NoChoice> {
+        let choice = self.choose_for(call, part, now)?;
         self.send_to(call, part, cause, choice, now, out);
-        true
+        Ok(())
     }
 
+    /// Chooses a server for a part out of those that were not asked for it.
     pub(super) fn choose_for(
         &mut self,
         call: SlotKey,
         part: usize,
         now: Duration,
-    ) -> Option<ServerChoice> {
-        let state = self.calls.get(call)?;
+    ) -> Result<ServerChoice, NoChoice> {
+        let state = self.calls.get(call).ok_or(NoChoice::NoServer)?;
         let (upstream, tried) = (state.parts[part].upstream, state.parts[part].tried.clone());
-        let timing = self.timing_names.get(&*state.rule().name).copied()?;
         let times = ExpectedTimes {
-            typical: self.timings[timing].typical(state.rule()),
+            typical: self.timings[state.timing].typical(state.rule()),
             objective: state.rule().objective(),
         };
-        self.choose(upstream, &tried, times, now).ok()
+        self.choose(upstream, &tried, times, now)
     }
 
     pub(super) fn send_to(
@@ -78,8 +75,7 @@
         let Some(state) = self.calls.get(call) else {
             return;
         };
-        let timing = self.timing_names.get(&*state.rule().name).copied();
-        let timing = timing.unwrap_or_default();
+        let timing = state.timing;
         let slow = self.timings[timing].slow(state.rule());
         let send = AttemptSend {
             parts: vec![part],
@@ -171,30 +167,23 @@
         }));
     }
 
-    /// Lets a part wait for a server with room, or gives it up if its service
-    /// has none.
+    /// Lets a part that was not sent wait for a server with room, or gives it
+    /// up if its service has none.
     pub(super) fn wait_or_miss(
         &mut self,
         call: SlotKey,
         part: usize,
-        now: Duration,
+        reason: NoChoice,
         out: &mut Vec<ForwardAction>,
     ) {
-        let Some(state) = self.calls.get(call) else {
-            return;
-        };
-        let upstream = state.parts[part].upstream;
-        let tried = state.parts[part].tried.clone();
-        let reason = self
-            .choose(upstream, &tried, ExpectedTimes::default(), now)
-            .err();
         let Some(state) = self.calls.get_mut(call) else {
             return;
         };
         let part_state = &mut state.parts[part];
-        if reason == Some(NoChoice::Full) {
+        if reason == NoChoice::Full {
             if !part_state.waits {
                 part_state.waits = true;
+                let upstream = part_state.upstream;
                 self.upstreams[upstream].waiting.push_back((call, part));
             }
         } else if part_state.attempts.is_empty() {
@@ -235,8 +224,8 @@
             }
             state.parts[part].waits = false;
             let cause = cause_of(&state.parts[part]);
-            if !self.send(call, part, cause, now, out) {
-                self.wait_or_miss(call, part, now, out);
+            if let Err(reason) = self.send(call, part, cause, now, out) {
+                self.wait_or_miss(call, part, reason, out);
                 self.check_end(call, now, out);
             }
         }
