Serve HTTP and make responses in one place; drop what stood twice

Change: connection/http.rs, and the rest removed. The one thing a reader could see: a control instance's Retry-After is written 0.200 instead of 0.2.

--- a/crates/cli/src/cmd/route.rs
+++ b/crates/cli/src/cmd/route.rs
@@ -10,16 +10,11 @@
 use wheelmast_core::finding::FindingList;
 use wheelmast_core::version::route_table::{RouteRule, RouteTable};
 use wheelmast_wire::dialect::ForwardDialect;
-use wheelmast_wire::native::NativeDialect;
+use wheelmast_wire::native::{NativeDialect, ROUTES_PATH};
 
 use crate::client::HttpClient;
 use crate::cmd::common::{block_on, instance_arg, instances};
 
-/// Path of the route table at a control instance.
-const ROUTES_PATH: &str = "/v1/routes";
-/// Exit code for findings and failures.
-const EXIT_FAILURE: u8 = 1;
-
 /// What is to be done.
 enum RouteStep {
     Check(PathBuf),
@@ -185,7 +180,7 @@
                 ),
                 Err(error) => {
                     println!("{instance}  {error:#}");
-                    code = ExitCode::from(EXIT_FAILURE);
+                    code = ExitCode::FAILURE;
                 }
             }
         }
@@ -219,7 +214,7 @@
     for finding in findings.items() {
         eprintln!("{}:{finding}", file.display());
     }
-    ExitCode::from(EXIT_FAILURE)
+    ExitCode::FAILURE
 }
 
 /// Returns a line for each route that is new, gone or other than before.
--- a/crates/node/src/connection/frame.rs
+++ b/crates/node/src/connection/frame.rs
@@ -31,17 +31,17 @@
         .await
         .with_context(|| format!("could not connect to {address} in time"))?
         .with_context(|| format!("could not connect to {address}"))?;
-    tune(&stream)?;
+    stream.set_nodelay(true)?;
+    end_when_silent(&stream)?;
     Ok(stream)
 }
 
-/// Sets what a connection between instances needs.
+/// Lets a connection between instances end when the other side is silent.
 ///
 /// # Errors
 ///
 /// Fails if the system refuses.
-pub fn tune(stream: &TcpStream) -> anyhow::Result<()> {
-    stream.set_nodelay(true)?;
+pub fn end_when_silent(stream: &TcpStream) -> anyhow::Result<()> {
     SockRef::from(stream).set_tcp_user_timeout(Some(SILENT_TIME))?;
     Ok(())
 }
--- a/crates/node/src/connection/mod.rs
+++ b/crates/node/src/connection/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod exchange;
 pub mod frame;
+pub mod http;
 pub mod listener;
 pub mod peer;
 pub mod pool;
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -5,10 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use anyhow::Context;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_TYPE, HOST, RETRY_AFTER};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, HOST};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -24,14 +25,18 @@
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::connection::accept::next_stream;
+use crate::connection::http::{
+    say_retry_after, serve_http, typed_response, FullResponse, PLAIN_TYPE,
+};
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
 use crate::process::forward::image::{read_order, RequestImage, RELAY_HEADER, SHARDS_HEADER};
-use crate::process::forward::story::join_words;
 
 /// Least size of a connection's buffer that the HTTP library takes.
 const LEAST_BUFFER: usize = 8192;
-
-type CallerResponse = Response<Full<Bytes>>;
+/// Longest time for the head of a balancer's question.
+const BALANCER_HEAD_TIME: Duration = Duration::from_secs(10);
+/// What stands between the words of a header's list.
+const WORD_JOIN: &str = ", ";
 
 /// Accepts callers' connections until the entry closes.
 pub async fn accept<D: ForwardDialect>(
@@ -93,7 +98,7 @@
     entry: Rc<EntryDuty<D>>,
     request: Request<Incoming>,
     limits: CallerLimits,
-) -> CallerResponse {
+) -> FullResponse {
     let mut response = answer(&entry, request, limits).await;
     if entry.phase() == EntryPhase::Leaving {
         let close = HeaderValue::from_static("close");
@@ -106,7 +111,7 @@
     entry: &Rc<EntryDuty<D>>,
     request: Request<Incoming>,
     limits: CallerLimits,
-) -> CallerResponse {
+) -> FullResponse {
     if entry.phase() == EntryPhase::Learning {
         return failure_response(ForwardFailure::NoTable, Some(Duration::from_millis(200)));
     }
@@ -120,9 +125,15 @@
     let body = match Limited::new(body, limits.body_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return plain_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+            return typed_response(StatusCode::PAYLOAD_TOO_LARGE, PLAIN_TYPE, "body too large");
+        }
+        Err(_) => {
+            return typed_response(
+                StatusCode::BAD_REQUEST,
+                PLAIN_TYPE,
+                "body could not be read",
+            )
         }
-        Err(_) => return plain_response(StatusCode::BAD_REQUEST, "body could not be read"),
     };
     let call = ForwardCall {
         tag: CallTag(0),
@@ -153,7 +164,7 @@
     read_order(headers.get(RELAY_HEADER)?.to_str().ok()?)
 }
 
-fn respond<D: ForwardDialect>(answer: ForwardAnswer, id: &str) -> CallerResponse {
+fn respond<D: ForwardDialect>(answer: ForwardAnswer, id: &str) -> FullResponse {
     match answer {
         ForwardAnswer::Server(answer) => server_response(*answer),
         ForwardAnswer::Gathered {
@@ -165,10 +176,10 @@
             let mut response = Response::builder()
                 .status(StatusCode::OK)
                 .header(D::HEADERS.request, id)
-                .header(D::HEADERS.parts, join_words(&stamps))
+                .header(D::HEADERS.parts, stamps.join(WORD_JOIN))
                 .header(D::HEADERS.missing, missing);
             if !shards.is_empty() {
-                response = response.header(SHARDS_HEADER, join_words(&shards));
+                response = response.header(SHARDS_HEADER, shards.join(WORD_JOIN));
             }
             let response = response.body(Full::new(Bytes::from(body)));
             response.unwrap_or_else(|_| failure_response(ForwardFailure::Failed, None))
@@ -180,7 +191,7 @@
     }
 }
 
-fn server_response(answer: ServerAnswer) -> CallerResponse {
+fn server_response(answer: ServerAnswer) -> FullResponse {
     let mut response = Response::builder().status(answer.status);
     for (name, value) in &answer.headers {
         response = response.header(&**name, &**value);
@@ -191,53 +202,35 @@
 
 /// Returns the answer to a request that got no server's. Service unavailable
 /// says that it has not run and never will.
-fn failure_response(failure: ForwardFailure, retry_after: Option<Duration>) -> CallerResponse {
+fn failure_response(failure: ForwardFailure, retry_after: Option<Duration>) -> FullResponse {
     let status = match failure {
         ForwardFailure::NoRoute => StatusCode::NOT_FOUND,
         ForwardFailure::Late => StatusCode::GATEWAY_TIMEOUT,
         ForwardFailure::Failed => StatusCode::BAD_GATEWAY,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     };
-    let mut response = plain_response(status, failure.word());
+    let mut response = typed_response(status, PLAIN_TYPE, failure.word());
     if let Some(after) = retry_after {
-        let seconds = format!("{:.3}", after.as_secs_f64());
-        if let Ok(seconds) = HeaderValue::from_str(&seconds) {
-            response.headers_mut().insert(RETRY_AFTER, seconds);
-        }
+        say_retry_after(&mut response, after);
     }
     response
 }
 
-fn plain_response(status: StatusCode, text: &'static str) -> CallerResponse {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    let plain = HeaderValue::from_static("text/plain");
-    response.headers_mut().insert(CONTENT_TYPE, plain);
-    response
-}
-
 /// Answers the balancer until the entry ends.
 pub async fn answer_balancer<D: ForwardDialect>(entry: Rc<EntryDuty<D>>, listener: TcpListener) {
     loop {
         let stream = next_stream(&listener).await;
         let entry = entry.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |_: Request<Incoming>| {
-                let is_ready = entry.phase() == EntryPhase::Serving;
-                async move {
-                    let response = if is_ready {
-                        plain_response(StatusCode::OK, "ready")
-                    } else {
-                        plain_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
-                    };
-                    Ok::<_, Infallible>(response)
-                }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(Duration::from_secs(10))
-                .serve_connection(TokioIo::new(stream), service);
-            let _ = connection.await;
+            let answer = |_| {
+                let response = if entry.phase() == EntryPhase::Serving {
+                    typed_response(StatusCode::OK, PLAIN_TYPE, "ready")
+                } else {
+                    typed_response(StatusCode::SERVICE_UNAVAILABLE, PLAIN_TYPE, "not ready")
+                };
+                async move { response }
+            };
+            serve_http(stream, BALANCER_HEAD_TIME, answer).await;
         });
     }
 }
@@ -248,7 +241,6 @@
 ///
 /// Fails if the address cannot be had.
 pub async fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
-    use anyhow::Context;
     TcpListener::bind(address)
         .await
         .with_context(|| format!("could not listen at {address}"))
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -157,13 +157,13 @@
         }
     }
 
+    fn newest_version(&self) -> Option<u64> {
+        let newest = self.newest.borrow();
+        newest.as_ref().map(|table| table.version())
+    }
+
     fn take_routes(&self, version: u64, text: &[u8]) {
-        let have = self
-            .newest
-            .borrow()
-            .as_ref()
-            .map_or(0, |table| table.version());
-        if version <= have && self.newest.borrow().is_some() {
+        if self.newest_version().is_some_and(|have| version <= have) {
             return;
         }
         let table = D::read_table(text).and_then(RouteTable::check);
@@ -182,11 +182,7 @@
 
     /// Takes a quorum's word that no version above this one was acknowledged.
     fn confirm(&self, version: u64) {
-        let have = self
-            .newest
-            .borrow()
-            .as_ref()
-            .map_or(0, |table| table.version());
+        let have = self.newest_version().unwrap_or(0);
         if have >= version && !self.confirmed.replace(true) {
             tracing::info!(target: "entry", table_version = have, "table: confirmed");
             self.obey();
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -14,20 +14,21 @@
 /// Header of an answer to another entry: the shards that are in.
 pub const SHARDS_HEADER: &str = "wheelmast-shards";
 /// Headers that concern only one connection.
-const HOP_HEADERS: [&str; 8] = [
+const HOP_HEADERS: [&str; 9] = [
     "connection",
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
     "proxy-connection",
     "te",
+    "trailer",
     "transfer-encoding",
     "upgrade",
 ];
 
 /// Tells whether a header concerns only one connection.
 pub fn is_hop(name: &str) -> bool {
-    HOP_HEADERS.contains(&name) || name == "trailer"
+    HOP_HEADERS.contains(&name)
 }
 
 /// What is written to every server of a request alike.
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -4,7 +4,6 @@
 //! only now and then; whatever was not plain always is.
 
 use std::collections::HashMap;
-use std::fmt::Write;
 use std::time::Duration;
 
 use wheelmast_core::process::forward::answer::{AttemptCause, ForwardDecision, ForwardEvent};
@@ -115,7 +114,7 @@
     }
 
     fn end(&mut self, call: CallTag, now: Duration) {
-        let Some(story) = self.stories.remove(&call) else {
+        let Some(mut story) = self.stories.remove(&call) else {
             return;
         };
         self.measure(&story.decisions);
@@ -125,7 +124,6 @@
                 return;
             }
         }
-        let mut story = story;
         if story.is_partial() {
             self.partial += 1;
             if self.partial % PARTIAL_EVERY != 1 {
@@ -238,7 +236,7 @@
             after,
             sends,
         } => {
-            let left_out = join_words(left_out);
+            let left_out = left_out.join(", ");
             let after_ms = millis(*after);
             tracing::info!(target: "entry", request, at_ms, outcome, parts, missing, left_out, after_ms, sends, "route: ended");
         }
@@ -257,14 +255,3 @@
 fn millis(duration: Duration) -> f64 {
     (duration.as_secs_f64() * 1e4).round() / 10.0
 }
-
-/// Joins words with commas, for a line.
-pub fn join_words(words: &[Box<str>]) -> String {
-    let mut line = String::new();
-    for (index, word) in words.iter().enumerate() {
-        let comma = if index == 0 { "" } else { ", " };
-        // Writing to a string cannot fail.
-        let _ = write!(line, "{comma}{word}");
-    }
-    line
-}
--- a/crates/node/src/process/group/answer.rs
+++ b/crates/node/src/process/group/answer.rs
@@ -1,17 +1,12 @@
 //! The control instance's side towards servers and operators.
 
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::{Request, StatusCode};
 use tokio::net::TcpListener;
 use wheelmast_core::process::control::state::{CommandOutcome, ControlCommand, RouteOutcome};
 use wheelmast_core::process::forward::directory::ServerNotice;
@@ -20,35 +15,28 @@
 use wheelmast_wire::group::GroupTell;
 
 use crate::connection::accept::next_stream;
+use crate::connection::http::{
+    say_retry_after, serve_http, typed_response, FullResponse, JSON_TYPE, PLAIN_TYPE,
+};
 use crate::process::group::node::GroupNode;
 
 /// Largest body of a call.
 const BODY_BYTES: usize = 1024 * 1024;
 /// Longest time for the head of a call; connections may be idle as long.
 const HEAD_TIME: Duration = Duration::from_secs(15);
-/// When a caller that was refused should come back, in seconds.
-const COME_BACK: &str = "0.2";
+/// When a caller that was refused should come back.
+const COME_BACK: Duration = Duration::from_millis(200);
 /// Body of an acknowledgement.
 const TAKEN: &str = "{}";
 
-type CallResponse = Response<Full<Bytes>>;
-
 /// Answers servers and operators until the instance ends.
 pub async fn accept_calls<D: ForwardDialect>(node: Rc<GroupNode>, listener: TcpListener) {
     loop {
         let stream = next_stream(&listener).await;
         let node = node.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |request| {
-                let node = node.clone();
-                async move { Ok::<_, Infallible>(answer::<D>(node, request).await) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_TIME)
-                .serve_connection(TokioIo::new(stream), service);
-            // A caller that sends what is no request harms only itself.
-            let _ = connection.await;
+            let answer = |request| answer::<D>(node.clone(), request);
+            serve_http(stream, HEAD_TIME, answer).await;
         });
     }
 }
@@ -56,7 +44,7 @@
 async fn answer<D: ForwardDialect>(
     node: Rc<GroupNode>,
     request: Request<Incoming>,
-) -> CallResponse {
+) -> FullResponse {
     let call = D::call(request.method().as_str(), request.uri().path());
     let Some(call) = call else {
         return text_response(StatusCode::NOT_FOUND, "no such call".to_string());
@@ -84,14 +72,14 @@
     }
 }
 
-async fn announce(node: &Rc<GroupNode>, notice: ServerNotice) -> CallResponse {
+async fn announce(node: &Rc<GroupNode>, notice: ServerNotice) -> FullResponse {
     if node.take_announcement(notice).await {
-        return json_response(Bytes::from_static(TAKEN.as_bytes()));
+        return taken();
     }
     unavailable("not held by a quorum yet")
 }
 
-async fn put_table<D: ForwardDialect>(node: &Rc<GroupNode>, body: Bytes) -> CallResponse {
+async fn put_table<D: ForwardDialect>(node: &Rc<GroupNode>, body: Bytes) -> FullResponse {
     let table = match D::read_table(&body).and_then(RouteTable::check) {
         Ok(table) => table,
         Err(findings) => {
@@ -110,12 +98,12 @@
         GroupTell::Done(CommandOutcome::Route(RouteOutcome::Conflict(version))) => {
             text_response(StatusCode::CONFLICT, format!("version {version} stands"))
         }
-        GroupTell::Done(_) => json_response(Bytes::from_static(TAKEN.as_bytes())),
+        GroupTell::Done(_) => taken(),
         _ => unavailable("no quorum answered"),
     }
 }
 
-async fn get_table(node: &Rc<GroupNode>) -> CallResponse {
+async fn get_table(node: &Rc<GroupNode>) -> FullResponse {
     let GroupTell::Version(version) = node.read().await else {
         return unavailable("no quorum answered");
     };
@@ -123,27 +111,20 @@
         return unavailable("no table is in force here");
     }
     let text = node.state.borrow().published.text.to_vec();
-    json_response(Bytes::from(text))
+    typed_response(StatusCode::OK, JSON_TYPE, text)
 }
 
-fn unavailable(text: &'static str) -> CallResponse {
-    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, text.to_string());
-    let come_back = HeaderValue::from_static(COME_BACK);
-    response.headers_mut().insert(RETRY_AFTER, come_back);
+fn unavailable(text: &'static str) -> FullResponse {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let mut response = typed_response(status, PLAIN_TYPE, text);
+    say_retry_after(&mut response, COME_BACK);
     response
 }
 
-fn json_response(body: Bytes) -> CallResponse {
-    let mut response = Response::new(Full::new(body));
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, json);
-    response
+fn taken() -> FullResponse {
+    typed_response(StatusCode::OK, JSON_TYPE, TAKEN)
 }
 
-fn text_response(status: StatusCode, text: String) -> CallResponse {
-    let mut response = Response::new(Full::new(Bytes::from(text)));
-    *response.status_mut() = status;
-    let plain = HeaderValue::from_static("text/plain");
-    response.headers_mut().insert(CONTENT_TYPE, plain);
-    response
+fn text_response(status: StatusCode, text: String) -> FullResponse {
+    typed_response(status, PLAIN_TYPE, text)
 }
--- a/crates/node/src/process/group/disk.rs
+++ b/crates/node/src/process/group/disk.rs
@@ -82,21 +82,17 @@
 }
 
 impl DiskDuty {
-    fn run(mut self, store: ReplicaStore) {
-        let mut store = Some(store);
-        while let Some(open) = &mut store {
-            let Ok(order) = self.orders.recv() else {
-                return;
-            };
-            match self.keep(open, order) {
+    fn run(mut self, mut store: ReplicaStore) {
+        while let Ok(order) = self.orders.recv() {
+            match self.keep(&mut store, order) {
                 Ok(Some(batch)) => self.notes.put_blocking(DiskNote::Done(batch)),
                 Ok(None) => {}
                 Err(error) => {
                     self.notes
                         .put_blocking(DiskNote::Failed(format!("{error:#}")));
                     // The folder's lock goes with the store.
-                    store = None;
-                    store = self.reopen(store);
+                    drop(store);
+                    store = self.reopen();
                 }
             }
         }
@@ -119,8 +115,7 @@
         Ok(last)
     }
 
-    fn reopen(&mut self, closed: Option<ReplicaStore>) -> Option<ReplicaStore> {
-        drop(closed);
+    fn reopen(&mut self) -> ReplicaStore {
         loop {
             std::thread::sleep(REOPEN_TIME);
             let opened = DataFolder::open_own(&self.path, &self.instance);
@@ -135,7 +130,7 @@
             self.epoch += 1;
             let kept = Box::new(store.kept().clone());
             self.notes.put_blocking(DiskNote::Opened(self.epoch, kept));
-            return Some(store);
+            return store;
         }
     }
 }
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -12,7 +12,7 @@
 use wheelmast_wire::group::{GroupAsk, GroupMessage, GroupTell};
 
 use crate::connection::accept::next_stream;
-use crate::connection::frame::{tune, write_frame, FrameReader};
+use crate::connection::frame::{end_when_silent, write_frame, FrameReader};
 use crate::process::group::node::GroupNode;
 use crate::process::group::state::Subscriber;
 use crate::ring::bounded_ring;
@@ -40,7 +40,7 @@
 }
 
 async fn serve_peer(node: &Rc<GroupNode>, mut stream: TcpStream) -> anyhow::Result<()> {
-    tune(&stream)?;
+    end_when_silent(&stream)?;
     let (reader, mut writer) = stream.split();
     let mut reader = FrameReader::new(reader);
     let mut peer = None;
--- a/crates/node/src/settings/read.rs
+++ b/crates/node/src/settings/read.rs
@@ -61,17 +61,6 @@
     }
 }
 
-/// Reads a settings file.
-///
-/// # Errors
-///
-/// Fails if the file cannot be read; the inner result carries the findings.
-pub fn read_settings_file(path: &Path) -> anyhow::Result<Result<InstanceSettings, FindingList>> {
-    let text = std::fs::read_to_string(path)
-        .with_context(|| format!("could not read settings {}", path.display()))?;
-    Ok(read_settings(&text))
-}
-
 /// Reads settings out of JSON with comments.
 ///
 /// # Errors
--- a/crates/wire/src/native.rs
+++ b/crates/wire/src/native.rs
@@ -10,7 +10,7 @@
 /// Path of a server's announcement, before its id.
 const UPSTREAM_PATH: &str = "/v1/servers/";
 /// Path of the route table.
-const ROUTES_PATH: &str = "/v1/routes";
+pub const ROUTES_PATH: &str = "/v1/routes";
 /// Path of the balancer's question.
 const READY_PATH: &str = "/ready";
 
