Bound what large tables take in logs, messages and resent states

Ruled out: a leak. The log was compacted by the number of entries alone (256), 64 entries went in one message whatever their size, and a follower that was away was sent the whole state with each heartbeat.

Change: the log is compacted after 4 MiB of entries too; a message carries 512 KiB of entries; the whole state goes to a follower once in ten heartbeats, with plain heartbeats between.

--- a/crates/core/src/process/control/apply.rs
+++ b/crates/core/src/process/control/apply.rs
@@ -9,6 +9,9 @@
 
 /// Entries after which the log is compacted into a snapshot.
 const COMPACT_AFTER: usize = 256;
+/// Bytes of entries after which it is compacted in any case: entries hold
+/// whole tables, and a snapshot holds one.
+const COMPACT_BYTES: usize = 4 * 1024 * 1024;
 
 impl ReplicaMachine {
     pub(super) fn drop_proposals(&mut self, out: &mut Vec<ReplicaAction>) {
@@ -104,7 +107,8 @@
 
     fn compact(&mut self, out: &mut Vec<ReplicaAction>) {
         let covered = self.applied - self.log.base().index;
-        if (covered as usize) < COMPACT_AFTER {
+        let is_large = covered > 0 && self.log.bytes() > COMPACT_BYTES;
+        if (covered as usize) < COMPACT_AFTER && !is_large {
             return;
         }
         let Some(term) = self.log.term_at(self.applied) else {
--- a/crates/core/src/process/control/elect.rs
+++ b/crates/core/src/process/control/elect.rs
@@ -188,6 +188,7 @@
             next: self.log.last().index + 1,
             heard: now,
             round: 0,
+            snapshot_due: Duration::ZERO,
         }
     }
 
--- a/crates/core/src/process/control/fence.rs
+++ b/crates/core/src/process/control/fence.rs
@@ -30,6 +30,16 @@
     Unknown,
 }
 
+impl ClaimEnd {
+    /// Returns about how many bytes the end takes.
+    pub fn bytes(&self) -> usize {
+        match self {
+            ClaimEnd::Ran(answer) => answer.as_ref().map_or(0, String::len),
+            ClaimEnd::Unknown => 0,
+        }
+    }
+}
+
 /// The answer to a claim.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimOutcome {
--- a/crates/core/src/process/control/log.rs
+++ b/crates/core/src/process/control/log.rs
@@ -42,12 +42,19 @@
 pub struct EntryLog {
     base: LogPlace,
     entries: Vec<LogEntry>,
+    /// Bytes of all entries.
+    bytes: usize,
 }
 
 impl EntryLog {
     /// Returns a log that starts after `base`.
     pub fn new(base: LogPlace, entries: Vec<LogEntry>) -> EntryLog {
-        EntryLog { base, entries }
+        let bytes = bytes_of(&entries);
+        EntryLog {
+            base,
+            entries,
+            bytes,
+        }
     }
 
     /// Returns the place of the last entry.
@@ -77,32 +84,51 @@
         self.entries.get(place as usize)
     }
 
-    /// Returns at most `count` entries from `index` on.
-    pub fn from(&self, index: u64, count: usize) -> &[LogEntry] {
+    /// Returns entries from `index` on: at most `count`, and of at most `bytes`
+    /// together unless the first alone has more.
+    pub fn from(&self, index: u64, count: usize, bytes: usize) -> &[LogEntry] {
         let start = index.saturating_sub(self.base.index + 1) as usize;
         let start = start.min(self.entries.len());
-        let end = (start + count).min(self.entries.len());
+        let mut end = start;
+        let mut sum = 0;
+        for entry in self.entries[start..].iter().take(count) {
+            sum += entry.command.bytes();
+            if sum > bytes && end > start {
+                break;
+            }
+            end += 1;
+        }
         &self.entries[start..end]
     }
 
     /// Adds an entry at the end.
     pub fn push(&mut self, entry: LogEntry) {
+        self.bytes += entry.command.bytes();
         self.entries.push(entry);
     }
 
     /// Drops the entries from `index` on.
     pub fn truncate(&mut self, index: u64) {
         let keep = index.saturating_sub(self.base.index + 1) as usize;
+        let keep = keep.min(self.entries.len());
+        self.bytes -= bytes_of(&self.entries[keep..]);
         self.entries.truncate(keep);
     }
 
     /// Drops the entries up to `place`, which a snapshot covers.
     pub fn compact(&mut self, place: LogPlace) {
         let dropped = place.index.saturating_sub(self.base.index) as usize;
-        self.entries.drain(..dropped.min(self.entries.len()));
+        let dropped = dropped.min(self.entries.len());
+        self.bytes -= bytes_of(&self.entries[..dropped]);
+        self.entries.drain(..dropped);
         self.base = place;
     }
 
+    /// Returns the bytes of all entries held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the number of entries held.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -113,3 +139,7 @@
         self.entries.is_empty()
     }
 }
+
+fn bytes_of(entries: &[LogEntry]) -> usize {
+    entries.iter().map(|entry| entry.command.bytes()).sum()
+}
--- a/crates/core/src/process/control/replica.rs
+++ b/crates/core/src/process/control/replica.rs
@@ -97,6 +97,8 @@
     pub(super) heard: Duration,
     /// Last round of heartbeats it answered.
     pub(super) round: u64,
+    /// When the whole state may be sent to it again.
+    pub(super) snapshot_due: Duration,
 }
 
 /// One replica.
--- a/crates/core/src/process/control/replicate.rs
+++ b/crates/core/src/process/control/replicate.rs
@@ -9,6 +9,11 @@
 
 /// Most entries in one message.
 const BATCH: usize = 64;
+/// Most bytes of entries in one message, unless one alone has more.
+const BATCH_BYTES: usize = 512 * 1024;
+/// Heartbeats between two sends of the whole state to a follower: it may be
+/// down for long, and the state may be large.
+const SNAPSHOT_BEATS: u32 = 10;
 
 impl ReplicaMachine {
     /// Sends every follower what it lacks, or a heartbeat.
@@ -19,19 +24,45 @@
         };
         let peers: Vec<ReplicaId> = peers.keys().copied().collect();
         for peer in peers {
-            self.send_entries(peer, out);
+            if !self.send_entries(peer, now, out) {
+                self.send_beat(peer, out);
+            }
         }
     }
 
-    fn send_entries(&mut self, peer: ReplicaId, out: &mut Vec<ReplicaAction>) {
+    /// Sends a follower that waits for the whole state a heartbeat alone.
+    fn send_beat(&self, peer: ReplicaId, out: &mut Vec<ReplicaAction>) {
+        out.push(ReplicaAction::Send {
+            to: peer,
+            message: ReplicaMessage::Append {
+                term: self.hard.term,
+                previous: self.log.base(),
+                entries: Vec::new(),
+                commit: self.log.base().index,
+                round: self.round,
+            },
+        });
+    }
+
+    /// Sends a follower what it lacks. Returns whether anything was sent.
+    fn send_entries(
+        &mut self,
+        peer: ReplicaId,
+        now: Duration,
+        out: &mut Vec<ReplicaAction>,
+    ) -> bool {
         let ReplicaRole::Leader(peers) = &mut self.role else {
-            return;
+            return false;
         };
         let Some(progress) = peers.get_mut(&peer) else {
-            return;
+            return false;
         };
         let previous = progress.next - 1;
         let Some(term) = self.log.term_at(previous) else {
+            if progress.snapshot_due > now {
+                return false;
+            }
+            progress.snapshot_due = now + self.timing.heartbeat * SNAPSHOT_BEATS;
             let place = LogPlace {
                 term: self.log.term_at(self.applied).unwrap_or_default(),
                 index: self.applied,
@@ -44,9 +75,9 @@
                     state: Box::new(self.state.clone()),
                 },
             });
-            return;
+            return true;
         };
-        let entries = self.log.from(progress.next, BATCH).to_vec();
+        let entries = self.log.from(progress.next, BATCH, BATCH_BYTES).to_vec();
         // Optimistic: what is lost is found out by the next heartbeat.
         progress.next += entries.len() as u64;
         out.push(ReplicaAction::Send {
@@ -62,6 +93,7 @@
                 round: self.round,
             },
         });
+        true
     }
 
     /// Takes a leader's entries, if they fit onto the log. Returns the last
@@ -184,7 +216,7 @@
         self.advance_commit(out);
         self.confirm_reads(out);
         if lacks {
-            self.send_entries(from, out);
+            self.send_entries(from, now, out);
         }
     }
 
--- a/crates/core/src/process/control/state.rs
+++ b/crates/core/src/process/control/state.rs
@@ -14,6 +14,8 @@
 pub const KEPT_OUTCOMES: usize = 10_000;
 /// Versions whose text is kept for the history.
 pub const KEPT_VERSIONS: usize = 20;
+/// Bytes that a command takes besides its texts, about.
+const COMMAND_BYTES: usize = 64;
 
 /// What a log entry does.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,6 +63,19 @@
     },
 }
 
+impl ControlCommand {
+    /// Returns about how many bytes the command takes.
+    pub fn bytes(&self) -> usize {
+        let text = match self {
+            ControlCommand::Change { note, csv, .. } => note.len() + csv.len(),
+            ControlCommand::Route { text, .. } => text.len(),
+            ControlCommand::EndClaim { end: Some(end), .. } => end.bytes(),
+            _ => 0,
+        };
+        COMMAND_BYTES + text
+    }
+}
+
 /// What a command came to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CommandOutcome {
