Let an entry hear everything from one control instance, what is urgent from all

Ruled out: the data path.

Change: an entry chooses a source (settled, near, nearest) and hears all from it; all instances tell it servers that leave, versions and how they are; a version that the source does not bring in 200 ms is fetched elsewhere. Tables are packed in the log, in states and on the way. Calls take documents of up to 4 MiB.

--- a/crates/core/src/process/control/state.rs
+++ b/crates/core/src/process/control/state.rs
@@ -40,7 +40,7 @@
         /// Version it must be based on, if the operator says so; without, the
         /// highest version wins.
         base: Option<u64>,
-        /// The whole document, checked before.
+        /// The whole document, checked before and packed.
         text: Vec<u8>,
     },
     /// Who the replicas are; in force as soon as it is in a replica's log.
@@ -193,7 +193,7 @@
         self.route_version
     }
 
-    /// Returns the route table as it was sent.
+    /// Returns the route table, packed as it was proposed.
     pub fn route_text(&self) -> &[u8] {
         &self.route_text
     }
--- a/crates/core/src/process/forward/directory.rs
+++ b/crates/core/src/process/forward/directory.rs
@@ -50,14 +50,24 @@
     /// Returns the notice that a server has left, of which nothing else need
     /// be known.
     pub fn gone(id: &str) -> ServerNotice {
+        ServerNotice::bare(id.into(), ServerStanding::Gone, u64::MAX)
+    }
+
+    /// Returns the part of the notice that must reach everybody at once: that
+    /// the server leaves.
+    pub fn urgent(&self) -> ServerNotice {
+        ServerNotice::bare(self.id.clone(), self.standing, self.sequence)
+    }
+
+    fn bare(id: Box<str>, standing: ServerStanding, sequence: u64) -> ServerNotice {
         ServerNotice {
-            id: id.into(),
+            id,
             service: "".into(),
             address: None,
             domain: "".into(),
             slots: 0,
-            standing: ServerStanding::Gone,
-            sequence: u64::MAX,
+            standing,
+            sequence,
             cold_ms: 0,
         }
     }
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -18,5 +18,6 @@
 mod reply;
 mod send;
 pub mod server;
+pub mod source;
 pub mod split;
 pub mod timing;
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -6,3 +6,4 @@
 mod chance;
 mod ends;
 mod parts;
+mod source;
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -1,36 +1,59 @@
 //! What an entry hears from the control group.
 //!
-//! The entry holds a connection to every control instance that it knows. Each
-//! tells all it knows at first and changes after that; what comes twice, late
-//! or out of order changes nothing. No table is obeyed before a quorum has
+//! The entry holds a connection to every control instance that it knows. All
+//! tell it what is urgent; one, its source, tells everything. What comes twice,
+//! late or out of order changes nothing. No table is obeyed before a quorum has
 //! confirmed that there is no newer one.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::bail;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Notify;
 use wheelmast_core::process::forward::input::{EntryPeer, ForwardInput};
+use wheelmast_core::process::forward::source::{choose_source, ControlPeer};
 use wheelmast_core::version::route_table::RouteTable;
 use wheelmast_wire::dialect::ForwardDialect;
 use wheelmast_wire::group::GroupMessage;
+use wheelmast_wire::pack::unpack;
 
 use crate::connection::frame::{connect, write_frame, FrameReader};
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
+use crate::ring::{bounded_ring, RingReceiver, RingSender};
 
 /// Interval of signs of life.
 const PING_INTERVAL: Duration = Duration::from_millis(800);
 /// Time without any after which a connection counts as lost.
 const SILENT_TIME: Duration = Duration::from_millis(2500);
+/// Time without any after which an instance is no good source: it says how it
+/// is once a second.
+const QUIET_TIME: Duration = Duration::from_millis(1500);
 /// Time between two tries to connect.
 const RETRY_TIME: Duration = Duration::from_millis(120);
 /// Tries without success after which an address that is no seed is dropped.
 const MOST_TRIES: u32 = 60;
+/// Wishes that may wait for a connection.
+const WISH_RING: usize = 16;
+/// Time that is let pass before a source is chosen, as others may be about to
+/// connect.
+const CHOOSE_PAUSE: Duration = Duration::from_millis(40);
+/// Time that the source has to bring a table that another instance has.
+const TABLE_TIME: Duration = Duration::from_millis(200);
+
+/// A connection to a control instance.
+#[derive(Debug)]
+struct FeedLine {
+    peer: ControlPeer,
+    /// Version of the route table in force there.
+    version: u64,
+    heard: Instant,
+    wishes: RingSender<GroupMessage>,
+}
 
 /// What an entry has heard.
 #[derive(Debug)]
@@ -39,6 +62,12 @@
     peer: EntryPeer,
     leaving: Notify,
     known: RefCell<HashSet<SocketAddr>>,
+    lines: RefCell<HashMap<SocketAddr, FeedLine>>,
+    source: Cell<Option<SocketAddr>>,
+    /// Whether a choice of the source is pending.
+    choosing: Cell<bool>,
+    /// The highest version that is being fetched.
+    fetching: Cell<u64>,
     /// The newest table heard of.
     newest: RefCell<Option<Arc<RouteTable>>>,
     /// Whether a quorum has confirmed what is the newest.
@@ -53,6 +82,10 @@
             peer,
             leaving: Notify::new(),
             known: RefCell::default(),
+            lines: RefCell::default(),
+            source: Cell::new(None),
+            choosing: Cell::new(false),
+            fetching: Cell::new(0),
             newest: RefCell::default(),
             confirmed: Cell::new(false),
         }
@@ -77,6 +110,7 @@
             if let Err(error) = self.listen(address, &mut heard).await {
                 tracing::debug!(target: "entry", "control: {address} lost, {error:#}");
             }
+            self.drop_line(address);
             if heard {
                 tracing::warn!(target: "entry", control = %address, "control: connection lost");
             }
@@ -86,19 +120,43 @@
         self.known.borrow_mut().remove(&address);
     }
 
+    fn drop_line(self: &Rc<Self>, address: SocketAddr) {
+        self.lines.borrow_mut().remove(&address);
+        if self.source.get() == Some(address) {
+            self.source.set(None);
+            self.reconsider();
+        }
+    }
+
+    /// Adds a connection that was opened in `way`. Returns what is wished
+    /// from it.
+    fn add_line(&self, address: SocketAddr, way: Duration) -> RingReceiver<GroupMessage> {
+        let (wishes, ring) = bounded_ring(WISH_RING);
+        let line = FeedLine {
+            peer: ControlPeer {
+                address,
+                is_near: false,
+                is_settled: false,
+                way,
+            },
+            version: 0,
+            heard: Instant::now(),
+            wishes,
+        };
+        self.lines.borrow_mut().insert(address, line);
+        ring
+    }
+
     async fn listen(self: &Rc<Self>, address: SocketAddr, heard: &mut bool) -> anyhow::Result<()> {
+        let begun = Instant::now();
         let mut stream = connect(address).await?;
-        let have = self
-            .entry
-            .look(|machine| machine.table().map(|table| table.version()));
-        let mut hello = Vec::new();
+        let mut wishes = self.add_line(address, begun.elapsed());
         let subscribe = GroupMessage::Subscribe {
-            have: have.unwrap_or(0),
             peer: self.peer.clone(),
+            confirm: !self.confirmed.get(),
         };
-        write_frame(&subscribe, &mut hello)?;
-        stream.write_all(&hello).await?;
         let (reader, mut writer) = stream.split();
+        send(&mut writer, &subscribe).await?;
         let mut reader = FrameReader::new(reader);
         let mut ping = tokio::time::interval(PING_INTERVAL);
         ping.tick().await;
@@ -109,26 +167,30 @@
                     let message = message?;
                     last = tokio::time::Instant::now();
                     *heard = true;
-                    self.take(message);
-                }
-                () = self.leaving.notified() => {
-                    let mut bytes = Vec::new();
-                    write_frame(&GroupMessage::Leaving, &mut bytes)?;
-                    tokio::time::timeout(PING_INTERVAL, writer.write_all(&bytes)).await??;
+                    self.take(address, message);
                 }
+                wish = wishes.recv() => match wish {
+                    Some(wish) => send(&mut writer, &wish).await?,
+                    None => bail!("replaced"),
+                },
+                () = self.leaving.notified() => send(&mut writer, &GroupMessage::Leaving).await?,
                 _ = ping.tick() => {
                     if last.elapsed() > SILENT_TIME {
                         bail!("silent");
                     }
-                    let mut bytes = Vec::new();
-                    write_frame(&GroupMessage::Ping, &mut bytes)?;
-                    tokio::time::timeout(PING_INTERVAL, writer.write_all(&bytes)).await??;
+                    if last.elapsed() > QUIET_TIME && self.source.get() == Some(address) {
+                        self.reconsider();
+                    }
+                    send(&mut writer, &GroupMessage::Ping).await?;
                 }
             }
         }
     }
 
-    fn take(self: &Rc<Self>, message: GroupMessage) {
+    fn take(self: &Rc<Self>, address: SocketAddr, message: GroupMessage) {
+        if let Some(line) = self.lines.borrow_mut().get_mut(&address) {
+            line.heard = Instant::now();
+        }
         match message {
             GroupMessage::Notices(notices) => {
                 for notice in notices {
@@ -140,34 +202,138 @@
                     self.entry.step(ForwardInput::Silent(id, silent));
                 }
             }
-            GroupMessage::Routes { version, text } => self.take_routes(version, &text),
+            GroupMessage::Routes { version, packed } => self.take_routes(version, &packed),
             GroupMessage::Confirmed { version } => self.confirm(version),
-            GroupMessage::Members {
-                entries,
-                peers,
-                control,
-            } => {
+            GroupMessage::Members { entries, peers } if self.source.get() == Some(address) => {
                 self.entry.step(ForwardInput::Entries(entries));
                 self.entry.step(ForwardInput::Peers(peers));
+            }
+            GroupMessage::Control(control) => {
                 for address in control {
                     self.follow(address);
                 }
             }
+            GroupMessage::Here {
+                domain,
+                settled,
+                version,
+            } => self.take_state(address, &domain, settled, version),
             _ => {}
         }
     }
 
+    /// Takes what a control instance says of itself.
+    fn take_state(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        domain: &str,
+        is_settled: bool,
+        version: u64,
+    ) {
+        let is_near = *domain == *self.peer.domain;
+        if let Some(line) = self.lines.borrow_mut().get_mut(&address) {
+            let known = line.peer;
+            line.peer.is_near = is_near;
+            line.peer.is_settled = is_settled;
+            line.version = version;
+            if known != line.peer || self.source.get().is_none() {
+                self.reconsider();
+            }
+        }
+        if version > self.newest_version().unwrap_or(0) && version > self.fetching.get() {
+            self.fetching.set(version);
+            tokio::task::spawn_local(self.clone().fetch(version));
+        }
+    }
+
+    /// Chooses the source anew in a moment.
+    fn reconsider(self: &Rc<Self>) {
+        if self.choosing.replace(true) {
+            return;
+        }
+        let feed = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(CHOOSE_PAUSE).await;
+            feed.choosing.set(false);
+            feed.choose();
+        });
+    }
+
+    fn choose(&self) {
+        let lines = self.lines.borrow();
+        let peers: Vec<ControlPeer> = lines
+            .values()
+            .map(|line| ControlPeer {
+                is_settled: line.peer.is_settled && line.heard.elapsed() < QUIET_TIME,
+                ..line.peer
+            })
+            .collect();
+        let former = self.source.get();
+        let source = choose_source(&peers, former);
+        if source == former {
+            return;
+        }
+        self.source.set(source);
+        if let Some(line) = former.and_then(|former| lines.get(&former)) {
+            // A full ring: the connection stands still and will end.
+            let _ = line.wishes.offer(GroupMessage::Urgent);
+        }
+        let Some(line) = source.and_then(|source| lines.get(&source)) else {
+            return;
+        };
+        let have = self.newest_version().unwrap_or(0);
+        let _ = line.wishes.offer(GroupMessage::Whole { have });
+        let ControlPeer {
+            address,
+            is_near,
+            is_settled,
+            ..
+        } = line.peer;
+        tracing::info!(target: "entry", control = %address, near = is_near, settled = is_settled, candidates = peers.len(), "source: chosen");
+    }
+
+    /// Fetches a table that the source does not bring in time, from one after
+    /// the other that has it.
+    async fn fetch(self: Rc<Self>, version: u64) {
+        let mut tried = HashSet::new();
+        loop {
+            tokio::time::sleep(TABLE_TIME).await;
+            let have = self.newest_version().unwrap_or(0);
+            if have >= version {
+                return;
+            }
+            let lines = self.lines.borrow();
+            let able = lines
+                .values()
+                .filter(|line| line.version >= version && !tried.contains(&line.peer.address));
+            let Some(line) = able.min_by_key(|line| line.peer.way) else {
+                // Whoever comes back with it says so again.
+                self.fetching.set(have);
+                return;
+            };
+            tried.insert(line.peer.address);
+            tracing::warn!(target: "entry", control = %line.peer.address, table_version = version, "table: fetched, as the source did not bring it");
+            let _ = line.wishes.offer(GroupMessage::Fetch { have });
+        }
+    }
+
     fn newest_version(&self) -> Option<u64> {
         let newest = self.newest.borrow();
         newest.as_ref().map(|table| table.version())
     }
 
-    fn take_routes(&self, version: u64, text: &[u8]) {
+    fn take_routes(&self, version: u64, packed: &[u8]) {
         if self.newest_version().is_some_and(|have| version <= have) {
             return;
         }
-        let table = D::read_table(text).and_then(RouteTable::check);
-        match table {
+        let text = match unpack(packed) {
+            Ok(text) => text,
+            Err(error) => {
+                tracing::error!(target: "entry", table_version = version, "table: not taken, {error}");
+                return;
+            }
+        };
+        match D::read_table(&text).and_then(RouteTable::check) {
             Ok(table) => {
                 tracing::info!(target: "entry", table_version = version, routes = table.routes().len(), "table: heard of");
                 let table = Arc::new(table);
@@ -198,3 +364,13 @@
         }
     }
 }
+
+async fn send<W: AsyncWriteExt + Unpin>(
+    writer: &mut W,
+    message: &GroupMessage,
+) -> anyhow::Result<()> {
+    let mut bytes = Vec::new();
+    write_frame(message, &mut bytes)?;
+    tokio::time::timeout(PING_INTERVAL, writer.write_all(&bytes)).await??;
+    Ok(())
+}
--- a/crates/node/src/process/group/answer.rs
+++ b/crates/node/src/process/group/answer.rs
@@ -13,6 +13,7 @@
 use wheelmast_core::version::route_table::RouteTable;
 use wheelmast_wire::dialect::{ControlCall, ForwardDialect};
 use wheelmast_wire::group::GroupTell;
+use wheelmast_wire::pack::{pack, unpack};
 
 use crate::connection::accept::next_stream;
 use crate::connection::http::{
@@ -21,7 +22,7 @@
 use crate::process::group::node::GroupNode;
 
 /// Largest body of a call.
-const BODY_BYTES: usize = 1024 * 1024;
+const BODY_BYTES: usize = 4 * 1024 * 1024;
 /// Longest time for the head of a call; connections may be idle as long.
 const HEAD_TIME: Duration = Duration::from_secs(15);
 /// When a caller that was refused should come back.
@@ -87,10 +88,13 @@
             return text_response(StatusCode::BAD_REQUEST, findings.to_string());
         }
     };
+    let Ok(packed) = pack(&body) else {
+        return unavailable("could not be packed");
+    };
     let command = ControlCommand::Route {
         version: table.version(),
         base: None,
-        text: body.to_vec(),
+        text: packed,
     };
     let told = node.propose(command).await;
     tracing::info!(target: "group", table_version = table.version(), ?told, "table: change asked for");
@@ -110,8 +114,14 @@
     if version == 0 || !node.wait_published(version).await {
         return unavailable("no table is in force here");
     }
-    let text = node.state.borrow().published.text.to_vec();
-    typed_response(StatusCode::OK, JSON_TYPE, text)
+    let packed = node.state.borrow().published.packed.clone();
+    match unpack(&packed) {
+        Ok(text) => typed_response(StatusCode::OK, JSON_TYPE, text),
+        Err(error) => {
+            tracing::error!(target: "group", "table: could not be read, {error}");
+            unavailable("could not be unpacked")
+        }
+    }
 }
 
 fn unavailable(text: &'static str) -> FullResponse {
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -23,6 +23,8 @@
 const BATCH: usize = 64;
 /// Longest time that a write may take.
 const WRITE_TIME: Duration = Duration::from_secs(2);
+/// Time for which a server that leaves is news to an entry that comes.
+const LEAVER_TIME: Duration = Duration::from_secs(12);
 /// Time between two tries to confirm the table for an entry.
 const CONFIRM_PAUSE: Duration = Duration::from_millis(150);
 
@@ -54,8 +56,8 @@
                 peer = Some(from.address);
                 take_hello(node, from, learns, known);
             }
-            GroupMessage::Subscribe { have, peer } => {
-                return serve_entry(node, reader, &mut writer, peer, have).await;
+            GroupMessage::Subscribe { peer, confirm } => {
+                return serve_entry(node, reader, &mut writer, peer, confirm).await;
             }
             message => take(node, peer, message),
         }
@@ -137,34 +139,35 @@
     }
 }
 
-/// Serves an entry: all that is known at first, changes after that.
+/// Serves an entry: what is urgent, and all that is known if it asks for that.
 async fn serve_entry<R: tokio::io::AsyncRead + Unpin, W: tokio::io::AsyncWrite + Unpin>(
     node: &Rc<GroupNode>,
     mut reader: FrameReader<R>,
     writer: &mut W,
     peer: EntryPeer,
-    have: u64,
+    asks_quorum: bool,
 ) -> anyhow::Result<()> {
     let (sender, mut ring) = bounded_ring(SUBSCRIBER_RING);
     let key = node.next_tag();
     let instance = peer.instance.clone();
-    tracing::info!(target: "group", %instance, table_version = have, "entry: follows");
-    let mut bytes = Vec::new();
-    for message in first_messages(node, have) {
-        write_frame(&message, &mut bytes)?;
+    tracing::info!(target: "group", %instance, "entry: follows");
+    for message in greeting(node) {
+        // The ring has room: it is new.
+        let _ = sender.offer(Rc::new(message));
     }
     node.state.borrow_mut().subscribers.insert(
         key,
         Subscriber {
             peer,
             leaving: false,
+            whole: false,
             sender,
         },
     );
-    let confirming = tokio::task::spawn_local(confirm(node.clone(), key));
+    let confirming = asks_quorum.then(|| tokio::task::spawn_local(confirm(node.clone(), key)));
     let result = async {
-        tokio::time::timeout(WRITE_TIME, writer.write_all(&bytes)).await??;
         let mut messages = Vec::with_capacity(BATCH);
+        let mut bytes = Vec::new();
         loop {
             tokio::select! {
                 count = ring.recv_many(&mut messages, BATCH) => {
@@ -172,27 +175,78 @@
                         return anyhow::Ok(());
                     }
                     bytes.clear();
+                    drop_old_tables(&mut messages);
                     for message in messages.drain(..) {
                         write_frame(&message, &mut bytes)?;
                     }
                     tokio::time::timeout(WRITE_TIME, writer.write_all(&bytes)).await??;
                 }
-                // Otherwise only signs of life come.
-                message = reader.next() => {
-                    if let GroupMessage::Leaving = message? {
-                        leave(node, key);
-                    }
-                }
+                message = reader.next() => take_wish(node, key, message?),
             }
         }
     }
     .await;
-    confirming.abort();
+    if let Some(confirming) = confirming {
+        confirming.abort();
+    }
     node.state.borrow_mut().subscribers.remove(&key);
     tracing::info!(target: "group", %instance, "entry: gone");
     result
 }
 
+/// Drops the tables that a newer one among the same messages overtakes.
+fn drop_old_tables(messages: &mut Vec<Rc<GroupMessage>>) {
+    let is_table = |message: &Rc<GroupMessage>| matches!(**message, GroupMessage::Routes { .. });
+    let Some(last) = messages.iter().rposition(is_table) else {
+        return;
+    };
+    let mut place = 0;
+    messages.retain(|message| {
+        let is_old = place < last && is_table(message);
+        place += 1;
+        !is_old
+    });
+}
+
+/// Takes what an entry wishes; otherwise only signs of life come.
+fn take_wish(node: &Rc<GroupNode>, key: u64, message: GroupMessage) {
+    match message {
+        GroupMessage::Leaving => leave(node, key),
+        GroupMessage::Whole { have } => {
+            let messages = all_known(node, have);
+            tell_one(node, key, messages, |subscriber| subscriber.whole = true);
+        }
+        GroupMessage::Urgent => {
+            tell_one(node, key, Vec::new(), |subscriber| subscriber.whole = false);
+        }
+        GroupMessage::Fetch { have } => {
+            let messages = newer_table(node, have);
+            tell_one(node, key, messages, |_| ());
+        }
+        _ => {}
+    }
+}
+
+fn tell_one(
+    node: &Rc<GroupNode>,
+    key: u64,
+    messages: Vec<GroupMessage>,
+    change: impl FnOnce(&mut Subscriber),
+) {
+    let mut state = node.state.borrow_mut();
+    let Some(subscriber) = state.subscribers.get_mut(&key) else {
+        return;
+    };
+    change(subscriber);
+    for message in messages {
+        if subscriber.sender.offer(Rc::new(message)).is_err() {
+            // It does not keep up: it is let go and asks again.
+            state.subscribers.remove(&key);
+            return;
+        }
+    }
+}
+
 /// Takes note that an entry takes no more requests of others.
 fn leave(node: &Rc<GroupNode>, key: u64) {
     if let Some(subscriber) = node.state.borrow_mut().subscribers.get_mut(&key) {
@@ -201,22 +255,40 @@
     node.tell_members();
 }
 
-fn first_messages(node: &Rc<GroupNode>, have: u64) -> Vec<GroupMessage> {
+/// Returns what every entry is told at first.
+fn greeting(node: &Rc<GroupNode>) -> Vec<GroupMessage> {
+    let leavers = node.late_leavers(LEAVER_TIME);
+    let state = node.state.borrow();
+    let mut messages = vec![node.here(&state)];
+    messages.push(GroupMessage::Control(state.told_control.clone()));
+    if !leavers.is_empty() {
+        messages.push(GroupMessage::Notices(leavers));
+    }
+    messages
+}
+
+/// Returns all that is known, for an entry that has a table of version `have`.
+fn all_known(node: &Rc<GroupNode>, have: u64) -> Vec<GroupMessage> {
     let notices = node.all_notices();
+    let mut messages = newer_table(node, have);
     let state = node.state.borrow();
-    let mut messages = vec![state.told.message(), GroupMessage::Notices(notices)];
+    messages.push(state.told.message());
+    messages.push(GroupMessage::Notices(notices));
     let silent = state.directory.iter().filter(|record| record.silent);
     let silent = silent.map(|record| (record.notice.id.clone(), true));
     messages.push(GroupMessage::Silent(silent.collect()));
-    if state.published.version > have {
-        messages.push(GroupMessage::Routes {
-            version: state.published.version,
-            text: state.published.text.to_vec(),
-        });
-    }
     messages
 }
 
+/// Returns the table in force, if it is newer than `have`.
+fn newer_table(node: &Rc<GroupNode>, have: u64) -> Vec<GroupMessage> {
+    let state = node.state.borrow();
+    if state.published.version <= have {
+        return Vec::new();
+    }
+    vec![state.published.message()]
+}
+
 /// Confirms the table to an entry, as soon as a quorum says so.
 async fn confirm(node: Rc<GroupNode>, key: u64) {
     loop {
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -27,7 +27,10 @@
 /// Ticks between two rounds of renewals.
 const RENEW_TICKS: u32 = 2;
 /// Ticks between two signs of life to entries.
-const PING_TICKS: u32 = 4;
+const HERE_TICKS: u32 = 4;
+/// Time after the start before which the instance does not count as settled:
+/// it may not know what the others know yet.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
 
 /// One control instance.
 #[derive(Debug)]
@@ -138,8 +141,10 @@
                 self.tell_renewals();
             }
             self.tell_members();
-            if ticks.is_multiple_of(PING_TICKS) {
-                self.state.borrow_mut().tell_entries(GroupMessage::Ping);
+            if ticks.is_multiple_of(HERE_TICKS) {
+                let mut state = self.state.borrow_mut();
+                let here = self.here(&state);
+                state.tell_entries(here);
             }
         }
     }
@@ -152,29 +157,42 @@
         }
     }
 
-    /// Tells the entries of each other and of the group, if that changed.
+    /// Returns what this instance says of itself to entries.
+    pub fn here(&self, state: &GroupState) -> GroupMessage {
+        let now = self.now();
+        let replica = state.replica.as_ref();
+        let has_leader = replica.is_some_and(|replica| replica.leader().is_some());
+        let in_contact = state.count_contacts(now) >= self.settings.tolerate;
+        GroupMessage::Here {
+            domain: self.settings.domain.as_str().into(),
+            settled: has_leader && in_contact && now > SETTLE_TIME,
+            version: state.published.version,
+        }
+    }
+
+    /// Tells the entries of the group and of each other, if that changed.
     pub fn tell_members(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
-        let entries = state.count_entries(now);
         let contacts = state.contacts.iter();
         let mut control: Vec<SocketAddr> = contacts.map(|(address, _)| *address).collect();
         control.push(self.me.address);
         control.sort_unstable();
+        if control != state.told_control {
+            state.told_control.clone_from(&control);
+            state.tell_entries(GroupMessage::Control(control));
+        }
+        let entries = state.count_entries(now);
         let subscribers = state.subscribers.values();
         let staying = subscribers.filter(|subscriber| !subscriber.leaving);
         let mut peers: Vec<_> = staying.map(|subscriber| subscriber.peer.clone()).collect();
         peers.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
         peers.dedup();
-        let roll = GroupRoll {
-            entries,
-            peers,
-            control,
-        };
+        let roll = GroupRoll { entries, peers };
         if roll != state.told {
             let message = roll.message();
             state.told = roll;
-            state.tell_entries(message);
+            state.tell_whole(message);
         }
     }
 }
--- a/crates/node/src/process/group/replica.rs
+++ b/crates/node/src/process/group/replica.rs
@@ -164,13 +164,13 @@
             tracing::info!(target: "group", ?members, "group: members");
             return;
         }
-        let text = committed.route_text().to_vec();
+        let packed = Rc::new(committed.route_text().to_vec());
         tracing::info!(target: "group", table_version = version, ?members, "table: in force");
-        state.published = PublishedTable {
-            version,
-            text: Rc::new(text.clone()),
-        };
-        state.tell_entries(GroupMessage::Routes { version, text });
+        state.published = PublishedTable { version, packed };
+        let routes = state.published.message();
+        state.tell_whole(routes);
+        let here = self.here(&state);
+        state.tell_urgent(here);
         self.published.notify_waiters();
     }
 
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -21,6 +21,16 @@
         records.map(|record| record.notice.clone()).collect()
     }
 
+    /// Returns the servers that were heard to leave in the last `time`.
+    pub fn late_leavers(&self, time: Duration) -> Vec<ServerNotice> {
+        let now = self.now();
+        let state = self.state.borrow();
+        let leavers = state.directory.iter().filter(|record| {
+            record.notice.standing != ServerStanding::Ready && now < record.heard + time
+        });
+        leavers.map(|record| record.notice.urgent()).collect()
+    }
+
     /// Takes news of a server and tells the entries what they change.
     pub fn take_notice(&self, notice: ServerNotice) -> NoticeEffect {
         let now = self.now();
@@ -36,9 +46,12 @@
         };
         let notice = record.notice.clone();
         tracing::info!(target: "group", server = %id, service = %notice.service, standing = ?notice.standing, sequence = notice.sequence, "server: changed");
-        state.tell_entries(GroupMessage::Notices(vec![notice]));
+        if notice.standing != ServerStanding::Ready {
+            state.tell_urgent(GroupMessage::Notices(vec![notice.urgent()]));
+        }
+        state.tell_whole(GroupMessage::Notices(vec![notice]));
         if was_silent {
-            state.tell_entries(GroupMessage::Silent(vec![(id, false)]));
+            state.tell_whole(GroupMessage::Silent(vec![(id, false)]));
         }
         effect
     }
@@ -126,6 +139,6 @@
             tracing::warn!(target: "group", server = %id, "server: silent");
         }
         let silent = silent.into_iter().map(|id| (id, true)).collect();
-        state.tell_entries(GroupMessage::Silent(silent));
+        state.tell_whole(GroupMessage::Silent(silent));
     }
 }
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -26,8 +26,18 @@
 pub struct PublishedTable {
     /// Its version; 0 for none.
     pub version: u64,
-    /// As the operator sent it.
-    pub text: Rc<Vec<u8>>,
+    /// As the operator sent it, packed.
+    pub packed: Rc<Vec<u8>>,
+}
+
+impl PublishedTable {
+    /// Returns the message that tells it.
+    pub fn message(&self) -> GroupMessage {
+        GroupMessage::Routes {
+            version: self.version,
+            packed: self.packed.to_vec(),
+        }
+    }
 }
 
 /// News of a server that wait to be held by others.
@@ -46,6 +56,8 @@
     pub peer: EntryPeer,
     /// Whether it takes no more requests of other entries.
     pub leaving: bool,
+    /// Whether it hears everything here, not only what is urgent.
+    pub whole: bool,
     /// Takes messages for it.
     pub sender: RingSender<Rc<GroupMessage>>,
 }
@@ -57,8 +69,6 @@
     pub entries: u32,
     /// Entries that take requests.
     pub peers: Vec<EntryPeer>,
-    /// Control instances.
-    pub control: Vec<SocketAddr>,
 }
 
 impl GroupRoll {
@@ -67,7 +77,6 @@
         GroupMessage::Members {
             entries: self.entries,
             peers: self.peers.clone(),
-            control: self.control.clone(),
         }
     }
 }
@@ -101,8 +110,10 @@
     pub subscribers: HashMap<u64, Subscriber>,
     /// When each entry was last subscribed.
     pub entries: HashMap<Box<str>, Duration>,
-    /// What the entries were told last of each other and of the group.
+    /// What the entries were told last of each other.
     pub told: GroupRoll,
+    /// What the entries were told last of the control instances.
+    pub told_control: Vec<SocketAddr>,
     /// Questions that wait for their answer.
     pub asks: HashMap<u64, oneshot::Sender<GroupTell>>,
     /// News that wait to be held by others.
@@ -138,12 +149,28 @@
         found.map(|member| member.address)
     }
 
-    /// Tells all entries that follow this instance. One that does not keep up
-    /// is let go, and asks for everything again.
+    /// Tells all entries that follow this instance.
     pub fn tell_entries(&mut self, message: GroupMessage) {
+        self.tell(message, |_| true);
+    }
+
+    /// Tells the entries that hear everything here.
+    pub fn tell_whole(&mut self, message: GroupMessage) {
+        self.tell(message, |subscriber| subscriber.whole);
+    }
+
+    /// Tells the entries that hear only what is urgent here.
+    pub fn tell_urgent(&mut self, message: GroupMessage) {
+        self.tell(message, |subscriber| !subscriber.whole);
+    }
+
+    /// Tells some of the entries. One that does not keep up is let go, and
+    /// asks for everything again.
+    fn tell(&mut self, message: GroupMessage, wants: impl Fn(&Subscriber) -> bool) {
         let message = Rc::new(message);
-        self.subscribers
-            .retain(|_, subscriber| subscriber.sender.offer(message.clone()).is_ok());
+        self.subscribers.retain(|_, subscriber| {
+            !wants(subscriber) || subscriber.sender.offer(message.clone()).is_ok()
+        });
     }
 
     /// Tells all other control instances.
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -64,21 +64,46 @@
         /// The answer.
         tell: GroupTell,
     },
-    /// An entry asks for all that is known, and for what changes.
+    /// An entry asks for what is urgent: servers that leave, versions of the
+    /// route table, control instances.
     Subscribe {
-        /// Version of the route table it has; 0 for none.
-        have: u64,
         /// Who it is, for the other entries.
         peer: EntryPeer,
+        /// Whether it asks for a quorum's word on the route table.
+        confirm: bool,
+    },
+    /// An entry that subscribed asks for all that is known, and for all that
+    /// changes.
+    Whole {
+        /// Version of the route table it has; 0 for none.
+        have: u64,
+    },
+    /// An entry asks for no more than what is urgent from now on.
+    Urgent,
+    /// An entry asks for the route table alone.
+    Fetch {
+        /// Version of the route table it has; 0 for none.
+        have: u64,
+    },
+    /// A control instance says to an entry how it is.
+    Here {
+        /// Its failure domain.
+        domain: Box<str>,
+        /// Whether it is in contact with the group, and knows what that knows.
+        settled: bool,
+        /// Version of the route table in force there; 0 for none.
+        version: u64,
     },
+    /// Addresses of the control instances known.
+    Control(Vec<SocketAddr>),
     /// The entry takes no more requests of other entries.
     Leaving,
     /// A version of the route table that came in force.
     Routes {
         /// The version.
         version: u64,
-        /// The table as the operator sent it.
-        text: Vec<u8>,
+        /// The table as the operator sent it, packed.
+        packed: Vec<u8>,
     },
     /// A quorum has confirmed that no version above this one was
     /// acknowledged when the entry subscribed.
@@ -86,14 +111,12 @@
         /// The version; 0 if there is none yet.
         version: u64,
     },
-    /// Number of entries that are subscribed, and the control instances known.
+    /// The entries that are subscribed.
     Members {
         /// Entries that share the servers' limits.
         entries: u32,
         /// Entries that take requests.
         peers: Vec<EntryPeer>,
-        /// Control instances.
-        control: Vec<SocketAddr>,
     },
     /// A sign of life.
     Ping,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod group;
 pub mod native;
 pub mod operator;
+pub mod pack;
 pub mod peer;
 pub mod prelude;
 pub mod upstream;
