Divide many near shards among a domain's entries, and keep heartbeats at home

Cause: on the grown installations one entry at 0.12 of a core asked 45 or 90 shards by itself: 5 ms of its processor time are 40 ms of an objective of 80 to 200 ms, and each entry opened its own connections to all servers. Bytes between regions: far domains were chosen by chance, servers announced themselves at any control instance, and a near server with one request of ours counted as full (its limit divided by all 59 entries), so that far ones were asked. Ruled out: hedges as the main part of the bytes (86,048 arrivals for 891 requests of 90 shards).

Change: above 24 near shards, 12 each fall to an entry of the domain by rendezvous hashing; the nearest domain is asked for far shards; a request counts for extra load where the servers are asked; far hedges wait the longer the more shards a route has; near servers may have two requests a slot of an entry; a server is told the control instance of its own domain, and one out of contact acknowledges nothing.

--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -39,9 +39,8 @@
         });
         let key = self.calls.insert(state);
         self.tags.insert(call.tag, key);
-        if call.relayed.is_none() {
-            self.send_bundles(key, now, out);
-        }
+        self.send_bundles(key, now, out);
+        self.count_direct(key, now);
         for part in 0..count {
             self.send_first(key, part, now, out);
         }
@@ -71,14 +70,11 @@
             }
             None => self.targets(rule),
         };
-        if call.relayed.is_none() {
-            // The entry that took it from the caller counts it.
-            self.count_request(&upstreams, now);
-        }
         CallState {
             tag: call.tag,
             gathers: matches!(rule.target, RouteTarget::Gather(_)),
             relayed: call.relayed.is_some(),
+            divides: call.relayed.as_ref().is_none_or(|order| order.divides),
             route,
             timing,
             arrived: now,
@@ -92,10 +88,16 @@
         }
     }
 
-    fn count_request(&mut self, upstreams: &[UpstreamKey], now: Duration) {
-        let bound = self.options.extra;
-        for upstream in upstreams {
-            self.upstreams[*upstream].budget.request(&bound, now);
+    /// Counts the parts that this entry asks for itself. Those that another
+    /// one was asked for count there, as that one may repeat them.
+    fn count_direct(&mut self, call: SlotKey, now: Duration) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
+        let direct = state.parts.iter().filter(|part| part.attempts.is_empty());
+        for part in direct {
+            let budget = &mut self.upstreams[part.upstream].budget;
+            budget.request(&self.options.extra, now);
         }
     }
 
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -11,7 +11,7 @@
 use crate::process::forward::input::ServerAnswer;
 use crate::process::forward::timing::AnswerPlan;
 use crate::process::input::CallTag;
-use crate::version::route_table::{RouteRule, RouteTable};
+use crate::version::route_table::{RouteRule, RouteTable, RouteTarget};
 
 /// Most attempts outstanding for one shard.
 pub const PART_ATTEMPTS: usize = 3;
@@ -91,6 +91,8 @@
     pub gathers: bool,
     /// Whether another entry asked for it, which takes what there is in time.
     pub relayed: bool,
+    /// Whether near shards may be divided among the entries of the domain.
+    pub divides: bool,
     /// When it came.
     pub arrived: Duration,
     /// When it should be answered.
@@ -114,6 +116,14 @@
         &self.table.routes()[self.route]
     }
 
+    /// Returns the services of its route, if their parts are merged.
+    pub fn gathered(&self) -> &[String] {
+        match &self.rule().target {
+            RouteTarget::Gather(names) => names,
+            RouteTarget::Service(_) | RouteTarget::Split(_) => &[],
+        }
+    }
+
     /// Returns the number of parts still asked for.
     pub fn open(&self) -> usize {
         self.parts.len() - self.answered - self.missing
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -7,6 +7,7 @@
 use crate::arena::{ServerKey, UpstreamKey};
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::machine::ForwardMachine;
+use crate::process::forward::relay::RELAY_CONNECTIONS;
 use crate::process::forward::server::ServerState;
 
 /// Largest part by which chance changes an expected time, so that entries that
@@ -22,12 +23,11 @@
 const FAILING_COST: Duration = Duration::from_millis(250);
 /// What a server costs that is silent at the control group or rests, as time.
 const DOUBT_COST: Duration = Duration::from_secs(2);
+/// Requests for each slot that an entry may have at a near server.
+const BUSY_SLOTS: usize = 2;
 /// Part of a server's connections that all entries together use.
 const CONNECTION_USE: f64 = 0.85;
 
-/// Connections to another entry, at most.
-const RELAY_CONNECTIONS: usize = 64;
-
 /// What is expected of an answer.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ExpectedTimes {
@@ -65,7 +65,6 @@
         times: ExpectedTimes,
         now: Duration,
     ) -> Result<ServerChoice, NoChoice> {
-        let cap = self.connection_cap(upstream);
         let mut best: Option<(ServerKey, f64, Duration)> = None;
         let mut candidates = 0;
         let mut is_full = false;
@@ -75,6 +74,7 @@
                 continue;
             }
             let would_open = state.idle == 0;
+            let cap = self.connection_cap(*server);
             if state.outstanding.len() >= cap
                 || (would_open && state.outstanding.len() >= state.slots as usize)
             {
@@ -102,13 +102,24 @@
 
     /// Returns how many connections this entry may have to a server: its part
     /// of the server's limit, which all entries share.
-    pub fn connection_cap(&self, upstream: UpstreamKey) -> usize {
-        if self.upstreams[upstream].is_entry {
+    ///
+    /// A near server is asked mostly by the entries of its domain, and there,
+    /// with many entries, by the one to which its shard falls: they may keep
+    /// its slots busy and as much again waiting.
+    pub fn connection_cap(&self, server: ServerKey) -> usize {
+        let state = &self.servers[server];
+        let upstream = &self.upstreams[state.upstream];
+        if upstream.is_entry {
             return RELAY_CONNECTIONS;
         }
-        let connections = f64::from(self.upstreams[upstream].connections);
-        let part = connections * CONNECTION_USE / f64::from(self.entries.max(1));
-        (part as usize).max(1)
+        let used = f64::from(upstream.connections) * CONNECTION_USE;
+        let part = (used / f64::from(self.entries.max(1))) as usize;
+        if !state.is_near {
+            return part.max(1);
+        }
+        let near_part = (used / f64::from(self.near_entries)) as usize;
+        let busy = state.slots as usize * BUSY_SLOTS;
+        part.max(near_part.min(busy)).max(1)
     }
 }
 
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -9,6 +9,13 @@
 
 /// Time between two looks at a part that could not be hedged.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
+/// Shards of a route up to which each is worth a far hedge as soon as it is
+/// slow: what is left out of so few costs a tenth of the answer.
+const DEAR_SHARDS: f64 = 20.0;
+/// By how much more than the expected time a hedge is given.
+const HEDGE_MARGIN: f64 = 1.5;
+/// Further time that it is given.
+const HEDGE_SPARE: Duration = Duration::from_millis(4);
 
 impl ForwardMachine {
     /// Sets the timer for the next look at a request.
@@ -70,12 +77,52 @@
         let Ok(choice) = self.choose_for(call, part, now) else {
             return;
         };
+        let due = self.far_hedge_due(call, part, choice, now);
+        if now < due {
+            if let Some(state) = self.calls.get_mut(call) {
+                state.parts[part].hedge_at = due;
+            }
+            return;
+        }
         if !self.pays(call, part, choice, now) || !self.afford(call, part, now, out) {
             return;
         }
         self.send_to(call, part, AttemptCause::Hedge, choice, now, out);
     }
 
+    /// Returns when a part that has become slow is worth a hedge.
+    ///
+    /// Bytes between failure domains are dear, and most of what is slow now is
+    /// answered before the objective anyway. The more shards a route has, the
+    /// less one of them is worth, and the later a far hedge goes out: at the
+    /// latest when it is just in time.
+    fn far_hedge_due(
+        &self,
+        call: SlotKey,
+        part: usize,
+        choice: ServerChoice,
+        now: Duration,
+    ) -> Duration {
+        let Some(state) = self.calls.get(call) else {
+            return now;
+        };
+        let is_far = !self.servers[choice.server].is_near;
+        let attempts = state.parts[part].attempts.iter();
+        let first = attempts.filter_map(|attempt| self.attempts.get(*attempt));
+        let Some(first) = first.map(|attempt| attempt.sent_at).min() else {
+            return now;
+        };
+        if !state.gathers || !is_far {
+            return now;
+        }
+        let count = state.gathered().len() as f64;
+        let patience = (1.0 - DEAR_SHARDS / count).max(0.0);
+        let needed = choice.expected.mul_f64(HEDGE_MARGIN) + HEDGE_SPARE;
+        let latest = state.plan.aim.saturating_sub(needed);
+        let slow = first + self.timings[state.timing].slow(state.rule());
+        slow + latest.saturating_sub(slow).mul_f64(patience)
+    }
+
     /// Tells whether a hedge is likely to answer before what is outstanding.
     fn pays(&self, call: SlotKey, part: usize, choice: ServerChoice, now: Duration) -> bool {
         let Some(state) = self.calls.get(call) else {
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -34,6 +34,8 @@
     pub version: u64,
     /// Time within which an answer is of use.
     pub answer_in: Duration,
+    /// Whether it may divide them among the entries of its own domain.
+    pub divides: bool,
     /// The services that hold the shards.
     pub shards: Vec<Box<str>>,
 }
@@ -60,6 +62,13 @@
     pub address: SocketAddr,
 }
 
+impl EntryPeer {
+    /// Returns the identity of this lifetime.
+    pub fn id(&self) -> Box<str> {
+        format!("{}#{:x}", self.instance, self.lifetime).into()
+    }
+}
+
 /// A server's own report of its load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadReport {
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -50,6 +50,8 @@
 pub struct ForwardOptions {
     /// Failure domain of the instance.
     pub domain: Box<str>,
+    /// Identity of the instance's lifetime among the entries.
+    pub own: Box<str>,
     /// Bound on extra load.
     pub extra: ExtraBound,
     /// Most requests at work.
@@ -64,6 +66,7 @@
     fn default() -> Self {
         ForwardOptions {
             domain: "unnamed".into(),
+            own: "".into(),
             extra: ExtraBound::default(),
             in_flight: 512,
             seed: 1,
@@ -132,6 +135,8 @@
     pub(super) rng: SmallRng,
     pub(super) table: Option<Arc<RouteTable>>,
     pub(super) entries: u32,
+    /// Entries of this failure domain, this one among them.
+    pub(super) near_entries: u32,
     pub(super) directory: ServerDirectory,
     pub(super) upstreams: KeyArena<UpstreamKey, UpstreamState>,
     pub(super) upstream_names: HashMap<Box<str>, UpstreamKey>,
@@ -161,6 +166,7 @@
             options,
             table: None,
             entries: ENTRIES_UNKNOWN,
+            near_entries: ENTRIES_UNKNOWN,
             directory: ServerDirectory::default(),
             upstreams: KeyArena::default(),
             upstream_names: HashMap::new(),
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -159,12 +159,18 @@
             return;
         };
         let tag = call.tag;
+        let is_refused = state.cause == AttemptCause::Relay && meaning == EndMeaning::Unsent;
         let mut is_wanted = false;
         for part in &state.parts {
             let part = &mut call.parts[*part];
             part.attempts.retain(|other| *other != attempt);
             part.uncount(meaning, state.runs);
             is_wanted |= part.is_open();
+            if is_refused {
+                // It is asked for from here, and so counts here.
+                let budget = &mut self.upstreams[part.upstream].budget;
+                budget.request(&self.options.extra, now);
+            }
         }
         if is_wanted && meaning != EndMeaning::Final {
             let (service, instance) = self.names(state.server);
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -148,6 +148,11 @@
         now.saturating_sub(since)
     }
 
+    /// Tells whether it has been still for longer than its work explains.
+    pub fn is_still(&self, typical: Duration, now: Duration) -> bool {
+        self.stall(now) > typical.mul_f64(self.slowness) * 2 + self.way
+    }
+
     /// Returns the time to expect for a request that takes `typical` at an
     /// idle server of the service.
     pub fn expect(&self, typical: Duration, now: Duration) -> Duration {
--- a/crates/core/src/process/forward/timing.rs
+++ b/crates/core/src/process/forward/timing.rs
@@ -22,6 +22,9 @@
 /// Work time before there are samples, as a part of the objective.
 const FIRST_WORK: f64 = 0.15;
 
+/// Time that another entry takes before there are samples.
+const FIRST_RELAY: Duration = Duration::from_millis(60);
+
 /// Times of a route, as seen by this instance.
 #[derive(Debug, Clone, Default)]
 pub struct RouteTiming {
@@ -42,6 +45,11 @@
         median.unwrap_or_else(|| route.objective().mul_f64(FIRST_WORK))
     }
 
+    /// Returns the median time that another entry takes.
+    pub fn relay(&self) -> Duration {
+        self.work.median().unwrap_or(FIRST_RELAY)
+    }
+
     /// Returns the time after which a server counts as slow.
     pub fn slow(&self, route: &RouteRule) -> Duration {
         let objective = route.objective();
--- a/crates/core/tests/forward/bundles.rs
+++ b/crates/core/tests/forward/bundles.rs
@@ -92,6 +92,7 @@
     let order = RelayOrder {
         version: 3,
         answer_in: Duration::from_millis(30),
+        divides: true,
         shards: vec!["s0".into(), "s1".into()],
     };
     let call = harness.call_as("q", None, Some(order));
@@ -114,6 +115,7 @@
     let order = RelayOrder {
         version: 4,
         answer_in: Duration::from_millis(30),
+        divides: true,
         shards: vec!["s0".into()],
     };
     let call = harness.call_as("q", None, Some(order));
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -104,11 +104,28 @@
     }
 
     pub(crate) fn with_bound(extra: ExtraBound) -> Harness {
-        let options = ForwardOptions {
+        Harness::with_options(ForwardOptions {
             domain: HOME.into(),
             extra,
             ..ForwardOptions::default()
-        };
+        })
+    }
+
+    /// One of the entries of the home domain.
+    pub(crate) fn at_home(number: u16) -> Harness {
+        Harness::with_options(ForwardOptions {
+            domain: HOME.into(),
+            own: home_peer(number).id(),
+            extra: ExtraBound {
+                ratio: 1.0,
+                slack: 0.0,
+                window: Duration::from_secs(10),
+            },
+            ..ForwardOptions::default()
+        })
+    }
+
+    fn with_options(options: ForwardOptions) -> Harness {
         Harness {
             machine: ForwardMachine::new(options),
             now: Duration::from_secs(1),
@@ -164,6 +181,12 @@
         self.step(ForwardInput::Peers(peers.collect()));
     }
 
+    /// Makes entries of the home domain known, this one among them.
+    pub(crate) fn meet_at_home(&mut self, count: u16) {
+        let peers = (0..count).map(home_peer).collect();
+        self.step(ForwardInput::Peers(peers));
+    }
+
     /// Makes a request on a route.
     pub(crate) fn call(&mut self, route: &str) -> CallTag {
         self.call_as(route, None, None)
@@ -249,6 +272,15 @@
     }
 }
 
+fn home_peer(number: u16) -> EntryPeer {
+    EntryPeer {
+        instance: format!("home-{number}").into(),
+        lifetime: 7,
+        domain: HOME.into(),
+        address: ([127, 0, 0, 1], 9500 + number).into(),
+    }
+}
+
 /// Returns a gathered target over `count` shards, named s0, s1 and so on.
 pub(crate) fn shards(count: usize) -> RouteTarget {
     RouteTarget::Gather((0..count).map(|index| format!("s{index}")).collect())
--- /dev/null
+++ b/crates/core/tests/forward/hedges.rs
@@ -0,0 +1,77 @@
+//! When a slow part is asked for once more.
+
+use crate::harness::{route, shards, table, Harness, HOME};
+
+struct HedgeCase {
+    name: &'static str,
+    shards: usize,
+    /// Where the second server of each shard stands.
+    second: &'static str,
+    /// Bounds of the time of the first hedge, in ms after the request.
+    earliest: u64,
+    latest: u64,
+}
+
+const CASES: &[HedgeCase] = &[
+    HedgeCase {
+        name: "near: as soon as it is slow",
+        shards: 80,
+        second: HOME,
+        earliest: 8,
+        latest: 40,
+    },
+    HedgeCase {
+        name: "far, of few shards: as soon as it is slow",
+        shards: 20,
+        second: "there",
+        earliest: 8,
+        latest: 40,
+    },
+    HedgeCase {
+        name: "far, of many shards: late, and in time",
+        shards: 80,
+        second: "there",
+        earliest: 48,
+        latest: 75,
+    },
+];
+
+#[test]
+fn far_hedges_of_many_shards_are_late_and_in_time() {
+    for case in CASES {
+        let mut harness = Harness::new();
+        harness.obey(table(3, vec![route("q", shards(case.shards))]));
+        for shard in 0..case.shards {
+            harness.serve_in(&format!("s{shard}"), HOME);
+        }
+        for _ in 0..20 {
+            let from = harness.sends.len();
+            harness.call("q");
+            harness.pass(5);
+            for send in from..harness.sends.len() {
+                harness.end_well(send, b"");
+            }
+        }
+        for shard in 0..case.shards {
+            let id = format!("s{shard}");
+            let mut notice = crate::harness::notice(&id, &id, case.second, 5000 + shard as u16);
+            notice.id = format!("{id}-second").into();
+            harness.step(wheelmast_core::process::forward::input::ForwardInput::Notice(notice));
+        }
+        let from = harness.sends.len();
+        harness.call("q");
+        let first = harness.sends.len();
+        // All but one answer.
+        harness.pass(5);
+        for send in from + 1..first {
+            harness.end_well(send, b"");
+        }
+        let mut time = 5;
+        while harness.sends.len() == first && time < 100 {
+            harness.pass(1);
+            time += 1;
+        }
+        let range = case.earliest..=case.latest;
+        assert!(range.contains(&time), "{}: {time} ms", case.name);
+    }
+}
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -4,6 +4,8 @@
 
 mod bundles;
 mod chance;
+mod divide;
 mod ends;
+mod hedges;
 mod parts;
 mod source;
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -101,21 +101,24 @@
 }
 
 /// Writes what another entry is asked for: version of the table, time for the
-/// answer in milliseconds, and the shards.
+/// answer in milliseconds, whether it may divide (1) or not, and the shards.
 fn render_order(order: &RelayOrder) -> String {
     let millis = order.answer_in.as_millis();
-    format!("{};{millis};{}", order.version, order.shards.join(","))
+    let (divides, shards) = (u8::from(order.divides), order.shards.join(","));
+    format!("{};{millis};{divides};{shards}", order.version)
 }
 
 /// Reads what another entry asks for.
 pub fn read_order(text: &str) -> Option<RelayOrder> {
-    let mut fields = text.splitn(3, ';');
+    let mut fields = text.splitn(4, ';');
     let version = fields.next()?.parse().ok()?;
     let millis = fields.next()?.parse().ok()?;
+    let divides = fields.next()? == "1";
     let shards = fields.next()?.split(',').map(Into::into).collect();
     Some(RelayOrder {
         version,
         answer_in: Duration::from_millis(millis),
+        divides,
         shards,
     })
 }
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -46,24 +46,25 @@
     path: std::path::PathBuf,
 ) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let options = ForwardOptions {
-        domain: settings.domain.as_str().into(),
-        extra: settings.extra,
-        seed: rand::random(),
-        ..ForwardOptions::default()
-    };
-    let entry = Rc::new(EntryDuty::<D>::new(options, settings.log_plain_every));
     let callers = settings.callers.context("could not find listen.callers")?;
     let ready = settings.ready.context("could not find listen.ready")?;
     let callers = listen(callers).await?;
     let ready = listen(ready).await?;
-    let (close, closing) = watch::channel(false);
     let peer = EntryPeer {
         instance: settings.instance.as_str().into(),
         lifetime: rand::random(),
         domain: settings.domain.as_str().into(),
         address: callers.local_addr()?,
     };
+    let options = ForwardOptions {
+        domain: settings.domain.as_str().into(),
+        own: peer.id(),
+        extra: settings.extra,
+        seed: rand::random(),
+        ..ForwardOptions::default()
+    };
+    let entry = Rc::new(EntryDuty::<D>::new(options, settings.log_plain_every));
+    let (close, closing) = watch::channel(false);
     let feed = Rc::new(GroupFeed::new(entry.clone(), peer));
     for seed in settings.seed_peers() {
         feed.follow(seed);
--- a/crates/node/src/process/group/answer.rs
+++ b/crates/node/src/process/group/answer.rs
@@ -63,21 +63,26 @@
     };
     match call {
         ControlCall::Announce(id) => match D::read_notice(&id, &body) {
-            Ok(notice) => announce(&node, notice).await,
+            Ok(notice) => announce::<D>(&node, notice).await,
             Err(findings) => text_response(StatusCode::BAD_REQUEST, findings.to_string()),
         },
-        ControlCall::Withdraw(id) => announce(&node, ServerNotice::gone(&id)).await,
+        ControlCall::Withdraw(id) => announce::<D>(&node, ServerNotice::gone(&id)).await,
         ControlCall::PutTable => put_table::<D>(&node, body).await,
         ControlCall::GetTable => get_table(&node).await,
         ControlCall::Ready => text_response(StatusCode::OK, TAKEN.to_string()),
     }
 }
 
-async fn announce(node: &Rc<GroupNode>, notice: ServerNotice) -> FullResponse {
-    if node.take_announcement(notice).await {
-        return taken();
+async fn announce<D: ForwardDialect>(node: &Rc<GroupNode>, notice: ServerNotice) -> FullResponse {
+    let domain = notice.domain.clone();
+    if !node.take_announcement(notice).await {
+        return unavailable("not held by a quorum yet");
     }
-    unavailable("not held by a quorum yet")
+    typed_response(
+        StatusCode::OK,
+        JSON_TYPE,
+        D::announced(node.next_place(&domain)),
+    )
 }
 
 async fn put_table<D: ForwardDialect>(node: &Rc<GroupNode>, body: Bytes) -> FullResponse {
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -14,7 +14,7 @@
 use crate::connection::accept::next_stream;
 use crate::connection::frame::{end_when_silent, write_frame, FrameReader};
 use crate::process::group::node::GroupNode;
-use crate::process::group::state::Subscriber;
+use crate::process::group::state::{ControlPlace, Subscriber};
 use crate::ring::bounded_ring;
 
 /// Messages that may wait for an entry.
@@ -50,10 +50,14 @@
         match reader.next().await? {
             GroupMessage::Hello {
                 from,
+                domain,
+                calls,
                 learns,
                 known,
             } => {
                 peer = Some(from.address);
+                let place = ControlPlace { domain, calls };
+                node.state.borrow_mut().places.insert(from.address, place);
                 take_hello(node, from, learns, known);
             }
             GroupMessage::Subscribe { peer, confirm } => {
--- a/crates/node/src/process/group/link.rs
+++ b/crates/node/src/process/group/link.rs
@@ -39,6 +39,7 @@
     let mut state = node.state.borrow_mut();
     state.links.remove(&address);
     state.contacts.remove(&address);
+    state.places.remove(&address);
 }
 
 async fn carry(
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -39,6 +39,8 @@
     pub settings: RoleSettings,
     /// Who it is.
     pub me: MemberRecord,
+    /// Where it takes the calls of servers and operators.
+    pub calls: SocketAddr,
     /// What it holds.
     pub state: RefCell<GroupState>,
     /// Takes what is to be kept.
@@ -62,6 +64,7 @@
         started: Instant,
     ) -> GroupNode {
         GroupNode {
+            calls: settings.control.unwrap_or(me.address),
             settings,
             me,
             state: RefCell::new(state),
@@ -123,6 +126,8 @@
         known.sort_unstable();
         GroupMessage::Hello {
             from: self.me.clone(),
+            domain: self.settings.domain.as_str().into(),
+            calls: self.calls,
             learns: replica.is_some_and(ReplicaMachine::asks_to_learn),
             known,
         }
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -1,5 +1,6 @@
 //! Servers that announce themselves, and who hears of it.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -56,8 +57,19 @@
         effect
     }
 
+    /// Returns where a server of a failure domain should announce itself next:
+    /// at the control instance there, so that its heartbeats cross no border.
+    /// None if that is this one, or if there is none.
+    pub fn next_place(&self, domain: &str) -> Option<SocketAddr> {
+        if *domain == *self.settings.domain {
+            return None;
+        }
+        self.state.borrow().calls_in(domain, self.now())
+    }
+
     /// Takes an announcement made here. Returns whether it may be
-    /// acknowledged: that a server leaves must outlast this instance.
+    /// acknowledged: that a server leaves must outlast this instance, and that
+    /// it lives must come to the others, or they would take it for silent.
     pub async fn take_announcement(self: &Rc<Self>, notice: ServerNotice) -> bool {
         let (id, sequence) = (notice.id.clone(), notice.sequence);
         let leaves = notice.standing != ServerStanding::Ready;
@@ -75,7 +87,8 @@
             }
             NoticeEffect::Stale => {}
         }
-        true
+        let contacts = self.state.borrow().count_contacts(self.now());
+        contacts >= self.settings.tolerate
     }
 
     async fn keep_leaving(self: &Rc<Self>, notice: ServerNotice) -> bool {
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -81,6 +81,15 @@
     }
 }
 
+/// Where another control instance stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlPlace {
+    /// Its failure domain.
+    pub domain: Box<str>,
+    /// Where it takes the calls of servers and operators.
+    pub calls: SocketAddr,
+}
+
 /// What a control instance holds.
 #[derive(Debug, Default)]
 pub struct GroupState {
@@ -104,6 +113,8 @@
     pub links: HashMap<SocketAddr, RingSender<GroupMessage>>,
     /// When another control instance was last heard.
     pub contacts: HashMap<SocketAddr, Duration>,
+    /// Where the other control instances stand, by their addresses.
+    pub places: HashMap<SocketAddr, ControlPlace>,
     /// Addresses of replicas, from what they said themselves.
     pub addresses: HashMap<ReplicaId, SocketAddr>,
     /// Entries that follow this instance.
@@ -132,12 +143,26 @@
 
     /// Returns how many other control instances were heard lately.
     pub fn count_contacts(&self, now: Duration) -> usize {
-        let contacts = self.contacts.values();
+        let contacts = self.contacts.keys();
         contacts
-            .filter(|heard| now < **heard + CONTACT_TIME)
+            .filter(|address| self.in_contact(address, now))
             .count()
     }
 
+    fn in_contact(&self, address: &SocketAddr, now: Duration) -> bool {
+        let heard = self.contacts.get(address);
+        heard.is_some_and(|heard| now < *heard + CONTACT_TIME)
+    }
+
+    /// Returns where another control instance of a failure domain takes calls,
+    /// if one is in contact.
+    pub fn calls_in(&self, domain: &str, now: Duration) -> Option<SocketAddr> {
+        let mut places = self.places.iter();
+        let found = places
+            .find(|(address, place)| *place.domain == *domain && self.in_contact(address, now));
+        found.map(|(_, place)| place.calls)
+    }
+
     /// Returns the address of a replica.
     pub fn address_of(&self, id: ReplicaId) -> Option<SocketAddr> {
         if let Some(address) = self.addresses.get(&id) {
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -173,7 +173,11 @@
                 r#""role": "entry", "listen": {{"callers": "{front}", "ready": "{balancer}"}},"#
             )
         };
-        let domain = if number == 4 { "there" } else { "here" };
+        let domain = if [2, 4].contains(&number) {
+            "there"
+        } else {
+            "here"
+        };
         let peers = self.ports + 2;
         let text = format!(
             r#"{{{role} "instance": "n{number}", "failure_domain": "{domain}", "address": "{address}",
@@ -253,6 +257,20 @@
             |reply| reply.status == 200,
         );
     }
+    // A server is sent to the control instance of its own failure domain.
+    let there = format!(r#""next":"{}""#, deployed.front(2));
+    let cases = [
+        (&shards[2], 0, there.as_str()),
+        (&shards[2], 2, r#""next":null"#),
+        (&shards[0], 0, r#""next":null"#),
+    ];
+    for (shard, to, next) in cases {
+        until(
+            next,
+            || deployed.announce(shard, to, false),
+            |reply| String::from_utf8_lossy(&reply.body).contains(next),
+        );
+    }
     for entry in [3, 4] {
         until(
             "ready",
--- a/crates/wire/src/dialect.rs
+++ b/crates/wire/src/dialect.rs
@@ -4,6 +4,8 @@
 //! The product's own is [`crate::native::NativeDialect`]; an adapter fills in
 //! another platform's.
 
+use std::net::SocketAddr;
+
 use wheelmast_core::finding::FindingList;
 use wheelmast_core::process::forward::directory::ServerNotice;
 use wheelmast_core::version::route_table::RouteDraft;
@@ -59,6 +61,10 @@
     /// Returns all findings at once.
     fn read_table(text: &[u8]) -> Result<RouteDraft, FindingList>;
 
+    /// Writes the answer to an announcement: where the server should make its
+    /// next ones, if that is elsewhere.
+    fn announced(next: Option<SocketAddr>) -> String;
+
     /// Reads the announcement of a server.
     ///
     /// # Errors
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -21,6 +21,10 @@
     Hello {
         /// The sender.
         from: MemberRecord,
+        /// Its failure domain.
+        domain: Box<str>,
+        /// Where it takes the calls of servers and operators.
+        calls: SocketAddr,
         /// Whether it asks to be kept up to date.
         learns: bool,
         /// Addresses of the control instances that it knows.
--- a/crates/wire/src/native.rs
+++ b/crates/wire/src/native.rs
@@ -1,5 +1,7 @@
 //! The product's own names, formats and calls of the forwarded conversations.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use wheelmast_core::finding::FindingList;
 use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
@@ -22,7 +24,7 @@
 #[derive(Debug, Deserialize)]
 struct NoticeBody {
     service: Box<str>,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     failure_domain: Box<str>,
     slots: u32,
     draining: bool,
@@ -58,6 +60,11 @@
         }
     }
 
+    fn announced(next: Option<SocketAddr>) -> String {
+        let next = next.map(|next| next.to_string());
+        serde_json::json!({ "next": next }).to_string()
+    }
+
     fn read_table(text: &[u8]) -> Result<RouteDraft, FindingList> {
         serde_json::from_slice(text).map_err(|error| unreadable(&error))
     }
