Tell late answers in full, slow ones and abandoned attempts in the log

Closing an attempt had no line. Change: the end of a request says whether the objective was over, and such a request is told in full; an answer of three times the typical time is told with the load the server claimed; an attempt that outlives its request is told with when it is closed. A bundle has 7 ms instead of 3 for its way back.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::arena::{ServerKey, SlotKey};
-use crate::process::forward::input::{RelayOrder, ServerAnswer};
+use crate::process::forward::input::{LoadReport, RelayOrder, ServerAnswer};
 use crate::process::input::CallTag;
 
 /// Why a request got no server's answer.
@@ -159,6 +159,28 @@
         /// Time since its sending.
         after: Duration,
     },
+    /// A server answered, and took longer than most do.
+    Slow {
+        /// The service.
+        service: Box<str>,
+        /// The server.
+        instance: Box<str>,
+        /// Time since its sending.
+        after: Duration,
+        /// Work that its server had by its own word, if it said so.
+        load: Option<LoadReport>,
+    },
+    /// The request ends and this attempt has not.
+    Abandon {
+        /// The service.
+        service: Box<str>,
+        /// The server.
+        instance: Box<str>,
+        /// Time since its sending.
+        after: Duration,
+        /// When its connection is closed, if it has not answered by then.
+        closes_in: Duration,
+    },
     /// A part was given up: its service has no server left to ask.
     NoServer {
         /// The service.
@@ -185,6 +207,8 @@
         after: Duration,
         /// Sends made for it.
         sends: u32,
+        /// Whether the objective was over.
+        late: bool,
     },
 }
 
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -70,7 +70,7 @@
     }
 
     fn end_gathered(&mut self, call: SlotKey, now: Duration, out: &mut Vec<ForwardAction>) {
-        let Some(state) = self.take_call(call, ORPHAN_TIME, now) else {
+        let Some(state) = self.take_call(call, ORPHAN_TIME, now, out) else {
             return;
         };
         let mut merge = RecordMerge::new(state.rule().top);
@@ -125,7 +125,7 @@
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
-        let Some(mut state) = self.take_call(call, ORPHAN_TIME, now) else {
+        let Some(mut state) = self.take_call(call, ORPHAN_TIME, now, out) else {
             return;
         };
         state.answered = 1;
@@ -161,7 +161,7 @@
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
-        let Some(state) = self.take_call(call, ORPHAN_TIME, now) else {
+        let Some(state) = self.take_call(call, ORPHAN_TIME, now, out) else {
             return;
         };
         self.decide_end(&state, failure.word(), now, out);
@@ -182,6 +182,7 @@
             left_out: Vec::new(),
             after: Duration::ZERO,
             sends: 0,
+            late: false,
         });
         self.refuse(call, failure, out);
     }
@@ -212,24 +213,45 @@
             return;
         };
         self.counters.left += 1;
-        if let Some(state) = self.take_call(call, LEFT_TIME, now) {
+        if let Some(state) = self.take_call(call, LEFT_TIME, now, out) {
             self.decide_end(&state, "caller_left", now, out);
         }
     }
 
     /// Takes a request out; attempts still outstanding go on for `patience` at
     /// most.
-    fn take_call(&mut self, call: SlotKey, patience: Duration, now: Duration) -> Option<CallState> {
+    fn take_call(
+        &mut self,
+        call: SlotKey,
+        patience: Duration,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) -> Option<CallState> {
         let state = self.calls.remove(call)?;
         self.tags.remove(&state.tag);
         for attempt in state.parts.iter().flat_map(|part| &part.attempts) {
-            if let Some(orphan) = self.attempts.get_mut(*attempt) {
-                orphan.call = None;
-                // Another entry has patience of its own.
-                let is_relay = orphan.cause == AttemptCause::Relay;
-                let until = if is_relay { now } else { now + patience };
-                self.timers.set(until, ForwardTimer::Orphan(*attempt));
+            let Some(orphan) = self.attempts.get_mut(*attempt) else {
+                continue;
+            };
+            if orphan.call.take().is_none() {
+                // It stands for several parts.
+                continue;
             }
+            // Another entry has patience of its own.
+            let is_relay = orphan.cause == AttemptCause::Relay;
+            let closes_in = if is_relay { Duration::ZERO } else { patience };
+            let (server, sent_at) = (orphan.server, orphan.sent_at);
+            self.timers
+                .set(now + closes_in, ForwardTimer::Orphan(*attempt));
+            self.decide(state.tag, out, || {
+                let (service, instance) = self.names(server);
+                ForwardDecision::Abandon {
+                    service,
+                    instance,
+                    after: now - sent_at,
+                    closes_in,
+                }
+            });
         }
         Some(state)
     }
@@ -263,6 +285,7 @@
             missing: state.parts.len() - state.answered,
             after: now - state.arrived,
             sends: state.sends,
+            late: now > state.plan.objective,
         });
     }
 }
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -33,7 +33,7 @@
 /// objective.
 const LATE_TIME: f64 = 0.5;
 /// Time that the way back and the merge of a bundle are given.
-const BUNDLE_MARGIN: Duration = Duration::from_millis(3);
+const BUNDLE_MARGIN: Duration = Duration::from_millis(7);
 /// Near shards above which they are divided.
 const DIVIDE_ABOVE: usize = 24;
 /// Shards of a route that fall to one entry together.
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -8,11 +8,14 @@
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::input::{AttemptEnd, ServerAnswer};
 use crate::process::forward::machine::ForwardMachine;
+use crate::process::input::CallTag;
 
 /// Status of a server that is not the one that was meant.
 const MISDIRECTED: u16 = 421;
 /// First status of a server's failure.
 const SERVER_FAILURE: u16 = 500;
+/// How many times the typical time an answer takes that is recorded as slow.
+const SLOW_TIMES: u32 = 3;
 
 /// What an attempt's end means for its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -181,6 +184,9 @@
                 after: now - state.sent_at,
             });
         }
+        if is_wanted && meaning == EndMeaning::Final {
+            self.tell_slow(state, &end, tag, now, out);
+        }
         match end {
             AttemptEnd::Bundle(bundle) => {
                 self.take_bundle(key, &state.parts, &bundle);
@@ -201,6 +207,34 @@
         }
     }
 
+    /// Records an answer that took longer than most.
+    fn tell_slow(
+        &self,
+        state: &ForwardAttempt,
+        end: &AttemptEnd,
+        tag: CallTag,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let after = now - state.sent_at;
+        if after < (state.typical + self.servers[state.server].way()) * SLOW_TIMES {
+            return;
+        }
+        let load = match end {
+            AttemptEnd::Answer(answer) => answer.load,
+            _ => None,
+        };
+        self.decide(tag, out, || {
+            let (service, instance) = self.names(state.server);
+            ForwardDecision::Slow {
+                service,
+                instance,
+                after,
+                load,
+            }
+        });
+    }
+
     fn take_answer(
         &mut self,
         key: SlotKey,
--- a/crates/core/src/process/forward/timing.rs
+++ b/crates/core/src/process/forward/timing.rs
@@ -77,6 +77,7 @@
         let margin = LEAST_MARGIN + route.objective().mul_f64(MARGIN);
         let limit = given.min(route.time_limit());
         AnswerPlan {
+            objective: now + objective,
             aim: now + objective.saturating_sub(margin),
             limit: now + limit.saturating_sub(LIMIT_MARGIN.min(limit / 4)),
             given_up: now + limit,
@@ -87,6 +88,8 @@
 /// When a request should be answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerPlan {
+    /// When the objective is over.
+    pub objective: Duration,
     /// The last moment at which an answer is in time.
     pub aim: Duration,
     /// The last moment at which an answer reaches a caller that waits.
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -183,7 +183,10 @@
     match decision {
         ForwardDecision::Admit { .. } => true,
         ForwardDecision::Send { cause, .. } => *cause != AttemptCause::Retry,
-        ForwardDecision::End { outcome, .. } => matches!(*outcome, "whole" | "served"),
+        ForwardDecision::End { outcome, late, .. } => {
+            !late && matches!(*outcome, "whole" | "served")
+        }
+        ForwardDecision::Slow { .. } | ForwardDecision::Abandon { .. } => true,
         ForwardDecision::Lost { .. }
         | ForwardDecision::NoServer { .. }
         | ForwardDecision::NoBudget { .. } => false,
@@ -235,10 +238,32 @@
             left_out,
             after,
             sends,
+            late,
         } => {
             let left_out = left_out.join(", ");
             let after_ms = millis(*after);
-            tracing::info!(target: "entry", request, at_ms, outcome, parts, missing, left_out, after_ms, sends, "route: ended");
+            tracing::info!(target: "entry", request, at_ms, outcome, late, parts, missing, left_out, after_ms, sends, "route: ended");
+        }
+        ForwardDecision::Slow {
+            service,
+            instance,
+            after,
+            load,
+        } => {
+            let after_ms = millis(*after);
+            let (running, waiting) = load.map_or((None, None), |load| {
+                (Some(load.running), Some(load.waiting))
+            });
+            tracing::info!(target: "entry", request, at_ms, %service, server = %instance, after_ms, running, waiting, "route: slow answer");
+        }
+        ForwardDecision::Abandon {
+            service,
+            instance,
+            after,
+            closes_in,
+        } => {
+            let (after_ms, closes_in_ms) = (millis(*after), millis(*closes_in));
+            tracing::info!(target: "entry", request, at_ms, %service, server = %instance, after_ms, closes_in_ms, "route: attempt abandoned");
         }
     }
 }
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -11,7 +11,7 @@
 use wheelmast_core::process::forward::answer::{ForwardAction, ForwardDecision, ForwardEvent};
 use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
 use wheelmast_core::process::forward::input::{
-    AttemptEnd, ForwardCall, ForwardInput, ServerAnswer,
+    AttemptEnd, ForwardCall, ForwardInput, LoadReport, ServerAnswer,
 };
 use wheelmast_core::process::forward::machine::{ForwardMachine, ForwardOptions};
 use wheelmast_core::process::input::CallTag;
@@ -159,6 +159,20 @@
     })
 }
 
+fn good_under_load() -> AttemptEnd {
+    let AttemptEnd::Answer(answer) = good() else {
+        unreachable!("it is an answer");
+    };
+    AttemptEnd::Answer(ServerAnswer {
+        load: Some(LoadReport {
+            running: 2,
+            waiting: 7,
+            slots: 2,
+        }),
+        ..answer
+    })
+}
+
 struct StoryCase {
     name: &'static str,
     play: fn(&mut Teller),
@@ -166,7 +180,7 @@
 }
 
 #[test]
-fn the_stories_of_the_three_kinds_are_those_in_the_docs() {
+fn the_stories_are_those_in_the_docs() {
     let cases = [
         StoryCase {
             name: "partial",
@@ -180,6 +194,20 @@
                 "\"cause\":\"hedge\"",
                 "\"outcome\":\"partial\"",
                 "\"left_out\":\"s1\"",
+                "route: attempt abandoned",
+            ],
+        },
+        StoryCase {
+            name: "late",
+            play: |teller| {
+                teller.call("/o/x", "request-late");
+                teller.pass(140);
+                teller.end(0, good_under_load());
+            },
+            says: &[
+                "route: slow answer",
+                "\"waiting\":7",
+                "\"outcome\":\"served\",\"late\":true",
             ],
         },
         StoryCase {
@@ -252,6 +280,7 @@
                         left_out: Vec::new(),
                         after: Duration::ZERO,
                         sends: 1,
+                        late: false,
                     }
                 } else {
                     ForwardDecision::NoBudget {
