Average a server's slowness by logarithms, forget it, and tell rolls by what changes

Change: the average is of logarithms, weight 0.3, halved each 3 s without an answer. An entry is told of all entries of its domain and 8 of each other one, first all, then what changes; a message to many is encoded once.

--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -16,6 +16,7 @@
 pub mod machine;
 mod relay;
 mod reply;
+pub mod roll;
 mod send;
 pub mod server;
 pub mod source;
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -13,8 +13,6 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use crate::arena::{SlotKey, UpstreamKey};
 use crate::process::forward::answer::{AttemptCause, ForwardAction};
 use crate::process::forward::call::PartStatus;
@@ -24,6 +22,7 @@
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::send::AttemptSend;
 use crate::process::forward::server::ServerState;
+use crate::process::rendezvous::rank;
 
 /// Fewest far shards that are asked for together.
 const LEAST_BUNDLE: usize = 3;
@@ -219,8 +218,7 @@
         now: Duration,
     ) -> Option<ServerChoice> {
         let typical = self.timings[self.relay_timing].relay();
-        let seed = xxh3_64_with_seed(key.as_bytes(), 0);
-        let rank = |id: &str| xxh3_64_with_seed(id.as_bytes(), seed);
+        let rank = |id: &str| rank(key, id);
         let servers = &self.upstreams[entries].servers;
         let able = servers.iter().filter(|server| {
             let state = &self.servers[**server];
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -7,10 +7,15 @@
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::input::LoadReport;
 
-/// Weight of a new sample in a moving average.
+/// Weight of a new sample in the moving average of failures.
 const SAMPLE_WEIGHT: f64 = 0.15;
+/// Weight of a new sample in the moving average of slowness.
+const SLOWNESS_WEIGHT: f64 = 0.3;
 /// Bounds of a server's slowness.
 const SLOWNESS: (f64, f64) = (0.3, 20.0);
+/// Time without an answer in which half of a server's slowness is forgotten:
+/// a server that is avoided would stay slow for ever.
+const FORGET_TIME: Duration = Duration::from_secs(3);
 /// Time that a server which could not be reached is left alone, at first.
 const FIRST_REST: Duration = Duration::from_millis(250);
 /// Longest such time.
@@ -56,8 +61,10 @@
     pub outstanding: Vec<OutstandingAttempt>,
     /// Idle connections to it.
     pub idle: u32,
-    /// Its time for a request against that of its peers.
-    pub slowness: f64,
+    /// Logarithm of its time for a request against that of its peers. A moving
+    /// average of logarithms is not carried away by one answer of many times
+    /// the usual.
+    slowness: f64,
     /// Fraction of failures among the last answers.
     pub failing: f64,
     /// Until when it is left alone.
@@ -84,7 +91,7 @@
             warm_at: Duration::ZERO,
             outstanding: Vec::new(),
             idle: 0,
-            slowness: 1.0,
+            slowness: 0.0,
             failing: 0.0,
             rest_until: Duration::ZERO,
             answered_at: Duration::ZERO,
@@ -110,12 +117,24 @@
 
     /// Takes note of an answer after `work`, where `typical` was expected.
     pub fn answered(&mut self, work: Duration, typical: Duration, now: Duration) {
+        let known = self.slowness_at(now);
         self.answered_at = now;
         self.rests = 0;
         self.rest_until = Duration::ZERO;
         let ratio = work.as_secs_f64() / typical.as_secs_f64().max(1e-4);
         let ratio = ratio.clamp(SLOWNESS.0, SLOWNESS.1);
-        self.slowness += SAMPLE_WEIGHT * (ratio - self.slowness);
+        self.slowness = known + SLOWNESS_WEIGHT * (ratio.ln() - known);
+    }
+
+    /// Returns its time for a request against that of its peers.
+    pub fn slowness(&self, now: Duration) -> f64 {
+        self.slowness_at(now).exp()
+    }
+
+    fn slowness_at(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.answered_at);
+        let halvings = age.as_secs_f64() / FORGET_TIME.as_secs_f64();
+        self.slowness * 0.5f64.powf(halvings)
     }
 
     /// Takes note of whether an answer was of use.
@@ -150,13 +169,13 @@
 
     /// Tells whether it has been still for longer than its work explains.
     pub fn is_still(&self, typical: Duration, now: Duration) -> bool {
-        self.stall(now) > typical.mul_f64(self.slowness) * 2 + self.way
+        self.stall(now) > typical.mul_f64(self.slowness(now)) * 2 + self.way
     }
 
     /// Returns the time to expect for a request that takes `typical` at an
     /// idle server of the service.
     pub fn expect(&self, typical: Duration, now: Duration) -> Duration {
-        let mut work = typical.mul_f64(self.slowness);
+        let mut work = typical.mul_f64(self.slowness(now));
         if now < self.warm_at {
             work = work.mul_f64(COLD_FACTOR);
         }
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod latency;
 pub mod news;
 pub mod policy;
+pub mod rendezvous;
 mod replies;
 mod rescue;
 pub mod roster;
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -8,4 +8,6 @@
 mod ends;
 mod hedges;
 mod parts;
+mod roll;
+mod slowness;
 mod source;
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -6,7 +6,7 @@
 //! confirmed that there is no newer one.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -64,6 +64,8 @@
     known: RefCell<HashSet<SocketAddr>>,
     lines: RefCell<HashMap<SocketAddr, FeedLine>>,
     source: Cell<Option<SocketAddr>>,
+    /// The entries that the source told of, by identity.
+    peers: RefCell<BTreeMap<Box<str>, EntryPeer>>,
     /// Whether a choice of the source is pending.
     choosing: Cell<bool>,
     /// The highest version that is being fetched.
@@ -84,6 +86,7 @@
             known: RefCell::default(),
             lines: RefCell::default(),
             source: Cell::new(None),
+            peers: RefCell::default(),
             choosing: Cell::new(false),
             fetching: Cell::new(0),
             newest: RefCell::default(),
@@ -204,9 +207,13 @@
             }
             GroupMessage::Routes { version, packed } => self.take_routes(version, &packed),
             GroupMessage::Confirmed { version } => self.confirm(version),
-            GroupMessage::Members { entries, peers } if self.source.get() == Some(address) => {
+            GroupMessage::Members {
+                entries,
+                joined,
+                left,
+            } if self.source.get() == Some(address) => {
                 self.entry.step(ForwardInput::Entries(entries));
-                self.entry.step(ForwardInput::Peers(peers));
+                self.take_peers(joined, &left);
             }
             GroupMessage::Control(control) => {
                 for address in control {
@@ -222,6 +229,15 @@
         }
     }
 
+    /// Takes which entries take requests now, and which no longer do.
+    fn take_peers(&self, joined: Vec<EntryPeer>, left: &[Box<str>]) {
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|id, _| !left.contains(id));
+        peers.extend(joined.into_iter().map(|peer| (peer.id(), peer)));
+        let peers = peers.values().cloned().collect();
+        self.entry.step(ForwardInput::Peers(peers));
+    }
+
     /// Takes what a control instance says of itself.
     fn take_state(
         self: &Rc<Self>,
@@ -281,6 +297,8 @@
         let Some(line) = source.and_then(|source| lines.get(&source)) else {
             return;
         };
+        // The new source tells of all entries anew.
+        self.peers.borrow_mut().clear();
         let have = self.newest_version().unwrap_or(0);
         let _ = line.wishes.offer(GroupMessage::Whole { have });
         let ControlPeer {
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -1,5 +1,6 @@
 //! Connections of other control instances and of entries.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,9 +13,9 @@
 use wheelmast_wire::group::{GroupAsk, GroupMessage, GroupTell};
 
 use crate::connection::accept::next_stream;
-use crate::connection::frame::{end_when_silent, write_frame, FrameReader};
+use crate::connection::frame::{end_when_silent, FrameReader};
 use crate::process::group::node::GroupNode;
-use crate::process::group::state::{ControlPlace, Subscriber};
+use crate::process::group::state::{ControlPlace, OutFrame, Subscriber};
 use crate::ring::bounded_ring;
 
 /// Messages that may wait for an entry.
@@ -155,9 +156,9 @@
     let key = node.next_tag();
     let instance = peer.instance.clone();
     tracing::info!(target: "group", %instance, "entry: follows");
-    for message in greeting(node) {
+    for frame in greeting(node).iter().filter_map(OutFrame::new) {
         // The ring has room: it is new.
-        let _ = sender.offer(Rc::new(message));
+        let _ = sender.offer(frame);
     }
     node.state.borrow_mut().subscribers.insert(
         key,
@@ -165,24 +166,23 @@
             peer,
             leaving: false,
             whole: false,
+            told: HashSet::new(),
             sender,
         },
     );
     let confirming = asks_quorum.then(|| tokio::task::spawn_local(confirm(node.clone(), key)));
     let result = async {
-        let mut messages = Vec::with_capacity(BATCH);
-        let mut bytes = Vec::new();
+        let mut frames = Vec::with_capacity(BATCH);
         loop {
             tokio::select! {
-                count = ring.recv_many(&mut messages, BATCH) => {
+                count = ring.recv_many(&mut frames, BATCH) => {
                     if count == 0 {
                         return anyhow::Ok(());
                     }
-                    bytes.clear();
-                    drop_old_tables(&mut messages);
-                    for message in messages.drain(..) {
-                        write_frame(&message, &mut bytes)?;
-                    }
+                    drop_old_tables(&mut frames);
+                    let bytes: Vec<&[u8]> = frames.iter().map(|frame| &*frame.bytes).collect();
+                    let bytes = bytes.concat();
+                    frames.clear();
                     tokio::time::timeout(WRITE_TIME, writer.write_all(&bytes)).await??;
                 }
                 message = reader.next() => take_wish(node, key, message?),
@@ -199,14 +199,13 @@
 }
 
 /// Drops the tables that a newer one among the same messages overtakes.
-fn drop_old_tables(messages: &mut Vec<Rc<GroupMessage>>) {
-    let is_table = |message: &Rc<GroupMessage>| matches!(**message, GroupMessage::Routes { .. });
-    let Some(last) = messages.iter().rposition(is_table) else {
+fn drop_old_tables(frames: &mut Vec<Rc<OutFrame>>) {
+    let Some(last) = frames.iter().rposition(|frame| frame.is_table) else {
         return;
     };
     let mut place = 0;
-    messages.retain(|message| {
-        let is_old = place < last && is_table(message);
+    frames.retain(|frame| {
+        let is_old = place < last && frame.is_table;
         place += 1;
         !is_old
     });
@@ -217,7 +216,7 @@
     match message {
         GroupMessage::Leaving => leave(node, key),
         GroupMessage::Whole { have } => {
-            let messages = all_known(node, have);
+            let messages = all_known(node, key, have);
             tell_one(node, key, messages, |subscriber| subscriber.whole = true);
         }
         GroupMessage::Urgent => {
@@ -242,8 +241,8 @@
         return;
     };
     change(subscriber);
-    for message in messages {
-        if subscriber.sender.offer(Rc::new(message)).is_err() {
+    for frame in messages.iter().filter_map(OutFrame::new) {
+        if subscriber.sender.offer(frame).is_err() {
             // It does not keep up: it is let go and asks again.
             state.subscribers.remove(&key);
             return;
@@ -272,11 +271,11 @@
 }
 
 /// Returns all that is known, for an entry that has a table of version `have`.
-fn all_known(node: &Rc<GroupNode>, have: u64) -> Vec<GroupMessage> {
+fn all_known(node: &Rc<GroupNode>, key: u64, have: u64) -> Vec<GroupMessage> {
     let notices = node.all_notices();
     let mut messages = newer_table(node, have);
-    let state = node.state.borrow();
-    messages.push(state.told.message());
+    let mut state = node.state.borrow_mut();
+    messages.extend(state.first_members(key));
     messages.push(GroupMessage::Notices(notices));
     let silent = state.directory.iter().filter(|record| record.silent);
     let silent = silent.map(|record| (record.notice.id.clone(), true));
@@ -301,8 +300,10 @@
                 let state = node.state.borrow();
                 if let Some(subscriber) = state.subscribers.get(&key) {
                     let message = GroupMessage::Confirmed { version };
-                    // Full: it is let go and asks again.
-                    let _ = subscriber.sender.offer(Rc::new(message));
+                    if let Some(frame) = OutFrame::new(&message) {
+                        // Full: it is let go and asks again.
+                        let _ = subscriber.sender.offer(frame);
+                    }
                 }
                 return;
             }
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -193,11 +193,6 @@
         let mut peers: Vec<_> = staying.map(|subscriber| subscriber.peer.clone()).collect();
         peers.sort_unstable_by(|a, b| a.instance.cmp(&b.instance));
         peers.dedup();
-        let roll = GroupRoll { entries, peers };
-        if roll != state.told {
-            let message = roll.message();
-            state.told = roll;
-            state.tell_whole(message);
-        }
+        state.take_roll(GroupRoll { entries, peers });
     }
 }
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -1,6 +1,6 @@
 //! What a control instance holds in memory.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,8 +11,10 @@
 use wheelmast_core::process::control::replica::ReplicaMachine;
 use wheelmast_core::process::forward::directory::ServerDirectory;
 use wheelmast_core::process::forward::input::EntryPeer;
+use wheelmast_core::process::forward::roll::view_of;
 use wheelmast_wire::group::{GroupMessage, GroupTell};
 
+use crate::connection::frame::write_frame;
 use crate::ring::RingSender;
 
 /// Time that an entry which is no longer subscribed keeps its part of the
@@ -58,8 +60,51 @@
     pub leaving: bool,
     /// Whether it hears everything here, not only what is urgent.
     pub whole: bool,
+    /// Identities of the entries that it was told of.
+    pub told: HashSet<Box<str>>,
     /// Takes messages for it.
-    pub sender: RingSender<Rc<GroupMessage>>,
+    pub sender: RingSender<Rc<OutFrame>>,
+}
+
+impl Subscriber {
+    /// Returns the message that brings it from what it was told to `roll`, if
+    /// there is anything to tell.
+    fn catch_up(&mut self, roll: &GroupRoll, entries_changed: bool) -> Option<GroupMessage> {
+        let view = view_of(&self.peer, &roll.peers);
+        let ids: HashSet<Box<str>> = view.iter().map(|peer| peer.id()).collect();
+        let joined = view.iter().filter(|peer| !self.told.contains(&peer.id()));
+        let joined: Vec<EntryPeer> = joined.map(|peer| (*peer).clone()).collect();
+        let left: Vec<Box<str>> = self.told.difference(&ids).cloned().collect();
+        let is_news = entries_changed || !joined.is_empty() || !left.is_empty();
+        self.told = ids;
+        is_news.then_some(GroupMessage::Members {
+            entries: roll.entries,
+            joined,
+            left,
+        })
+    }
+}
+
+/// A message as it is written, the same for all that it goes to.
+#[derive(Debug)]
+pub struct OutFrame {
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+    /// Whether it is a route table, which a newer one overtakes.
+    pub is_table: bool,
+}
+
+impl OutFrame {
+    /// Returns the frame of a message; none if it is too large.
+    pub fn new(message: &GroupMessage) -> Option<Rc<OutFrame>> {
+        let mut bytes = Vec::new();
+        if let Err(error) = write_frame(message, &mut bytes) {
+            tracing::error!(target: "group", "peer: message not sent, {error:#}");
+            return None;
+        }
+        let is_table = matches!(message, GroupMessage::Routes { .. });
+        Some(Rc::new(OutFrame { bytes, is_table }))
+    }
 }
 
 /// What entries are told of each other and of the group.
@@ -71,16 +116,6 @@
     pub peers: Vec<EntryPeer>,
 }
 
-impl GroupRoll {
-    /// Returns the message that tells it.
-    pub fn message(&self) -> GroupMessage {
-        GroupMessage::Members {
-            entries: self.entries,
-            peers: self.peers.clone(),
-        }
-    }
-}
-
 /// Where another control instance stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ControlPlace {
@@ -121,8 +156,8 @@
     pub subscribers: HashMap<u64, Subscriber>,
     /// When each entry was last subscribed.
     pub entries: HashMap<Box<str>, Duration>,
-    /// What the entries were told last of each other.
-    pub told: GroupRoll,
+    /// Who the entries are.
+    pub roll: GroupRoll,
     /// What the entries were told last of the control instances.
     pub told_control: Vec<SocketAddr>,
     /// Questions that wait for their answer.
@@ -192,12 +227,40 @@
     /// Tells some of the entries. One that does not keep up is let go, and
     /// asks for everything again.
     fn tell(&mut self, message: GroupMessage, wants: impl Fn(&Subscriber) -> bool) {
-        let message = Rc::new(message);
+        let Some(frame) = OutFrame::new(&message) else {
+            return;
+        };
         self.subscribers.retain(|_, subscriber| {
-            !wants(subscriber) || subscriber.sender.offer(message.clone()).is_ok()
+            !wants(subscriber) || subscriber.sender.offer(frame.clone()).is_ok()
         });
     }
 
+    /// Takes over who the entries are, and tells those that hear everything
+    /// here what has changed for them.
+    pub fn take_roll(&mut self, roll: GroupRoll) {
+        if roll == self.roll {
+            return;
+        }
+        let entries_changed = roll.entries != self.roll.entries;
+        self.roll = roll;
+        let roll = &self.roll;
+        self.subscribers.retain(|_, subscriber| {
+            if !subscriber.whole {
+                return true;
+            }
+            let news = subscriber.catch_up(roll, entries_changed);
+            let frame = news.and_then(|news| OutFrame::new(&news));
+            frame.is_none_or(|frame| subscriber.sender.offer(frame).is_ok())
+        });
+    }
+
+    /// Returns what an entry is told of the others when it asks for all.
+    pub fn first_members(&mut self, key: u64) -> Option<GroupMessage> {
+        let subscriber = self.subscribers.get_mut(&key)?;
+        subscriber.told.clear();
+        subscriber.catch_up(&self.roll, true)
+    }
+
     /// Tells all other control instances.
     pub fn tell_control(&self, message: &GroupMessage) {
         for link in self.links.values() {
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -115,12 +115,15 @@
         /// The version; 0 if there is none yet.
         version: u64,
     },
-    /// The entries that are subscribed.
+    /// What has changed of the entries that are subscribed, since the entry
+    /// asked for all that is known.
     Members {
         /// Entries that share the servers' limits.
         entries: u32,
-        /// Entries that take requests.
-        peers: Vec<EntryPeer>,
+        /// Entries that take requests now.
+        joined: Vec<EntryPeer>,
+        /// Identities of those that no longer do.
+        left: Vec<Box<str>>,
     },
     /// A sign of life.
     Ping,
