--- a/crates/core/tests/election.rs
+++ b/crates/core/tests/trio/election.rs
@@ -1,14 +1,9 @@
 //! How soon a group leads again after all of its replicas ended at once and one
 //! did not come back.
 
-#[path = "support/disk.rs"]
-mod disk;
-#[path = "support/trio.rs"]
-mod trio;
-
 use std::time::Duration;
 
-use trio::{Trio, STEP};
+use crate::harness::{Trio, STEP};
 
 /// Plays.
 const SEEDS: u64 = 200;
--- a/crates/core/tests/large_changes.rs
+++ b/crates/core/tests/trio/large_changes.rs
@@ -1,14 +1,9 @@
 //! Tables of hundreds of kilobytes in quick succession, with a replica away:
 //! what waits and what is kept stays small.
 
-#[path = "support/disk.rs"]
-mod disk;
-#[path = "support/trio.rs"]
-mod trio;
-
 use std::time::Duration;
 
-use trio::{Trio, REPLICAS, STEP};
+use crate::harness::{Trio, REPLICAS, STEP};
 use wheelmast_core::process::control::message::ReplicaInput;
 use wheelmast_core::process::control::state::ControlCommand;
 
