--- a/crates/core/src/process/control/elect.rs
+++ b/crates/core/src/process/control/elect.rs
@@ -175,9 +175,10 @@
         self.advance_commit(out);
     }
 
-    /// Sends heartbeats, or stops leading without a quorum: a leader that is
+    /// Mends the group, or stops leading without a quorum: a leader that is
     /// cut off must not take its old table for the current one.
-    pub(super) fn lead_on(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+    pub(super) fn tend(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+        self.tend_at = now + self.timing.heartbeat;
         let ReplicaRole::Leader(peers) = &self.role else {
             return;
         };
@@ -190,7 +191,6 @@
             return self.reset_election(now);
         }
         self.mend_group(now, out);
-        self.send_all(now, out);
     }
 
     /// Returns what a leader knows of a replica at first.
--- a/crates/core/src/process/control/replica.rs
+++ b/crates/core/src/process/control/replica.rs
@@ -130,6 +130,9 @@
     pub(super) heard: Option<Duration>,
     pub(super) election_at: Duration,
     pub(super) heartbeat_at: Duration,
+    /// When a leader looks after the group again. What it sends otherwise puts
+    /// heartbeats off, and must not put this off.
+    pub(super) tend_at: Duration,
     pub(super) proposals: BTreeMap<u64, (u64, u64)>,
 }
 
@@ -160,6 +163,7 @@
             heard: None,
             election_at: now,
             heartbeat_at: now,
+            tend_at: now,
             proposals: BTreeMap::new(),
         };
         replica.reset_election(now);
@@ -199,7 +203,7 @@
     /// Returns when the next timer is due.
     pub fn next_wake(&self) -> Duration {
         match self.role {
-            ReplicaRole::Leader(_) => self.heartbeat_at,
+            ReplicaRole::Leader(_) => self.heartbeat_at.min(self.tend_at),
             _ => self.election_at,
         }
     }
@@ -304,8 +308,11 @@
 
     fn run_timers(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
         if self.is_leader() {
-            if now >= self.heartbeat_at {
-                self.lead_on(now, out);
+            if now >= self.tend_at {
+                self.tend(now, out);
+            }
+            if self.is_leader() && now >= self.heartbeat_at {
+                self.send_all(now, out);
             }
         } else if now >= self.election_at {
             if self.is_voter() {
--- a/crates/core/tests/trio/harness.rs
+++ b/crates/core/tests/trio/harness.rs
@@ -26,6 +26,8 @@
 pub(crate) struct Trio {
     pub(crate) replicas: Vec<(ReplicaMachine, Disk)>,
     pub(crate) away: Option<usize>,
+    /// A replica that runs, and whose messages both ways are lost.
+    pub(crate) cut: Option<usize>,
     pub(crate) now: Duration,
     pub(crate) sent: SentCount,
     wire: Vec<(ReplicaId, ReplicaId, ReplicaMessage)>,
@@ -40,6 +42,7 @@
         Trio {
             replicas: replicas.into(),
             away: None,
+            cut: None,
             now: Duration::ZERO,
             sent: SentCount::default(),
             wire: Vec::new(),
@@ -77,7 +80,10 @@
             ReplicaMessage::Snapshot { .. } if is_away => self.sent.wasted += 1,
             _ => {}
         }
-        if !is_away {
+        let is_cut = self
+            .cut
+            .is_some_and(|cut| [from, to].contains(&REPLICAS[cut]));
+        if !is_away && !is_cut {
             self.wire.push((from, to, message));
         }
     }
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -75,8 +75,9 @@
     fetching: Cell<u64>,
     /// The newest table heard of.
     newest: RefCell<Option<Arc<RouteTable>>>,
-    /// Whether a quorum has confirmed what is the newest.
-    confirmed: Cell<bool>,
+    /// The version that a quorum has confirmed to be the newest; nothing older
+    /// is obeyed.
+    confirmed: Cell<Option<u64>>,
 }
 
 impl<D: ForwardDialect> GroupFeed<D> {
@@ -94,7 +95,7 @@
             choosing: Cell::new(false),
             fetching: Cell::new(0),
             newest: RefCell::default(),
-            confirmed: Cell::new(false),
+            confirmed: Cell::new(None),
         }
     }
 
@@ -161,7 +162,7 @@
         let mut wishes = self.add_line(address, begun.elapsed());
         let subscribe = GroupMessage::Subscribe {
             peer: self.peer.clone(),
-            confirm: !self.confirmed.get(),
+            confirm: self.confirmed.get().is_none(),
         };
         let (reader, mut writer) = stream.split();
         send(&mut writer, &subscribe).await?;
@@ -372,18 +373,25 @@
     }
 
     /// Takes a quorum's word that no version above this one was acknowledged.
-    fn confirm(&self, version: u64) {
-        let have = self.newest_version().unwrap_or(0);
-        if have >= version && !self.confirmed.replace(true) {
-            tracing::info!(target: "entry", table_version = have, "table: confirmed");
-            self.obey();
+    /// The table itself may come later.
+    fn confirm(self: &Rc<Self>, version: u64) {
+        if self.confirmed.get().is_some() {
+            return;
         }
+        self.confirmed.set(Some(version));
+        tracing::info!(target: "entry", table_version = version, "table: confirmed");
+        self.obey();
+        self.take_version(version);
     }
 
-    /// Puts the newest table in force, once one was confirmed.
+    /// Puts the newest table in force, if it is none that a quorum has
+    /// confirmed to be old.
     fn obey(&self) {
+        let Some(confirmed) = self.confirmed.get() else {
+            return;
+        };
         let newest = self.newest.borrow().clone();
-        if let Some(table) = newest.filter(|_| self.confirmed.get()) {
+        if let Some(table) = newest.filter(|table| table.version() >= confirmed) {
             self.entry.step(ForwardInput::Table(table));
             self.entry.set_phase(EntryPhase::Serving);
         }
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -235,3 +235,19 @@
         assert_eq!(count(), 0);
     });
 }
+
+#[test]
+fn a_quorums_word_that_comes_before_the_table_counts() {
+    play(async {
+        let mut control = FakeControl::start().await;
+        let entry = entry_at(&[&control]);
+        control.say_here("here", true, 4).await;
+        control.say(&GroupMessage::Confirmed { version: 4 }).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        control.say(&routes(3)).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        assert_eq!(version(&entry), 0, "it is older than what was confirmed");
+        control.say(&routes(4)).await;
+        until("the table is in force", || version(&entry) == 4).await;
+    });
+}
