Bring the log's cost under its bound, and leave connections that have gone silent

An attempt that was cut off said nothing about the other idle connections to its server. Change: the log's thread rests 200 ms between writes; a partial story of a request that another entry asked for is told one time in ten, at the caller's entry by its end. When an attempt is cut off and its server has answered nothing since, the idle connections to it are closed.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -131,6 +131,8 @@
         version: u64,
         /// Time it has.
         time_left: Duration,
+        /// Whether another entry asked for it.
+        relayed: bool,
     },
     /// It was sent to a server.
     Send {
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -36,6 +36,7 @@
             route: name,
             version,
             time_left: plan.given_up - now,
+            relayed: call.relayed.is_some(),
         });
         let key = self.calls.insert(state);
         self.tags.insert(call.tag, key);
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -5,7 +5,7 @@
 
 use rand::Rng;
 
-use crate::arena::SlotKey;
+use crate::arena::{ServerKey, SlotKey};
 use crate::process::forward::answer::{
     AttemptCause, ForwardAction, ForwardAnswer, ForwardDecision, ForwardFailure,
 };
@@ -258,13 +258,29 @@
     }
 
     pub(super) fn orphan_due(&mut self, attempt: SlotKey, out: &mut Vec<ForwardAction>) {
-        let is_orphan = self
-            .attempts
-            .get(attempt)
-            .is_some_and(|state| state.call.is_none());
-        if is_orphan {
-            self.counters.cancels += 1;
-            out.push(ForwardAction::Cancel(attempt));
+        let Some(state) = self.attempts.get(attempt) else {
+            return;
+        };
+        if state.call.is_some() {
+            return;
+        }
+        let (server, sent_at) = (state.server, state.sent_at);
+        self.counters.cancels += 1;
+        out.push(ForwardAction::Cancel(attempt));
+        self.close_if_silent(server, sent_at, out);
+    }
+
+    /// Closes the idle connections to a server that has answered nothing since
+    /// `sent_at`: they may have gone silent for good, without a reset, while
+    /// new ones work.
+    pub(super) fn close_if_silent(
+        &self,
+        server: ServerKey,
+        sent_at: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        if self.servers[server].answered_at < sent_at {
+            out.push(ForwardAction::Close(server));
         }
     }
 
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -311,7 +311,8 @@
             return false;
         }
         attempt.call = None;
-        self.servers[attempt.server].rest(now);
+        let (server, sent_at) = (attempt.server, attempt.sent_at);
+        self.servers[server].rest(now);
         for part in attempt.parts.clone() {
             state.parts[part].attempts.clear();
             if state.parts[part].is_open() {
@@ -320,6 +321,7 @@
             }
         }
         out.push(ForwardAction::Cancel(key));
+        self.close_if_silent(server, sent_at, out);
         true
     }
 
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -91,6 +91,8 @@
     pub(crate) sends: Vec<AttemptOrder>,
     pub(crate) answers: Vec<(CallTag, ForwardAnswer)>,
     pub(crate) cancels: Vec<SlotKey>,
+    /// How often the idle connections to a server were closed.
+    pub(crate) closes: usize,
     tags: u64,
 }
 
@@ -132,6 +134,7 @@
             sends: Vec::new(),
             answers: Vec::new(),
             cancels: Vec::new(),
+            closes: 0,
             tags: 0,
         }
     }
@@ -144,7 +147,8 @@
                 ForwardAction::Send(order) => self.sends.push(order),
                 ForwardAction::Answer { call, answer } => self.answers.push((call, answer)),
                 ForwardAction::Cancel(attempt) => self.cancels.push(attempt),
-                ForwardAction::Close(_) | ForwardAction::Decide(_) => {}
+                ForwardAction::Close(_) => self.closes += 1,
+                ForwardAction::Decide(_) => {}
             }
         }
     }
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -10,5 +10,6 @@
 mod parts;
 mod remember;
 mod roll;
+mod silent;
 mod slowness;
 mod source;
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -14,7 +14,7 @@
 
 /// One in so many partial or late gathered answers is told in full; the others
 /// tell their end.
-const PARTIAL_EVERY: u64 = 6;
+const PARTIAL_EVERY: u64 = 10;
 /// Lines kept of a request.
 const KEPT_LINES: usize = 160;
 /// Lines told in a second, at most.
@@ -36,6 +36,15 @@
         )
     }
 
+    /// Tells whether another entry asked for it.
+    fn is_relayed(&self) -> bool {
+        let first = self.decisions.first();
+        matches!(
+            first,
+            Some((_, ForwardDecision::Admit { relayed: true, .. }))
+        )
+    }
+
     /// Returns what the story is about.
     fn subject(&self) -> StorySubject {
         let mut subject = StorySubject::default();
@@ -175,6 +184,10 @@
         if !story.is_plain && story.is_gathered() {
             self.partial += 1;
             if self.partial % PARTIAL_EVERY != 1 {
+                if story.is_relayed() {
+                    // The entry that asked tells what is left out.
+                    return;
+                }
                 story.keep_end();
             }
         }
@@ -233,9 +246,10 @@
             route,
             version,
             time_left,
+            relayed,
         } => {
             let time_left_ms = millis(*time_left);
-            tracing::info!(target: "entry", request, at_ms, %route, table_version = version, time_left_ms, "route: admitted");
+            tracing::info!(target: "entry", request, at_ms, %route, table_version = version, time_left_ms, relayed, "route: admitted");
         }
         ForwardDecision::Send {
             service,
--- a/crates/node/src/process/output.rs
+++ b/crates/node/src/process/output.rs
@@ -18,7 +18,7 @@
 const WRITE_BYTES: usize = 32 * 1024;
 /// Time that the writing thread rests after it has written all that waited:
 /// each line by itself would cost a wake-up and a system call.
-const WRITE_PAUSE: Duration = Duration::from_millis(25);
+const WRITE_PAUSE: Duration = Duration::from_millis(200);
 
 static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
 
