Read as a newcomer: plan bundles and hold the lines to control in files of their own

Change: forward/bundle.rs plans which parts other entries are asked for, relay.rs has what becomes of them; lines.rs holds the connections to control instances and the source, feed.rs what is heard. No decision changed.

--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -5,9 +5,9 @@
 use rand::Rng;
 
 use crate::arena::{ServerKey, UpstreamKey};
+use crate::process::forward::bundle::RELAY_CONNECTIONS;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::machine::ForwardMachine;
-use crate::process::forward::relay::RELAY_CONNECTIONS;
 use crate::process::forward::server::ServerState;
 
 /// Largest part by which chance changes an expected time, so that entries that
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 mod begin;
+pub mod bundle;
 pub mod call;
 pub mod choose;
 pub mod directory;
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -6,7 +6,7 @@
 //! confirmed that there is no newer one.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,7 +16,6 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Notify;
 use wheelmast_core::process::forward::input::{EntryPeer, ForwardInput};
-use wheelmast_core::process::forward::source::{choose_source, ControlPeer};
 use wheelmast_core::version::route_table::RouteTable;
 use wheelmast_wire::dialect::ForwardDialect;
 use wheelmast_wire::group::GroupMessage;
@@ -24,39 +23,22 @@
 
 use crate::connection::frame::{connect, write_frame, FrameReader};
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
-use crate::ring::{bounded_ring, RingReceiver, RingSender};
+use crate::process::forward::lines::{LineBook, LineState, QUIET_TIME};
 
 /// Interval of signs of life.
 const PING_INTERVAL: Duration = Duration::from_millis(800);
 /// Time without any after which a connection counts as lost.
 const SILENT_TIME: Duration = Duration::from_millis(2500);
-/// Time without any after which an instance is no good source: it says how it
-/// is once a second.
-const QUIET_TIME: Duration = Duration::from_millis(1500);
 /// Time between two tries to connect.
 const RETRY_TIME: Duration = Duration::from_millis(120);
 /// Tries without success after which an address that is no seed is dropped.
 const MOST_TRIES: u32 = 60;
-/// Wishes that may wait for a connection.
-const WISH_RING: usize = 16;
 /// Time that is let pass before a source is chosen, as others may be about to
 /// connect.
 const CHOOSE_PAUSE: Duration = Duration::from_millis(40);
-/// Time after the start in which a source is chosen only if it is settled.
-const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Time that the source has to bring a table that another instance has.
 const TABLE_TIME: Duration = Duration::from_millis(200);
 
-/// A connection to a control instance.
-#[derive(Debug)]
-struct FeedLine {
-    peer: ControlPeer,
-    /// Version of the route table in force there.
-    version: u64,
-    heard: Instant,
-    wishes: RingSender<GroupMessage>,
-}
-
 /// What an entry has heard.
 #[derive(Debug)]
 pub struct GroupFeed<D> {
@@ -64,9 +46,7 @@
     peer: EntryPeer,
     leaving: Notify,
     known: RefCell<HashSet<SocketAddr>>,
-    lines: RefCell<HashMap<SocketAddr, FeedLine>>,
-    started: Instant,
-    source: Cell<Option<SocketAddr>>,
+    lines: RefCell<LineBook>,
     /// The entries that the source told of, by identity.
     peers: RefCell<BTreeMap<Box<str>, EntryPeer>>,
     /// Whether a choice of the source is pending.
@@ -89,8 +69,6 @@
             leaving: Notify::new(),
             known: RefCell::default(),
             lines: RefCell::default(),
-            started: Instant::now(),
-            source: Cell::new(None),
             peers: RefCell::default(),
             choosing: Cell::new(false),
             fetching: Cell::new(0),
@@ -118,7 +96,9 @@
             if let Err(error) = self.listen(address, &mut heard).await {
                 tracing::debug!(target: "entry", "control: {address} lost, {error:#}");
             }
-            self.drop_line(address);
+            if self.lines.borrow_mut().drop_line(address) {
+                self.reconsider();
+            }
             if heard {
                 tracing::warn!(target: "entry", control = %address, "control: connection lost");
             }
@@ -128,38 +108,11 @@
         self.known.borrow_mut().remove(&address);
     }
 
-    fn drop_line(self: &Rc<Self>, address: SocketAddr) {
-        self.lines.borrow_mut().remove(&address);
-        if self.source.get() == Some(address) {
-            self.source.set(None);
-            self.reconsider();
-        }
-    }
-
-    /// Adds a connection that was opened in `way`. Returns what is wished
-    /// from it.
-    fn add_line(&self, address: SocketAddr, way: Duration) -> RingReceiver<GroupMessage> {
-        let (wishes, ring) = bounded_ring(WISH_RING);
-        let line = FeedLine {
-            peer: ControlPeer {
-                address,
-                is_near: false,
-                is_settled: false,
-                is_fresh: true,
-                way,
-            },
-            version: 0,
-            heard: Instant::now(),
-            wishes,
-        };
-        self.lines.borrow_mut().insert(address, line);
-        ring
-    }
-
     async fn listen(self: &Rc<Self>, address: SocketAddr, heard: &mut bool) -> anyhow::Result<()> {
         let begun = Instant::now();
         let mut stream = connect(address).await?;
-        let mut wishes = self.add_line(address, begun.elapsed());
+        let way = begun.elapsed();
+        let mut wishes = self.lines.borrow_mut().add_line(address, way);
         let subscribe = GroupMessage::Subscribe {
             peer: self.peer.clone(),
             confirm: self.confirmed.get().is_none(),
@@ -187,7 +140,7 @@
                     if last.elapsed() > SILENT_TIME {
                         bail!("silent");
                     }
-                    if last.elapsed() > QUIET_TIME && self.source.get() == Some(address) {
+                    if last.elapsed() > QUIET_TIME && self.is_source(address) {
                         self.reconsider();
                     }
                     send(&mut writer, &GroupMessage::Ping).await?;
@@ -197,9 +150,7 @@
     }
 
     fn take(self: &Rc<Self>, address: SocketAddr, message: GroupMessage) {
-        if let Some(line) = self.lines.borrow_mut().get_mut(&address) {
-            line.heard = Instant::now();
-        }
+        self.lines.borrow_mut().heard(address);
         match message {
             GroupMessage::Notices(notices) => {
                 for notice in notices {
@@ -217,7 +168,7 @@
                 entries,
                 joined,
                 left,
-            } if self.source.get() == Some(address) => {
+            } if self.is_source(address) => {
                 self.entry.step(ForwardInput::Entries(entries));
                 self.take_peers(joined, &left);
             }
@@ -232,15 +183,14 @@
                 fresh,
                 version,
             } => {
-                if let Some(line) = self.lines.borrow_mut().get_mut(&address) {
-                    let known = line.peer;
-                    line.peer.is_near = *domain == *self.peer.domain;
-                    line.peer.is_settled = settled;
-                    line.peer.is_fresh = fresh;
-                    line.version = version;
-                    if line.peer != known || self.source.get().is_none() {
-                        self.reconsider();
-                    }
+                let state = LineState {
+                    is_near: *domain == *self.peer.domain,
+                    is_settled: settled,
+                    is_fresh: fresh,
+                    version,
+                };
+                if self.lines.borrow_mut().take_state(address, state) {
+                    self.reconsider();
                 }
                 self.take_version(version);
             }
@@ -279,43 +229,15 @@
     }
 
     fn choose(&self) {
-        let lines = self.lines.borrow();
-        let peers: Vec<ControlPeer> = lines
-            .values()
-            .map(|line| ControlPeer {
-                is_settled: line.peer.is_settled && line.heard.elapsed() < QUIET_TIME,
-                ..line.peer
-            })
-            .collect();
-        let former = self.source.get();
-        let is_early = self.started.elapsed() < SETTLE_TIME;
-        if former.is_none() && is_early && !peers.iter().any(|peer| peer.is_settled) {
-            // All have just started; who is near is not known yet.
-            return;
-        }
-        let source = choose_source(&peers, former);
-        if source == former {
-            return;
-        }
-        self.source.set(source);
-        if let Some(line) = former.and_then(|former| lines.get(&former)) {
-            // A full ring: the connection stands still and will end.
-            let _ = line.wishes.offer(GroupMessage::Urgent);
-        }
-        let Some(line) = source.and_then(|source| lines.get(&source)) else {
-            return;
-        };
-        // The new source tells of all entries anew.
-        self.peers.borrow_mut().clear();
         let have = self.newest_version().unwrap_or(0);
-        let _ = line.wishes.offer(GroupMessage::Whole { have });
-        let ControlPeer {
-            address,
-            is_near,
-            is_settled,
-            ..
-        } = line.peer;
-        tracing::info!(target: "entry", control = %address, near = is_near, settled = is_settled, candidates = peers.len(), "source: chosen");
+        if self.lines.borrow_mut().choose(have) {
+            // The new source tells of all entries anew.
+            self.peers.borrow_mut().clear();
+        }
+    }
+
+    fn is_source(&self, address: SocketAddr) -> bool {
+        self.lines.borrow().source() == Some(address)
     }
 
     /// Fetches a table that the source does not bring in time, from one after
@@ -328,18 +250,11 @@
             if have >= version {
                 return;
             }
-            let lines = self.lines.borrow();
-            let able = lines
-                .values()
-                .filter(|line| line.version >= version && !tried.contains(&line.peer.address));
-            let Some(line) = able.min_by_key(|line| line.peer.way) else {
+            if !self.lines.borrow().fetch(version, have, &mut tried) {
                 // Whoever comes back with it says so again.
                 self.fetching.set(have);
                 return;
-            };
-            tried.insert(line.peer.address);
-            tracing::warn!(target: "entry", control = %line.peer.address, table_version = version, "table: fetched, as the source did not bring it");
-            let _ = line.wishes.offer(GroupMessage::Fetch { have });
+            }
         }
     }
 
--- a/crates/node/src/process/forward/mod.rs
+++ b/crates/node/src/process/forward/mod.rs
@@ -8,6 +8,7 @@
 pub mod entry;
 pub mod feed;
 pub mod image;
+pub mod lines;
 pub mod measure;
 pub mod pool;
 pub mod run;
