Leave an entry that was silent alone for three seconds

Change: an entry that did not answer, or could not be reached in 300 ms, rests 3 s; the control group drops it by then. One that refuses rests as before.

--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -16,6 +16,10 @@
 /// Time that an entry is late before it is given up, as a part of the
 /// objective.
 const LATE_TIME: f64 = 0.5;
+/// Least time that an entry which was silent is left alone: each request that
+/// asks it loses its share, and the control group drops it by then if it is
+/// gone.
+pub(super) const SILENT_REST: Duration = Duration::from_secs(3);
 /// Time that the way back and the merge of a bundle are given.
 const BUNDLE_MARGIN: Duration = Duration::from_millis(7);
 
@@ -134,7 +138,7 @@
         }
         attempt.call = None;
         let (server, sent_at) = (attempt.server, attempt.sent_at);
-        self.servers[server].rest(now);
+        self.servers[server].rest_at_least(SILENT_REST, now);
         for part in attempt.parts.clone() {
             state.parts[part].attempts.clear();
             if state.parts[part].is_open() {
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -8,12 +8,16 @@
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::input::{AttemptEnd, ServerAnswer};
 use crate::process::forward::machine::ForwardMachine;
+use crate::process::forward::relay::SILENT_REST;
 use crate::process::input::CallTag;
 
 /// Status of a server that is not the one that was meant.
 const MISDIRECTED: u16 = 421;
 /// First status of a server's failure.
 const SERVER_FAILURE: u16 = 500;
+/// Time within which an entry that refuses says so; one that takes longer could
+/// not be reached.
+const REFUSAL_TIME: Duration = Duration::from_millis(300);
 /// How many times the typical time an answer takes that is recorded as slow.
 const SLOW_TIMES: u32 = 3;
 
@@ -127,6 +131,9 @@
                 server.judged(true);
             }
             EndMeaning::Broken if state.call.is_none() => {}
+            EndMeaning::Unsent if state.cause == AttemptCause::Relay && work > REFUSAL_TIME => {
+                server.rest_at_least(SILENT_REST, now);
+            }
             EndMeaning::Unsent => server.rest(now),
             EndMeaning::Broken => {
                 server.judged(true);
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -146,9 +146,14 @@
 
     /// Leaves the server alone for a while; longer each time.
     pub fn rest(&mut self, now: Duration) {
+        self.rest_at_least(Duration::ZERO, now);
+    }
+
+    /// Leaves the server alone for `least` or longer.
+    pub fn rest_at_least(&mut self, least: Duration, now: Duration) {
         let rest = FIRST_REST * 2u32.saturating_pow(self.rests.min(8));
         self.rests += 1;
-        self.rest_until = now + rest.min(LONGEST_REST);
+        self.rest_until = now + rest.min(LONGEST_REST).max(least);
     }
 
     /// Takes a load report.
--- a/crates/core/tests/forward/bundles.rs
+++ b/crates/core/tests/forward/bundles.rs
@@ -130,3 +130,20 @@
     harness.call("q");
     assert_eq!(harness.sends.len(), 6);
 }
+
+#[test]
+fn an_entry_that_was_silent_is_left_alone_for_seconds() {
+    let mut harness = split_world();
+    harness.call("q");
+    let bundle = bundle_place(&harness);
+    harness.pass(160);
+    assert_eq!(harness.cancels.len(), 1, "it is given up");
+    harness.end(bundle, AttemptEnd::Broken);
+    for (millis, is_asked) in [(1000, false), (1500, false), (1000, true)] {
+        harness.pass(millis);
+        let before = harness.sends.len();
+        harness.call("q");
+        let mut sends = harness.sends[before..].iter();
+        assert_eq!(sends.any(|order| order.relay.is_some()), is_asked);
+    }
+}
