--- a/crates/wire/tests/decode.rs
+++ b/crates/wire/tests/decode.rs
@@ -137,3 +137,44 @@
         prop_assert_eq!(read_announcement(body).is_ok(), is_good);
     }
 }
+
+#[test]
+fn a_packed_table_is_small_and_comes_back_whole() {
+    let route = |number: usize| {
+        let shards: Vec<String> = (0..90).map(|shard| format!("\"shard{shard}\"")).collect();
+        format!(
+            "{{\"name\":\"r{number}\",\"gather\":[{}]}}",
+            shards.join(",")
+        )
+    };
+    let text: String = (0..100).map(route).collect();
+    let packed = wheelmast_wire::pack::pack(text.as_bytes()).expect("packed");
+    assert!(
+        packed.len() * 20 < text.len(),
+        "{} of {}",
+        packed.len(),
+        text.len()
+    );
+    let unpacked = wheelmast_wire::pack::unpack(&packed).expect("unpacked");
+    assert_eq!(unpacked, text.as_bytes());
+}
+
+#[test]
+fn a_document_that_grows_too_large_is_refused() {
+    let text = vec![b' '; wheelmast_wire::pack::UNPACKED_BYTES as usize + 1];
+    let packed = wheelmast_wire::pack::pack(&text).expect("packed");
+    let error = wheelmast_wire::pack::unpack(&packed).expect_err("too large");
+    assert!(error.to_string().contains("over 33554432 bytes"));
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 256, rng_seed: RngSeed::Fixed(9), ..Config::default() })]
+
+    #[test]
+    fn what_was_not_packed_is_refused_or_read(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = wheelmast_wire::pack::unpack(&bytes);
+        let packed = wheelmast_wire::pack::pack(&bytes).expect("packed");
+        let unpacked = wheelmast_wire::pack::unpack(&packed).expect("unpacked");
+        prop_assert_eq!(unpacked, bytes);
+    }
+}
