Repeat single requests where it is faster, near or far

Ruled out: the bound on extra load (room in all), limits of connections. Change: a repeat of a request that one server answers counts a far server like a near one; parts of gathered requests as before.

Measured: tests/forward/hedges.rs fails before.

--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -35,6 +35,10 @@
     pub(super) typical: Duration,
     /// Time within which the whole answer should go out.
     pub(super) objective: Duration,
+    /// Whether a far server costs no more than a near one: a repeat of a
+    /// request that one server answers is few bytes, and what slows a server
+    /// often slows those beside it.
+    pub(super) far_as_near: bool,
 }
 
 /// The choice of a server.
@@ -126,7 +130,7 @@
 /// Returns what speaks against a server besides its expected time.
 fn doubts(state: &ServerState, times: ExpectedTimes, now: Duration) -> Duration {
     let mut doubt = FAILING_COST.mul_f64(state.failing);
-    if !state.is_near {
+    if !state.is_near && !times.far_as_near {
         doubt += times.objective.mul_f64(FAR_COST);
     }
     if state.idle == 0 {
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -59,6 +59,7 @@
         let times = ExpectedTimes {
             typical: self.timings[state.timing].typical(state.rule()),
             objective: state.rule().objective(),
+            far_as_near: !state.gathers && !state.parts[part].tried.is_empty(),
         };
         self.choose(upstream, &tried, times, now)
     }
--- a/crates/core/tests/forward/hedges.rs
+++ b/crates/core/tests/forward/hedges.rs
@@ -1,5 +1,7 @@
 //! When a slow part is asked for once more.
 
+use wheelmast_core::version::route_table::RouteTarget;
+
 use crate::harness::{route, shards, table, Harness, HOME};
 
 struct HedgeCase {
@@ -75,3 +77,34 @@
         assert!(range.contains(&time), "{}: {time} ms", case.name);
     }
 }
+
+#[test]
+fn a_single_request_is_repeated_where_it_is_faster_near_or_far() {
+    let mut harness = Harness::new();
+    let target = RouteTarget::Service("desk".to_string());
+    let mut rule = route("d", target);
+    rule.objective_ms = 1000;
+    rule.time_limit_ms = 3000;
+    harness.obey(table(3, vec![rule]));
+    harness.serve("desk", 2);
+    harness.serve_in("desk", "there");
+    for _ in 0..20 {
+        harness.call("d");
+        harness.pass(5);
+        harness.end_well(harness.sends.len() - 1, b"");
+    }
+    assert!(harness
+        .sends
+        .iter()
+        .all(|order| &*order.instance != "desk-there"));
+    // Both near servers fall silent, one after the other.
+    let first = harness.sends.len();
+    harness.call("d");
+    harness.pass(250);
+    harness.call("d");
+    let near = [first, first + 1].map(|send| harness.sends[send].instance.clone());
+    assert_ne!(near[0], near[1]);
+    assert!(near.iter().all(|instance| &**instance != "desk-there"));
+    harness.pass(80);
+    assert_eq!(&*harness.sends[first + 2].instance, "desk-there");
+}
