Say once what stood twice: kept actions, first sends, fixtures

Cause: read again as a whole. Which replica actions are kept was listed in the driver and in two tests; the oldest send of a part was found in two ways beside each other; the empty answer of a server was built in a tool, a bench and a test; two subcommands described the same arguments; two end-to-end tests began alike. The identity of each entry in a roll was made twice for each subscriber, a default was written out, and control status checked for what the argument parser requires already. Change: ReplicaAction::is_kept, ForwardMachine::first_sent, AttemptReply::found_nothing, service_arg and body_arg, put_first_table and announce_all; the rest simplified. Measured: all tests pass with their assertions as they were, linter clean.

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -49,7 +49,7 @@
         Some(("load", matches)) => LoadCommand::new(matches)?.run(),
         Some(("table", matches)) => TableCommand::new(matches)?.run(),
         Some(("route", matches)) => RouteCommand::new(matches)?.run(),
-        Some(("control", matches)) => ControlCommand::new(matches).run(),
+        Some(("control", matches)) => Ok(ControlCommand::new(matches).run()),
         Some(("data", matches)) => DataCommand::new(matches)?.run(),
         Some(("explain", matches)) => ExplainCommand::new(matches)?.run(),
         Some(("watch", matches)) => WatchCommand::new(matches)?.run(),
--- a/crates/cli/src/cmd/common.rs
+++ b/crates/cli/src/cmd/common.rs
@@ -18,6 +18,20 @@
         .help(help)
 }
 
+/// Returns the argument that names a service.
+pub fn service_arg() -> Arg {
+    Arg::new("service").value_name("SERVICE").required(true)
+}
+
+/// Returns the argument for what is searched for.
+pub fn body_arg() -> Arg {
+    Arg::new("body")
+        .long("body")
+        .value_name("JSON")
+        .default_value("{}")
+        .help("What to search for")
+}
+
 /// Returns the argument for output as JSON.
 pub fn json_arg() -> Arg {
     Arg::new("json")
--- a/crates/cli/src/cmd/control.rs
+++ b/crates/cli/src/cmd/control.rs
@@ -53,14 +53,7 @@
     }
 
     /// Asks each instance and prints what it says.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no instance is named.
-    pub fn run(&self) -> anyhow::Result<ExitCode> {
-        if self.instances.is_empty() {
-            bail!("could not find --instance");
-        }
+    pub fn run(&self) -> ExitCode {
         let mut group = Vec::with_capacity(self.instances.len());
         for instance in &self.instances {
             let gauges = fetch(*instance);
@@ -74,11 +67,11 @@
         for finding in &findings {
             println!("{finding}");
         }
-        Ok(if findings.is_empty() {
+        if findings.is_empty() {
             ExitCode::SUCCESS
         } else {
             ExitCode::FAILURE
-        })
+        }
     }
 }
 
@@ -101,8 +94,13 @@
     pairs.collect()
 }
 
+/// Returns a gauge; 0 if the instance has none of that name.
+fn read_gauge(gauges: &InstanceGauges, name: &str) -> f64 {
+    gauges.get(name).copied().unwrap_or_default()
+}
+
 fn describe(gauges: &InstanceGauges) -> String {
-    let number = |name: &str| gauges.get(name).copied().unwrap_or_default();
+    let number = |name: &str| read_gauge(gauges, name);
     let part = if number("replica_up") < 1.0 {
         "stopped by its disk"
     } else if number("replica_leads") > 0.0 {
@@ -136,7 +134,7 @@
             findings.push(format!("{instance}: does not answer"));
             continue;
         };
-        let number = |name: &str| gauges.get(name).copied().unwrap_or_default();
+        let number = |name: &str| read_gauge(gauges, name);
         if number("replica_up") < 1.0 {
             findings.push(format!(
                 "{instance}: its replica stands still, see its disk"
--- a/crates/cli/src/cmd/load.rs
+++ b/crates/cli/src/cmd/load.rs
@@ -15,7 +15,9 @@
 use wheelmast_wire::prelude::{AnswerBody, ProblemBody};
 
 use crate::client::{HttpClient, ServiceCall, WholeResponse};
-use crate::cmd::common::{block_on, instance_arg, instances, json_arg, text};
+use crate::cmd::common::{
+    block_on, body_arg, instance_arg, instances, json_arg, service_arg, text,
+};
 use crate::demo::arrival::pause;
 use crate::demo::report::CountReport;
 use crate::demo::tally::{CallEnd, CallResult, CallTally};
@@ -57,7 +59,7 @@
                  wheelmast load kiln-watch --instance 127.0.0.1:7400 --rate 50 --seconds 30 \
                  --report load.json",
             )
-            .arg(Arg::new("service").value_name("SERVICE").required(true))
+            .arg(service_arg())
             .arg(instance_arg("Listener for callers; may be repeated"))
             .arg(
                 Arg::new("rate")
@@ -73,13 +75,7 @@
                     .value_parser(clap::value_parser!(u64).range(1..=3600))
                     .default_value("10"),
             )
-            .arg(
-                Arg::new("body")
-                    .long("body")
-                    .value_name("JSON")
-                    .default_value("{}")
-                    .help("What to search for"),
-            )
+            .arg(body_arg())
             .arg(
                 Arg::new("report")
                     .long("report")
--- a/crates/cli/src/cmd/query.rs
+++ b/crates/cli/src/cmd/query.rs
@@ -9,7 +9,9 @@
 use wheelmast_wire::prelude::{AnswerBody, ProblemBody};
 
 use crate::client::{HttpClient, ServiceCall};
-use crate::cmd::common::{block_on, first_instance, instance_arg, json_arg, text};
+use crate::cmd::common::{
+    block_on, body_arg, first_instance, instance_arg, json_arg, service_arg, text,
+};
 
 /// The subcommand with its arguments.
 pub struct QueryCommand {
@@ -32,15 +34,9 @@
                  wheelmast query work-orders --instance 127.0.0.1:7400 --submit '{\"order\":7}' \
                  --idempotency-key w7",
             )
-            .arg(Arg::new("service").value_name("SERVICE").required(true))
+            .arg(service_arg())
             .arg(instance_arg("Listener for callers of an instance"))
-            .arg(
-                Arg::new("body")
-                    .long("body")
-                    .value_name("JSON")
-                    .default_value("{}")
-                    .help("What to search for"),
-            )
+            .arg(body_arg())
             .arg(
                 Arg::new("key")
                     .long("key")
--- a/crates/cli/src/measure/capacity.rs
+++ b/crates/cli/src/measure/capacity.rs
@@ -247,7 +247,11 @@
         for action in orders.drain(..) {
             if let EntryAction::Send(order) = action {
                 let now = now + Duration::from_millis(4);
-                machine.step(now, EntryInput::Reply(reply(&order)), &mut ends);
+                machine.step(
+                    now,
+                    EntryInput::Reply(AttemptReply::found_nothing(&order)),
+                    &mut ends,
+                );
             }
         }
         times.push(begin.elapsed().as_secs_f64() * 1e6);
@@ -258,20 +262,6 @@
     times[times.len() / 2]
 }
 
-fn reply(order: &SendOrder) -> AttemptReply {
-    AttemptReply {
-        attempt: order.attempt,
-        status: ReplyStatus::Body(ReplyBody {
-            attempt: order.id,
-            request: order.request,
-            shard: order.shard,
-            snapshot: order.snapshot,
-            hits: Vec::new(),
-        }),
-        connect: None,
-    }
-}
-
 /// Returns the memory of a gossip that knows `servers` servers.
 fn gossip_bytes(servers: u32) -> f64 {
     const MACHINES: usize = 8;
--- a/crates/core/benches/entry.rs
+++ b/crates/core/benches/entry.rs
@@ -59,17 +59,7 @@
 }
 
 fn reply(order: &SendOrder) -> EntryInput {
-    EntryInput::Reply(AttemptReply {
-        attempt: order.attempt,
-        status: ReplyStatus::Body(ReplyBody {
-            attempt: order.id,
-            request: order.request,
-            shard: order.shard,
-            snapshot: order.snapshot,
-            hits: Vec::new(),
-        }),
-        connect: None,
-    })
+    EntryInput::Reply(AttemptReply::found_nothing(order))
 }
 
 /// Runs one query to its end and returns the number of actions.
--- a/crates/core/src/process/control/message.rs
+++ b/crates/core/src/process/control/message.rs
@@ -171,6 +171,19 @@
     },
 }
 
+impl ReplicaAction {
+    /// Tells whether it is to be written and synced before any other action.
+    pub fn is_kept(&self) -> bool {
+        matches!(
+            self,
+            ReplicaAction::KeepHard(_)
+                | ReplicaAction::KeepEntry(_)
+                | ReplicaAction::KeepCommit(_)
+                | ReplicaAction::KeepSnapshot { .. }
+        )
+    }
+}
+
 /// Timing of a replica.
 #[derive(Debug, Clone, Copy)]
 pub struct ReplicaTiming {
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -4,6 +4,7 @@
 
 use crate::arena::SlotKey;
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
+use crate::process::forward::call::PartState;
 use crate::process::forward::choose::ServerChoice;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 
@@ -106,15 +107,12 @@
         let Some(state) = self.calls.get(call) else {
             return now;
         };
-        let is_far = !self.servers[choice.server].is_near;
-        let attempts = state.parts[part].attempts.iter();
-        let first = attempts.filter_map(|attempt| self.attempts.get(*attempt));
-        let Some(first) = first.map(|attempt| attempt.sent_at).min() else {
-            return now;
-        };
-        if !state.gathers || !is_far {
+        if !state.gathers || self.servers[choice.server].is_near {
             return now;
         }
+        let Some(first) = self.first_sent(&state.parts[part]) else {
+            return now;
+        };
         let count = state.gathered().len() as f64;
         let patience = (1.0 - DEAR_SHARDS / count).max(0.0);
         let needed = choice.expected.mul_f64(HEDGE_MARGIN) + HEDGE_SPARE;
@@ -128,15 +126,20 @@
         let Some(state) = self.calls.get(call) else {
             return false;
         };
-        let attempts = state.parts[part].attempts.iter();
-        let sent = attempts
-            .filter_map(|attempt| self.attempts.get(*attempt))
-            .map(|attempt| attempt.sent_at);
-        let age = sent.min().map_or(Duration::MAX, |sent| now - sent);
+        let sent = self.first_sent(&state.parts[part]);
+        let age = sent.map_or(Duration::MAX, |sent| now - sent);
         // What has been still for some time is likely to stay so as long.
         choice.expected < age * 2
     }
 
+    /// Returns when the oldest of a part's attempts was sent, if any is
+    /// outstanding.
+    fn first_sent(&self, part: &PartState) -> Option<Duration> {
+        let attempts = part.attempts.iter();
+        let sent = attempts.filter_map(|attempt| self.attempts.get(*attempt));
+        sent.map(|attempt| attempt.sent_at).min()
+    }
+
     /// Takes one repeat of a part out of the budget for extra load.
     pub(super) fn afford(
         &mut self,
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -76,7 +76,7 @@
 }
 
 /// What an entry knows of a service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct UpstreamState {
     pub(super) name: Arc<str>,
     pub(super) connections: u32,
@@ -283,11 +283,7 @@
         let upstream = self.upstreams.push(UpstreamState {
             name: name.into(),
             connections: UNNAMED_CONNECTIONS,
-            is_entry: false,
-            servers: Vec::new(),
-            budget: ExtraBudget::default(),
-            waiting: VecDeque::new(),
-            counts: UpstreamCounts::default(),
+            ..UpstreamState::default()
         });
         self.upstream_names.insert(name.into(), upstream);
         upstream
--- a/crates/core/src/process/input.rs
+++ b/crates/core/src/process/input.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::arena::{ServerKey, SlotKey};
+use crate::process::action::SendOrder;
 use crate::process::news::{HeldSnapshot, ServerNews};
 use crate::request::identity::{AttemptId, RequestId};
 use crate::request::merge::ScoredHit;
@@ -88,6 +89,23 @@
     pub connect: Option<Duration>,
 }
 
+impl AttemptReply {
+    /// Returns the answer of a server that found nothing to an order.
+    pub fn found_nothing(order: &SendOrder) -> AttemptReply {
+        AttemptReply {
+            attempt: order.attempt,
+            status: ReplyStatus::Body(ReplyBody {
+                attempt: order.id,
+                request: order.request,
+                shard: order.shard,
+                snapshot: order.snapshot,
+                hits: Vec::new(),
+            }),
+            connect: None,
+        }
+    }
+}
+
 /// A change to the idle connections of a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionChange {
--- a/crates/core/tests/allocations.rs
+++ b/crates/core/tests/allocations.rs
@@ -61,17 +61,7 @@
         let orders: Vec<SendOrder> = out.drain(..).filter_map(order_of).collect();
         assert_eq!(orders.len(), SHARDS as usize);
         for order in &orders {
-            let reply = AttemptReply {
-                attempt: order.attempt,
-                status: ReplyStatus::Body(ReplyBody {
-                    attempt: order.id,
-                    request: order.request,
-                    shard: order.shard,
-                    snapshot: order.snapshot,
-                    hits: Vec::new(),
-                }),
-                connect: None,
-            };
+            let reply = AttemptReply::found_nothing(order);
             let now = now + Duration::from_millis(1);
             spent += step(&mut rig, now, EntryInput::Reply(reply), &mut out);
         }
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -171,7 +171,7 @@
         // The driver's duty: everything to be kept is synced before anything
         // else is done.
         for action in &out {
-            if is_keep(action) && !self.sync(node, action) {
+            if action.is_kept() && !self.sync(node, action) {
                 return;
             }
         }
@@ -363,16 +363,6 @@
     }
 }
 
-fn is_keep(action: &ReplicaAction) -> bool {
-    matches!(
-        action,
-        ReplicaAction::KeepHard(_)
-            | ReplicaAction::KeepCommit(_)
-            | ReplicaAction::KeepEntry(_)
-            | ReplicaAction::KeepSnapshot { .. }
-    )
-}
-
 fn run_case(events: &[Event], count: usize, seed: u64, rules: ReplicaRules, lies: bool) -> Broken {
     let mut group = Group::new(count, rules, lies, seed);
     for event in events {
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -234,14 +234,7 @@
         let held = std::mem::take(&mut self.nodes[node].held);
         let mut held = held.into_iter();
         while let Some(action) = held.next() {
-            let keeps = matches!(
-                action,
-                ReplicaAction::KeepHard(_)
-                    | ReplicaAction::KeepEntry(_)
-                    | ReplicaAction::KeepCommit(_)
-                    | ReplicaAction::KeepSnapshot { .. }
-            );
-            if keeps && self.nodes[node].stalled {
+            if action.is_kept() && self.nodes[node].stalled {
                 self.nodes[node].held.push(action);
                 self.nodes[node].held.extend(held);
                 return;
--- a/crates/node/src/process/group/replica.rs
+++ b/crates/node/src/process/group/replica.rs
@@ -59,7 +59,8 @@
             };
             replica.step(now, input, &mut actions);
         }
-        let (keeps, others): (Vec<_>, Vec<_>) = actions.into_iter().partition(is_kept);
+        let (keeps, others): (Vec<_>, Vec<_>) =
+            actions.into_iter().partition(ReplicaAction::is_kept);
         {
             let mut state = self.state.borrow_mut();
             if !keeps.is_empty() {
@@ -326,13 +327,3 @@
         }
     }
 }
-
-fn is_kept(action: &ReplicaAction) -> bool {
-    matches!(
-        action,
-        ReplicaAction::KeepHard(_)
-            | ReplicaAction::KeepEntry(_)
-            | ReplicaAction::KeepCommit(_)
-            | ReplicaAction::KeepSnapshot { .. }
-    )
-}
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -70,10 +70,15 @@
     /// Returns the message that brings it from what it was told to `roll`, if
     /// there is anything to tell.
     fn catch_up(&mut self, roll: &GroupRoll, entries_changed: bool) -> Option<GroupMessage> {
-        let view = view_of(&self.peer, &roll.peers);
-        let ids: HashSet<Box<str>> = view.iter().map(|peer| peer.id()).collect();
-        let joined = view.iter().filter(|peer| !self.told.contains(&peer.id()));
-        let joined: Vec<EntryPeer> = joined.map(|peer| (*peer).clone()).collect();
+        let mut joined = Vec::new();
+        let mut ids = HashSet::new();
+        for peer in view_of(&self.peer, &roll.peers) {
+            let id = peer.id();
+            if !self.told.contains(&id) {
+                joined.push(peer.clone());
+            }
+            ids.insert(id);
+        }
         let left: Vec<Box<str>> = self.told.difference(&ids).cloned().collect();
         let is_news = entries_changed || !joined.is_empty() || !left.is_empty();
         self.told = ids;
--- a/crates/node/tests/forward/harness.rs
+++ b/crates/node/tests/forward/harness.rs
@@ -204,6 +204,26 @@
         path
     }
 
+    /// Puts the first table in force, once the group takes it.
+    pub(crate) fn put_first_table(&self, table: &str) {
+        until(
+            "first table",
+            || self.put_table(1, table),
+            |reply| reply.status == 200,
+        );
+    }
+
+    /// Announces servers until each is taken.
+    pub(crate) fn announce_all<'a>(&self, shards: impl Iterator<Item = &'a FakeShard>) {
+        for shard in shards {
+            until(
+                "announced",
+                || self.announce(shard, 0, false),
+                |reply| reply.status == 200,
+            );
+        }
+    }
+
     pub(crate) fn put_table(&self, to: usize, text: &str) -> Option<Reply> {
         ask(self.front(to), "PUT", "/v1/routes", "", text)
     }
--- a/crates/node/tests/forward/serve.rs
+++ b/crates/node/tests/forward/serve.rs
@@ -12,11 +12,7 @@
     let mut deployment = Deployment::start(7);
     let deployed = &deployment;
     let table = route_table(5);
-    until(
-        "first table",
-        || deployed.put_table(1, &table),
-        |reply| reply.status == 200,
-    );
+    deployed.put_first_table(&table);
 
     // Shards s0 and s1 stand here; s2 and s3 there, with the second entry.
     let mut shards = Vec::new();
@@ -33,13 +29,7 @@
             .await
             .expect("a desk"),
     ];
-    for shard in shards.iter().chain(&desks) {
-        until(
-            "announced",
-            || deployed.announce(shard, 0, false),
-            |reply| reply.status == 200,
-        );
-    }
+    deployed.announce_all(shards.iter().chain(&desks));
     // A server is sent to the control instance of its own failure domain.
     let there = format!(r#""next":"{}""#, deployed.front(2));
     let cases = [
@@ -186,23 +176,13 @@
     let mut deployment = Deployment::start(8);
     let deployed = &deployment;
     let table = route_table(5);
-    until(
-        "first table",
-        || deployed.put_table(1, &table),
-        |reply| reply.status == 200,
-    );
+    deployed.put_first_table(&table);
     let mut shards = Vec::new();
     for number in 0..4 {
         let shard = FakeShard::start(&format!("s{number}"), "here", b'a').await;
         shards.push(shard.expect("a shard"));
     }
-    for shard in &shards {
-        until(
-            "announced",
-            || deployed.announce(shard, 0, false),
-            |reply| reply.status == 200,
-        );
-    }
+    deployed.announce_all(shards.iter());
     let is_whole = |reply: &Reply| reply.status == 200 && reply.head.contains("missing: 0");
     until("whole", || deployed.query(3, "/q/x", "before"), is_whole);
     until(
