Split the plays of the group's members into a harness and its cases

Change: a folder with harness.rs (the group, its wire and disks) and cases.rs (the plays and what must hold). Moved only: no case, seed or assertion is another.

--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members/harness.rs
@@ -1,16 +1,9 @@
-//! A group that keeps its replicas in its own log: founding, learners, lost
-//! disks, replacements, stalled disks, one-way cuts, sure reads.
-
-#[path = "support/disk.rs"]
-mod disk;
+//! A group on a wire and disks that a play harms.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use disk::Disk;
 use proptest::prelude::*;
-use proptest::strategy::ValueTree;
-use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRng, TestRunner};
 use wheelmast_core::process::control::log::{LogEntry, ReplicaId};
 use wheelmast_core::process::control::message::{
     ProposalEnd, ReplicaAction, ReplicaInput, ReplicaMessage, ReplicaTiming,
@@ -18,11 +11,13 @@
 use wheelmast_core::process::control::replica::{ReplicaMachine, ReplicaRules, ReplicaStart};
 use wheelmast_core::process::control::state::{ControlCommand, MemberRecord};
 
+use crate::disk::Disk;
+
 /// Messages at one moment that no group should need.
 const STORM: usize = 5000;
 
 #[derive(Debug, Clone)]
-enum Event {
+pub(crate) enum Event {
     Advance(u16),
     Deliver(u8),
     DeliverAll,
@@ -40,7 +35,7 @@
     HandOver(u8),
 }
 
-fn event() -> impl Strategy<Value = Event> {
+pub(crate) fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
         8 => (1u16..400).prop_map(Event::Advance),
         8 => any::<u8>().prop_map(Event::Deliver),
@@ -58,8 +53,8 @@
     ]
 }
 
-struct Node {
-    id: ReplicaId,
+pub(crate) struct Node {
+    pub(crate) id: ReplicaId,
     machine: Option<ReplicaMachine>,
     disk: Disk,
     stalled: bool,
@@ -72,10 +67,10 @@
 }
 
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
-struct Broken {
+pub(crate) struct Broken {
     two_leaders: u32,
     lost_change: u32,
-    stale_read: u32,
+    pub(crate) stale_read: u32,
     unequal: u32,
     went_back: u32,
     not_mended: u32,
@@ -84,7 +79,7 @@
 }
 
 impl Broken {
-    fn total(&self) -> u32 {
+    pub(crate) fn total(&self) -> u32 {
         self.two_leaders
             + self.lost_change
             + self.stale_read
@@ -98,33 +93,39 @@
 
 /// What a wiped node is: another, or (a fault) itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum WipedName {
+pub(crate) enum WipedName {
     New,
     Old,
 }
 
-struct Group {
-    nodes: Vec<Node>,
+pub(crate) struct Group {
+    pub(crate) nodes: Vec<Node>,
     size: usize,
     rules: ReplicaRules,
     wiped: WipedName,
-    now: Duration,
-    wire: Vec<(usize, ReplicaId, ReplicaId, ReplicaMessage)>,
+    pub(crate) now: Duration,
+    pub(crate) wire: Vec<(usize, ReplicaId, ReplicaId, ReplicaMessage)>,
     next_id: ReplicaId,
     seed: u64,
     versions: u64,
     /// Versions proposed, by tag.
     proposed: BTreeMap<u64, u64>,
     /// Highest version acknowledged when a read began, by tag.
-    reads: BTreeMap<u64, (usize, u64)>,
-    acknowledged: u64,
-    tags: u64,
+    pub(crate) reads: BTreeMap<u64, (usize, u64)>,
+    pub(crate) acknowledged: u64,
+    pub(crate) tags: u64,
     leaders: BTreeMap<u64, ReplicaId>,
-    broken: Broken,
+    pub(crate) broken: Broken,
 }
 
 impl Group {
-    fn new(count: usize, size: usize, rules: ReplicaRules, wiped: WipedName, seed: u64) -> Group {
+    pub(crate) fn new(
+        count: usize,
+        size: usize,
+        rules: ReplicaRules,
+        wiped: WipedName,
+        seed: u64,
+    ) -> Group {
         let nodes = (0..count).map(|_| Node {
             id: 0,
             machine: None,
@@ -199,7 +200,7 @@
         state.in_force = 0;
     }
 
-    fn step(&mut self, node: usize, input: ReplicaInput) {
+    pub(crate) fn step(&mut self, node: usize, input: ReplicaInput) {
         let mut out = Vec::new();
         let Some(machine) = &mut self.nodes[node].machine else {
             return;
@@ -282,7 +283,7 @@
         machine.map_or(0, |machine| machine.state().route_version())
     }
 
-    fn deliver(&mut self, place: usize) {
+    pub(crate) fn deliver(&mut self, place: usize) {
         let (sender, from, to, message) = self.wire.remove(place);
         let Some(node) = self.nodes.iter().position(|node| node.id == to) else {
             return;
@@ -320,7 +321,7 @@
         }
     }
 
-    fn settle(&mut self, millis: u64) {
+    pub(crate) fn settle(&mut self, millis: u64) {
         for _ in 0..millis / 20 {
             self.advance(20);
             let mut delivered = 0;
@@ -365,7 +366,7 @@
         down.count()
     }
 
-    fn play(&mut self, event: &Event) {
+    pub(crate) fn play(&mut self, event: &Event) {
         let count = self.nodes.len();
         let at = |pick: u8| usize::from(pick) % count;
         match *event {
@@ -405,7 +406,7 @@
         }
     }
 
-    fn propose(&mut self, node: usize) {
+    pub(crate) fn propose(&mut self, node: usize) {
         let machine = self.nodes[node].machine.as_ref();
         if !machine.is_some_and(|machine| machine.state().is_founded()) {
             return;
@@ -443,7 +444,7 @@
     }
 
     /// Ends all trouble and looks at what is left.
-    fn finish(mut self) -> Broken {
+    pub(crate) fn finish(mut self) -> Broken {
         self.heal();
         for node in 0..self.nodes.len() {
             self.start(node);
@@ -471,157 +472,3 @@
 fn names_members(entry: &LogEntry) -> bool {
     matches!(entry.command, ControlCommand::Members { .. })
 }
-
-struct GroupCase {
-    name: &'static str,
-    nodes: usize,
-    size: usize,
-    rules: ReplicaRules,
-    wiped: WipedName,
-    /// Whether something must break.
-    breaks: bool,
-    seeds: u32,
-}
-
-fn run(case: &GroupCase) -> Broken {
-    let config = Config {
-        rng_algorithm: RngAlgorithm::ChaCha,
-        rng_seed: RngSeed::Fixed(7),
-        ..Config::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
-    let events = prop::collection::vec(event(), 80..160);
-    let mut broken = Broken::default();
-    for seed in 0..case.seeds {
-        let events = events.new_tree(&mut runner).expect("events").current();
-        let mut group = Group::new(
-            case.nodes,
-            case.size,
-            case.rules,
-            case.wiped,
-            u64::from(seed) * 1000,
-        );
-        for event in &events {
-            group.play(event);
-        }
-        broken = group.finish();
-        if broken.total() > 0 {
-            if !case.breaks {
-                eprintln!("{}: seed {seed}: {broken:?}", case.name);
-            }
-            return broken;
-        }
-    }
-    broken
-}
-
-#[test]
-fn nothing_acknowledged_is_lost_and_each_rule_counts() {
-    let rules = ReplicaRules::default();
-    let cases = [
-        GroupCase {
-            name: "three of three",
-            nodes: 3,
-            size: 3,
-            rules,
-            wiped: WipedName::New,
-            breaks: false,
-            seeds: 300,
-        },
-        GroupCase {
-            name: "three of four",
-            nodes: 4,
-            size: 3,
-            rules,
-            wiped: WipedName::New,
-            breaks: false,
-            seeds: 300,
-        },
-        GroupCase {
-            name: "five of six",
-            nodes: 6,
-            size: 5,
-            rules,
-            wiped: WipedName::New,
-            breaks: false,
-            seeds: 150,
-        },
-        GroupCase {
-            name: "a wiped replica votes under its old name",
-            nodes: 3,
-            size: 3,
-            rules,
-            wiped: WipedName::Old,
-            breaks: true,
-            seeds: 600,
-        },
-        GroupCase {
-            name: "a learner counts",
-            nodes: 4,
-            size: 3,
-            rules: ReplicaRules {
-                learners_apart: false,
-                ..rules
-            },
-            wiped: WipedName::New,
-            breaks: true,
-            seeds: 1500,
-        },
-        GroupCase {
-            name: "two changes at once",
-            nodes: 5,
-            size: 3,
-            rules: ReplicaRules {
-                one_change: false,
-                ..rules
-            },
-            wiped: WipedName::New,
-            breaks: true,
-            seeds: 1500,
-        },
-    ];
-    for case in &cases {
-        let broken = run(case);
-        assert_eq!(broken.total() > 0, case.breaks, "{}: {broken:?}", case.name);
-    }
-}
-
-#[test]
-fn a_leader_that_was_frozen_confirms_no_read() {
-    for confirmed in [true, false] {
-        let rules = ReplicaRules {
-            confirmed_reads: confirmed,
-            ..ReplicaRules::default()
-        };
-        let mut group = Group::new(3, 3, rules, WipedName::New, 1);
-        // The founder leads and stands still while the others go on.
-        for _ in 0..100 {
-            group.now += Duration::from_millis(20);
-            for node in 1..3 {
-                group.step(node, ReplicaInput::Wake);
-            }
-            group
-                .wire
-                .retain(|(sender, _, to, _)| *sender != 0 && *to != group.nodes[0].id);
-            while !group.wire.is_empty() {
-                group.deliver(0);
-                group.wire.retain(|(_, _, to, _)| *to != group.nodes[0].id);
-            }
-        }
-        for node in 1..3 {
-            group.propose(node);
-        }
-        group.wire.retain(|(_, _, to, _)| *to != group.nodes[0].id);
-        while !group.wire.is_empty() {
-            group.deliver(0);
-        }
-        assert!(group.acknowledged > 0, "the others have a leader");
-        group.tags += 1;
-        group.reads.insert(group.tags, (0, group.acknowledged));
-        let tag = group.tags;
-        group.step(0, ReplicaInput::Read { tag });
-        group.settle(2000);
-        assert_eq!(group.broken.stale_read > 0, !confirmed);
-    }
-}
