Weigh a gathered request's shards before the first send

Cause: a shard whose servers have more work than time answers a random part of the requests that want it. Change: an entry estimates what waits at each server from its own sends and the server's word, other entries counted only while something waits there. A shard that can't answer in time isn't asked; a scarce one only by requests that lack shards; a request that lacks too many is refused at once.

--- /dev/null
+++ b/crates/core/src/process/forward/admit.rs
@@ -0,0 +1,211 @@
+//! Whether a request is taken, and which of its shards are asked.
+//!
+//! A shard whose servers have more work than time can answer only some of the
+//! requests that want it. If each shard served its own choice of these, few
+//! requests would get enough of them all, and the work for the others would be
+//! for nobody. So an entry decides before the first send, for all shards at
+//! once:
+//!
+//! - A shard that cannot answer in time is not asked.
+//! - A shard that was short of room a moment ago is asked only by requests
+//!   that have too few others, and by no more of them than they need.
+//! - A request that has too few shards all the same is refused at once.
+
+use std::time::Duration;
+
+use crate::arena::{ServerKey, SlotKey, UpstreamKey};
+use crate::process::forward::answer::{ForwardAction, ForwardDecision};
+use crate::process::forward::call::{CallState, PartStatus};
+use crate::process::forward::choose::ExpectedTimes;
+use crate::process::forward::directory::ServerStanding;
+use crate::process::forward::machine::ForwardMachine;
+
+/// Fraction of the last requests without room above which a shard is scarce.
+const SCARCE_ABOVE: f64 = 0.4;
+/// Part of the time left within which a scarce shard must be expected to
+/// answer: what is asked of it settles at this bound.
+const SCARCE_USE: f64 = 0.8;
+/// The same for a shard that is not scarce: the work is not needed elsewhere,
+/// and it may come in time all the same.
+const PLENTY_USE: f64 = 1.5;
+/// Fraction of the last bundles without a shard above which it is not counted
+/// on.
+const MISSED_OFTEN: f64 = 0.5;
+
+/// What a part of a request can count on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PartOutlook {
+    /// Its shard has room.
+    Plenty,
+    /// Its shard has room for few; time until it would answer.
+    Scarce(Duration),
+    /// Its shard would answer too late.
+    Short,
+    /// Nothing is known that speaks for it or against; it is asked.
+    Unsure,
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum AdmitVerdict {
+    /// It is taken, without these of its parts.
+    Take(Vec<usize>),
+    /// Too few of its shards could answer in time.
+    Refuse,
+}
+
+impl ForwardMachine {
+    /// Decides whether a request is taken, and which parts are left out.
+    pub(super) fn weigh(&mut self, state: &CallState, now: Duration) -> AdmitVerdict {
+        if !state.gathers {
+            return AdmitVerdict::Take(Vec::new());
+        }
+        let outlooks: Vec<PartOutlook> = (0..state.parts.len())
+            .map(|part| self.outlook(state, part, now))
+            .collect();
+        self.count_shortage(state, &outlooks, now);
+        let needed = if state.relayed {
+            0
+        } else {
+            let least = state.rule().least_coverage * state.parts.len() as f64;
+            (least - 1e-9).ceil() as usize
+        };
+        divide_room(&outlooks, needed, state.relayed)
+    }
+
+    /// Counts the shards that could not take a request.
+    fn count_shortage(&mut self, state: &CallState, outlooks: &[PartOutlook], now: Duration) {
+        for (part, outlook) in state.parts.iter().zip(outlooks) {
+            let sample = match outlook {
+                PartOutlook::Short => 1.0,
+                PartOutlook::Plenty | PartOutlook::Scarce(_) => 0.0,
+                PartOutlook::Unsure => continue,
+            };
+            self.upstreams[part.upstream].shortage.add(sample, now);
+        }
+    }
+
+    fn outlook(&self, state: &CallState, part: usize, now: Duration) -> PartOutlook {
+        let upstream = state.parts[part].upstream;
+        let times = self.first_times(state);
+        if self.is_bundled(upstream) {
+            let misses = self.upstreams[upstream].bundle_misses.at(now);
+            return if misses > MISSED_OFTEN {
+                PartOutlook::Unsure
+            } else {
+                PartOutlook::Plenty
+            };
+        }
+        let Some(expected) = self.expect_loaded(upstream, times, now) else {
+            return PartOutlook::Unsure;
+        };
+        // An answer after the objective is worth little, but then the caller's
+        // own time is what counts.
+        let until = if state.plan.aim > now {
+            state.plan.aim
+        } else {
+            state.plan.limit
+        };
+        let is_scarce = self.upstreams[upstream].shortage.at(now) > SCARCE_ABOVE;
+        let usable = if is_scarce { SCARCE_USE } else { PLENTY_USE };
+        if expected > (until - now).mul_f64(usable) {
+            PartOutlook::Short
+        } else if is_scarce {
+            PartOutlook::Scarce(expected)
+        } else {
+            PartOutlook::Plenty
+        }
+    }
+
+    /// Tells whether a shard is asked for through another entry.
+    fn is_bundled(&self, upstream: UpstreamKey) -> bool {
+        let own = &self.options.domain;
+        let has_peers = self.peer_domains.iter().any(|(name, _)| name != own);
+        has_peers && !self.has_server_in(upstream, own)
+    }
+
+    /// Returns the least time to an answer that load explains, if a server of
+    /// the service answers at all.
+    fn expect_loaded(
+        &self,
+        upstream: UpstreamKey,
+        times: ExpectedTimes,
+        now: Duration,
+    ) -> Option<Duration> {
+        let servers = self.upstreams[upstream].servers.iter();
+        let able = servers.filter(|server| self.is_able(**server, now));
+        able.map(|server| self.servers[*server].expect_loaded(times.typical, now))
+            .min()
+    }
+
+    fn is_able(&self, server: ServerKey, now: Duration) -> bool {
+        let state = &self.servers[server];
+        state.standing == ServerStanding::Ready && !state.silent && now >= state.rest_until
+    }
+
+    /// Leaves parts of a request out before anything is sent.
+    pub(super) fn leave_out(
+        &mut self,
+        call: SlotKey,
+        parts: &[usize],
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.calls.get_mut(call) else {
+            return;
+        };
+        for part in parts {
+            state.parts[*part].status = PartStatus::Missing;
+            state.missing += 1;
+        }
+        let tag = state.tag;
+        if parts.is_empty() {
+            return;
+        }
+        let upstreams: Vec<UpstreamKey> = parts
+            .iter()
+            .map(|part| state.parts[*part].upstream)
+            .collect();
+        self.decide(tag, out, || ForwardDecision::LeaveOut {
+            services: upstreams
+                .iter()
+                .map(|upstream| self.upstreams[*upstream].name.clone())
+                .collect(),
+        });
+    }
+
+    /// Takes note of whether a shard was in a bundle that was asked for it.
+    pub(super) fn bundled(&mut self, upstream: UpstreamKey, is_in: bool, now: Duration) {
+        let sample = if is_in { 0.0 } else { 1.0 };
+        self.upstreams[upstream].bundle_misses.add(sample, now);
+    }
+}
+
+/// Decides by the outlooks which parts are left out, or that too few are left.
+fn divide_room(outlooks: &[PartOutlook], needed: usize, takes_all: bool) -> AdmitVerdict {
+    let plenty = outlooks.iter().filter(|one| **one == PartOutlook::Plenty);
+    let mut lacking = needed.saturating_sub(plenty.count());
+    let mut scarce: Vec<(Duration, usize)> = Vec::new();
+    let mut without = Vec::new();
+    for (part, outlook) in outlooks.iter().enumerate() {
+        match outlook {
+            PartOutlook::Scarce(expected) => scarce.push((*expected, part)),
+            PartOutlook::Short => without.push(part),
+            PartOutlook::Plenty | PartOutlook::Unsure => {}
+        }
+    }
+    if takes_all {
+        return AdmitVerdict::Take(without);
+    }
+    if lacking > scarce.len() {
+        return AdmitVerdict::Refuse;
+    }
+    scarce.sort();
+    for (_, part) in scarce {
+        if lacking > 0 {
+            lacking -= 1;
+        } else {
+            without.push(part);
+        }
+    }
+    AdmitVerdict::Take(without)
+}
--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -184,6 +184,12 @@
         /// When its connection is closed, if it has not answered by then.
         closes_in: Duration,
     },
+    /// Shards are not asked: they have no room, or the request can do without
+    /// them and others cannot.
+    LeaveOut {
+        /// Their services.
+        services: Vec<Arc<str>>,
+    },
     /// A part was given up: its service has no server left to ask.
     NoServer {
         /// The service.
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::arena::{SlotKey, UpstreamKey};
+use crate::process::forward::admit::AdmitVerdict;
 use crate::process::forward::answer::{
     AttemptCause, ForwardAction, ForwardDecision, ForwardFailure,
 };
@@ -30,6 +31,10 @@
             return self.turn_away(call.tag, ForwardFailure::Overload, out);
         }
         let state = self.lay_out(&call, table, route, now);
+        let AdmitVerdict::Take(without) = self.weigh(&state, now) else {
+            self.count_refused(&state, now);
+            return self.turn_away(call.tag, ForwardFailure::Overload, out);
+        };
         let (plan, count) = (state.plan, state.parts.len());
         let (name, version) = (state.rule().name.as_str().into(), state.table.version());
         self.decide(call.tag, out, || ForwardDecision::Admit {
@@ -40,6 +45,7 @@
         });
         let key = self.calls.insert(state);
         self.tags.insert(call.tag, key);
+        self.leave_out(key, &without, out);
         self.send_bundles(key, now, out);
         self.count_direct(key, now);
         for part in 0..count {
@@ -102,6 +108,14 @@
         }
     }
 
+    /// Counts a request that was refused: it was for these services as well.
+    fn count_refused(&mut self, state: &CallState, now: Duration) {
+        for part in &state.parts {
+            let budget = &mut self.upstreams[part.upstream].budget;
+            budget.request(&self.options.extra, now);
+        }
+    }
+
     fn targets(&mut self, rule: &RouteRule) -> Vec<UpstreamKey> {
         match &rule.target {
             RouteTarget::Service(name) => vec![self.upstream(name)],
@@ -124,7 +138,10 @@
         let is_unsent = self
             .calls
             .get(call)
-            .is_some_and(|state| state.parts[part].attempts.is_empty());
+            .is_some_and(|state| {
+                let part = &state.parts[part];
+                part.is_open() && part.attempts.is_empty()
+            });
         if !is_unsent {
             return;
         }
--- a/crates/core/src/process/forward/bundle.rs
+++ b/crates/core/src/process/forward/bundle.rs
@@ -60,6 +60,7 @@
         let (relayed, divides) = (state.relayed, state.divides);
         let own = self.options.domain.clone();
         let (near, mut far): (Vec<usize>, Vec<usize>) = (0..state.parts.len())
+            .filter(|part| state.parts[*part].is_open())
             .partition(|part| self.has_server_in(state.parts[*part].upstream, &own));
         let mut plans = Vec::new();
         if divides && near.len() > DIVIDE_ABOVE {
@@ -181,7 +182,7 @@
 
     /// Tells whether a service has a server in a domain that takes work and
     /// answers.
-    fn has_server_in(&self, upstream: UpstreamKey, domain: &str) -> bool {
+    pub(super) fn has_server_in(&self, upstream: UpstreamKey, domain: &str) -> bool {
         let mut servers = self.upstreams[upstream].servers.iter();
         servers.any(|server| {
             let state = &self.servers[*server];
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -19,6 +19,7 @@
     NoticeEffect, ServerDirectory, ServerNotice, ServerStanding,
 };
 use crate::process::forward::extra::{ExtraBound, ExtraBudget};
+use crate::process::forward::fading::FadingShare;
 use crate::process::forward::input::ForwardInput;
 use crate::process::forward::server::ServerState;
 use crate::process::forward::split::SplitCounter;
@@ -86,6 +87,10 @@
     pub(super) budget: ExtraBudget,
     /// Parts that wait for a server with room.
     pub(super) waiting: VecDeque<(SlotKey, usize)>,
+    /// Fraction of the last requests that it had no room for.
+    pub(super) shortage: FadingShare,
+    /// Fraction of the bundles that came without it lately.
+    pub(super) bundle_misses: FadingShare,
     /// Counts since the start.
     pub(super) counts: UpstreamCounts,
 }
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -4,7 +4,9 @@
 //! [`directory::ServerDirectory`] holds what upstream servers announced, in
 //! the control group and at the entries alike.
 
+mod admit;
 pub mod answer;
+pub mod backlog;
 mod begin;
 pub mod bundle;
 pub mod call;
@@ -12,6 +14,7 @@
 pub mod directory;
 mod end;
 pub mod extra;
+pub mod fading;
 mod hedge;
 pub mod input;
 pub mod machine;
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -154,7 +154,22 @@
     /// Takes the parts that another entry gathered. Their records are merged
     /// and cannot be taken apart: a part among them that came otherwise in the
     /// meantime is taken from the bundle instead.
-    pub(super) fn take_bundle(&mut self, call: SlotKey, parts: &[usize], bundle: &BundleAnswer) {
+    pub(super) fn take_bundle(
+        &mut self,
+        call: SlotKey,
+        parts: &[usize],
+        bundle: &BundleAnswer,
+        now: Duration,
+    ) {
+        for part in parts {
+            let Some(state) = self.calls.get(call) else {
+                return;
+            };
+            let upstream = state.parts[*part].upstream;
+            let name = &*self.upstreams[upstream].name;
+            let is_in = bundle.parts.iter().any(|(shard, _)| **shard == *name);
+            self.bundled(upstream, is_in, now);
+        }
         let Some(state) = self.calls.get_mut(call) else {
             return;
         };
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -70,6 +70,17 @@
     }
 }
 
+/// Returns how many times its work an answer took because of what waits at its
+/// server: what it finds waiting is on average what it leaves waiting.
+fn queue_factor(end: &AttemptEnd) -> f64 {
+    match end {
+        AttemptEnd::Answer(answer) => answer.load.map_or(1.0, |load| {
+            1.0 + f64::from(load.waiting) / f64::from(load.slots.max(1))
+        }),
+        _ => 1.0,
+    }
+}
+
 impl PartState {
     /// Takes an attempt back out of the counts, if it did not run.
     fn uncount(&mut self, meaning: EndMeaning, runs: u32) {
@@ -122,7 +133,8 @@
         let work = (now - state.sent_at).saturating_sub(server.way());
         match meaning {
             EndMeaning::Final => {
-                server.answered(work, state.typical, now);
+                let alone = work.div_f64(queue_factor(end));
+                server.answered(alone, state.typical, now);
                 server.judged(false);
                 self.timings[state.timing].add(work);
             }
@@ -143,8 +155,11 @@
         let AttemptEnd::Answer(answer) = end else {
             return;
         };
+        let server = &mut self.servers[state.server];
         if let Some(load) = answer.load {
-            self.servers[state.server].loaded(load, now);
+            server.loaded(load, now);
+            let work = server.work(state.typical, now);
+            server.backlog.told(load.waiting, work, server.slots, now);
         }
         if answer.status == MISDIRECTED {
             // The address belongs to another server now.
@@ -196,7 +211,7 @@
         }
         match end {
             AttemptEnd::Bundle(bundle) => {
-                self.take_bundle(key, &state.parts, &bundle);
+                self.take_bundle(key, &state.parts, &bundle, now);
                 self.check_end(key, now, out);
             }
             AttemptEnd::Answer(answer) if meaning == EndMeaning::Final => {
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -4,7 +4,7 @@
 
 use crate::arena::{SlotKey, UpstreamKey};
 use crate::process::forward::answer::{AttemptCause, AttemptOrder, ForwardAction, ForwardDecision};
-use crate::process::forward::call::{ForwardAttempt, PartState, PartStatus};
+use crate::process::forward::call::{CallState, ForwardAttempt, PartState, PartStatus};
 use crate::process::forward::choose::{ExpectedTimes, NoChoice, ServerChoice};
 use crate::process::forward::input::RelayOrder;
 use crate::process::forward::machine::ForwardMachine;
@@ -57,13 +57,21 @@
         let state = self.calls.get(call).ok_or(NoChoice::NoServer)?;
         let (upstream, tried) = (state.parts[part].upstream, state.parts[part].tried.clone());
         let times = ExpectedTimes {
-            typical: self.timings[state.timing].typical(state.rule()),
-            objective: state.rule().objective(),
-            far_as_near: !state.gathers && !state.parts[part].tried.is_empty(),
+            far_as_near: !state.gathers && !tried.is_empty(),
+            ..self.first_times(state)
         };
         self.choose(upstream, &tried, times, now)
     }
 
+    /// Returns what is expected of the first answers to a request.
+    pub(super) fn first_times(&self, state: &CallState) -> ExpectedTimes {
+        ExpectedTimes {
+            typical: self.timings[state.timing].typical(state.rule()),
+            objective: state.rule().objective(),
+            far_as_near: false,
+        }
+    }
+
     pub(super) fn send_to(
         &mut self,
         call: SlotKey,
@@ -133,6 +141,11 @@
             counts.extras += 1;
         }
         let outstanding = server.outstanding.len();
+        if send.relay.is_none() {
+            let typical = self.timings[send.timing].typical(state.rule());
+            let work = server.work(typical, now);
+            server.backlog.sent(work, server.slots, self.entries, now);
+        }
         server.outstanding.push(OutstandingAttempt {
             attempt,
             sent_at: now,
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::arena::{SlotKey, UpstreamKey};
+use crate::process::forward::backlog::ServerBacklog;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::input::LoadReport;
 
@@ -72,6 +73,8 @@
     pub rest_until: Duration,
     /// When it last answered.
     pub answered_at: Duration,
+    /// Work that waits there, sent by whatever entry.
+    pub backlog: ServerBacklog,
     way: Duration,
     rests: u32,
     load: Option<(LoadReport, Duration)>,
@@ -96,6 +99,7 @@
             failing: 0.0,
             rest_until: Duration::ZERO,
             answered_at: Duration::ZERO,
+            backlog: ServerBacklog::default(),
             way: FIRST_WAY,
             rests: 0,
             load: None,
@@ -178,13 +182,26 @@
         self.stall(now) > typical.mul_f64(self.slowness(now)) * 2 + self.way
     }
 
+    /// Returns the time that it works on a request which takes `typical` at its
+    /// peers.
+    pub fn work(&self, typical: Duration, now: Duration) -> Duration {
+        let work = typical.mul_f64(self.slowness(now));
+        if now < self.warm_at {
+            return work.mul_f64(COLD_FACTOR);
+        }
+        work
+    }
+
+    /// Returns the time to an answer that its work and what waits there
+    /// explain. A pause is not counted: what is asked meanwhile costs nothing.
+    pub fn expect_loaded(&self, typical: Duration, now: Duration) -> Duration {
+        self.way + self.work(typical, now) + self.backlog.wait(now)
+    }
+
     /// Returns the time to expect for a request that takes `typical` at an
     /// idle server of the service.
     pub fn expect(&self, typical: Duration, now: Duration) -> Duration {
-        let mut work = typical.mul_f64(self.slowness(now));
-        if now < self.warm_at {
-            work = work.mul_f64(COLD_FACTOR);
-        }
+        let work = self.work(typical, now);
         let slots = f64::from(self.slots.max(1));
         let ahead = self.ahead(now);
         let queue = (ahead + 1.0 - slots).max(0.0) / slots;
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -235,6 +235,7 @@
         }
         ForwardDecision::Slow { .. } | ForwardDecision::Abandon { .. } => true,
         ForwardDecision::Lost { .. }
+        | ForwardDecision::LeaveOut { .. }
         | ForwardDecision::NoServer { .. }
         | ForwardDecision::NoBudget { .. } => false,
     }
@@ -273,6 +274,10 @@
             let after_ms = millis(*after);
             tracing::info!(target: "entry", request, at_ms, %service, server = %instance, reason, after_ms, "route: attempt lost");
         }
+        ForwardDecision::LeaveOut { services } => {
+            let services = services.join(", ");
+            tracing::info!(target: "entry", request, at_ms, services, "route: shards not asked");
+        }
         ForwardDecision::NoServer { service, servers } => {
             tracing::info!(target: "entry", request, at_ms, %service, servers, "route: no server to ask");
         }
