Keep a part that was turned away until the bound or a server leaves room

Cause: while 20 of 40 servers rejected 60% of their requests, a part whose other server had no connection free, or whose repeat the bound did not allow at that moment, was given up at once: 184 of 627 logged requests failed with 6 to 8 of 20 parts missing. A server that sheds cost a fixed 250 ms, whatever its rejection costs. Ruled out: the bound itself (27 refused repeats against 473 made in the log); most losses were servers without a free connection. Change: a shedding server costs the time lost and what a repeat costs, more the more of the bound is spent; a part that was turned away waits. Found on the way: the age of a part without attempts overflowed and ended the entry.

--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -19,8 +19,14 @@
 const FAR_COST: f64 = 0.3;
 /// What a new connection costs, as time.
 const OPEN_COST: Duration = Duration::from_millis(5);
-/// What a server that failed last costs, as time.
+/// What a server that failed last costs, as time, where a request may not be
+/// repeated.
 const FAILING_COST: Duration = Duration::from_millis(250);
+/// What a repeat costs while the bound on extra load is untouched, as a part of
+/// the objective.
+const LEAST_REPEAT_COST: f64 = 0.1;
+/// What it costs when the bound is spent: the part is likely lost.
+const MOST_REPEAT_COST: f64 = 1.0;
 /// What a server costs that is silent at the control group or rests, as time.
 const DOUBT_COST: Duration = Duration::from_secs(2);
 /// Requests for each slot that an entry may have at a near server.
@@ -39,6 +45,8 @@
     /// request that one server answers is few bytes, and what slows a server
     /// often slows those beside it.
     pub(super) far_as_near: bool,
+    /// Whether it may be repeated.
+    pub(super) repeats: bool,
 }
 
 /// The choice of a server.
@@ -72,6 +80,7 @@
         let mut best: Option<(ServerKey, f64, Duration)> = None;
         let mut candidates = 0;
         let mut is_full = false;
+        let repeat = self.repeat_cost(upstream, times, now);
         for server in &self.upstreams[upstream].servers {
             let state = &self.servers[*server];
             if state.standing != ServerStanding::Ready || tried.contains(server) {
@@ -88,7 +97,9 @@
             candidates += 1;
             let expected = state.expect(times.typical, now);
             let jitter = 1.0 + JITTER * self.rng.random::<f64>();
-            let cost = (expected + doubts(state, times, now)).as_secs_f64() * jitter;
+            let failing = repeat.map_or(FAILING_COST, |repeat| expected + repeat);
+            let doubt = doubts(state, times, failing, now);
+            let cost = (expected + doubt).as_secs_f64() * jitter;
             if best.is_none_or(|(_, least, _)| cost < least) {
                 best = Some((*server, cost, expected));
             }
@@ -104,6 +115,24 @@
         }
     }
 
+    /// Returns what a repeat costs besides the time that was lost, if the
+    /// request may be repeated: the more of the bound on extra load is spent,
+    /// the more.
+    fn repeat_cost(
+        &self,
+        upstream: UpstreamKey,
+        times: ExpectedTimes,
+        now: Duration,
+    ) -> Option<Duration> {
+        if !times.repeats {
+            return None;
+        }
+        let budget = &self.upstreams[upstream].budget;
+        let spent = budget.spent_share(&self.options.extra, self.entries, now);
+        let part = LEAST_REPEAT_COST + (MOST_REPEAT_COST - LEAST_REPEAT_COST) * spent;
+        Some(times.objective.mul_f64(part))
+    }
+
     /// Returns how many connections this entry may have to a server: its part
     /// of the server's limit, which all entries share.
     ///
@@ -127,9 +156,15 @@
     }
 }
 
-/// Returns what speaks against a server besides its expected time.
-fn doubts(state: &ServerState, times: ExpectedTimes, now: Duration) -> Duration {
-    let mut doubt = FAILING_COST.mul_f64(state.failing);
+/// Returns what speaks against a server besides its expected time, where a
+/// failure costs `failing`.
+fn doubts(
+    state: &ServerState,
+    times: ExpectedTimes,
+    failing: Duration,
+    now: Duration,
+) -> Duration {
+    let mut doubt = failing.mul_f64(state.failing);
     if !state.is_near && !times.far_as_near {
         doubt += times.objective.mul_f64(FAR_COST);
     }
--- a/crates/core/src/process/forward/extra.rs
+++ b/crates/core/src/process/forward/extra.rs
@@ -59,6 +59,20 @@
 
     /// Returns how many extra arrivals the bound leaves room for.
     pub fn room(&self, bound: &ExtraBound, entries: u32, now: Duration) -> f64 {
+        let (allowed, spent) = self.account(bound, entries, now);
+        allowed - spent
+    }
+
+    /// Returns the fraction of what the bound allows that is spent, from 0 to
+    /// 1.
+    pub fn spent_share(&self, bound: &ExtraBound, entries: u32, now: Duration) -> f64 {
+        let (allowed, spent) = self.account(bound, entries, now);
+        (spent / allowed.max(1.0)).min(1.0)
+    }
+
+    /// Returns the extra arrivals that the bound allows in the window, and
+    /// those that there were.
+    fn account(&self, bound: &ExtraBound, entries: u32, now: Duration) -> (f64, f64) {
         let current = step_of(bound, now);
         let oldest = current.saturating_sub(STEPS as u64);
         let live = self.steps.iter().filter(|count| count.step >= oldest);
@@ -71,7 +85,7 @@
             }
         }
         let part = bound.slack / f64::from(entries.max(1));
-        bound.ratio * requests + part - extras
+        (bound.ratio * requests + part, extras)
     }
 
     fn slot(&mut self, bound: &ExtraBound, now: Duration) -> &mut StepCount {
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -88,7 +88,33 @@
         if !self.pays(call, part, choice, now) || !self.afford(call, part, now, out) {
             return;
         }
-        self.send_to(call, part, AttemptCause::Hedge, choice, now, out);
+        let is_lost = self
+            .calls
+            .get(call)
+            .is_some_and(|state| state.parts[part].attempts.is_empty());
+        let cause = if is_lost {
+            AttemptCause::Retry
+        } else {
+            AttemptCause::Hedge
+        };
+        self.send_to(call, part, cause, choice, now, out);
+    }
+
+    /// Keeps a part whose repeat the bound on extra load does not allow yet: the
+    /// bound leaves room again with the next requests, and a shard given up may
+    /// cost the whole answer.
+    pub(super) fn look_again(
+        &mut self,
+        call: SlotKey,
+        part: usize,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        if let Some(state) = self.calls.get_mut(call) {
+            state.parts[part].hedge_at = now + LOOK_AGAIN;
+        }
+        self.plan_sweep(call, now);
+        self.check_end(call, now, out);
     }
 
     /// Returns when a part that has become slow is worth a hedge.
@@ -126,10 +152,11 @@
         let Some(state) = self.calls.get(call) else {
             return false;
         };
-        let sent = self.first_sent(&state.parts[part]);
-        let age = sent.map_or(Duration::MAX, |sent| now - sent);
+        let Some(sent) = self.first_sent(&state.parts[part]) else {
+            return true;
+        };
         // What has been still for some time is likely to stay so as long.
-        choice.expected < age * 2
+        choice.expected < (now - sent) * 2
     }
 
     /// Returns when the oldest of a part's attempts was sent, if any is
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -5,6 +5,7 @@
 use crate::arena::SlotKey;
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
 use crate::process::forward::call::{ForwardAttempt, PartState, PartStatus};
+use crate::process::forward::choose::NoChoice;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::input::{AttemptEnd, ServerAnswer};
 use crate::process::forward::machine::ForwardMachine;
@@ -306,12 +307,21 @@
         let may_repeat = rule.idempotent || state.runs == 0;
         let has_time = now < call.plan.limit;
         let is_allowed = may_repeat && has_time && state.runs < rule.attempts;
+        let is_last = state.attempts.is_empty();
+        // What may not be repeated in doubt is not looked at again.
+        let may_wait = is_last && rule.idempotent;
         if is_allowed && !state.attempts.is_full() {
-            if let Ok(choice) = self.choose_for(key, part, now) {
-                if self.afford(key, part, now, out) {
+            match self.choose_for(key, part, now) {
+                Ok(choice) if self.afford(key, part, now, out) => {
                     self.send_to(key, part, AttemptCause::Retry, choice, now, out);
                     return self.plan_sweep(key, now);
                 }
+                Ok(_) if may_wait => return self.look_again(key, part, now, out),
+                Err(reason @ NoChoice::Full) if may_wait => {
+                    self.wait_or_miss(key, part, reason, out);
+                    return self.check_end(key, now, out);
+                }
+                _ => {}
             }
         }
         let Some(call) = self.calls.get_mut(key) else {
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -69,6 +69,7 @@
             typical: self.timings[state.timing].typical(state.rule()),
             objective: state.rule().objective(),
             far_as_near: false,
+            repeats: state.rule().idempotent,
         }
     }
 
@@ -240,9 +241,15 @@
             }
             state.parts[part].waits = false;
             let cause = cause_of(&state.parts[part]);
-            if let Err(reason) = self.send(call, part, cause, now, out) {
-                self.wait_or_miss(call, part, reason, out);
-                self.check_end(call, now, out);
+            match self.choose_for(call, part, now) {
+                Ok(choice) if self.afford(call, part, now, out) => {
+                    self.send_to(call, part, cause, choice, now, out);
+                }
+                Ok(_) => self.look_again(call, part, now, out),
+                Err(reason) => {
+                    self.wait_or_miss(call, part, reason, out);
+                    self.check_end(call, now, out);
+                }
             }
         }
     }
