Let a repeat cost by the square of what is spent of the bound

Cause: at the peak of the load on shedding servers the bound was spent (629 repeats refused in two seconds of the log), as servers that shed were still chosen. Change: a repeat costs 0.1 of the objective while the bound is untouched and 2.5 when it is spent.

--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -26,7 +26,7 @@
 /// the objective.
 const LEAST_REPEAT_COST: f64 = 0.1;
 /// What it costs when the bound is spent: the part is likely lost.
-const MOST_REPEAT_COST: f64 = 1.0;
+const MOST_REPEAT_COST: f64 = 2.5;
 /// What a server costs that is silent at the control group or rests, as time.
 const DOUBT_COST: Duration = Duration::from_secs(2);
 /// Requests for each slot that an entry may have at a near server.
@@ -129,7 +129,7 @@
         }
         let budget = &self.upstreams[upstream].budget;
         let spent = budget.spent_share(&self.options.extra, self.entries, now);
-        let part = LEAST_REPEAT_COST + (MOST_REPEAT_COST - LEAST_REPEAT_COST) * spent;
+        let part = LEAST_REPEAT_COST + (MOST_REPEAT_COST - LEAST_REPEAT_COST) * spent * spent;
         Some(times.objective.mul_f64(part))
     }
 
