Spare scarce shards hedges and late returns, and a model to play loads

Change: no hedges to a shard short of room; a caller whose objective is over is let in only where 0.6 of an objective would do; a scarce shard is used to 0.6 of the time left.

--- a/crates/core/src/process/forward/admit.rs
+++ b/crates/core/src/process/forward/admit.rs
@@ -24,10 +24,13 @@
 const SCARCE_ABOVE: f64 = 0.4;
 /// Part of the time left within which a scarce shard must be expected to
 /// answer: what is asked of it settles at this bound.
-const SCARCE_USE: f64 = 0.8;
+const SCARCE_USE: f64 = 0.6;
 /// The same for a shard that is not scarce: the work is not needed elsewhere,
 /// and it may come in time all the same.
 const PLENTY_USE: f64 = 1.5;
+/// Time within which a shard must be expected to answer a caller whose
+/// objective is over, as a part of the objective.
+const RETURN_USE: f64 = 0.6;
 /// Fraction of the last bundles without a shard above which it is not counted
 /// on.
 const MISSED_OFTEN: f64 = 0.5;
@@ -99,16 +102,13 @@
         let Some(expected) = self.expect_loaded(upstream, times, now) else {
             return PartOutlook::Unsure;
         };
-        // An answer after the objective is worth little, but then the caller's
-        // own time is what counts.
-        let until = if state.plan.aim > now {
-            state.plan.aim
-        } else {
-            state.plan.limit
-        };
+        let left = state.plan.aim.saturating_sub(now);
+        // A caller that came back is late already; it takes no room from those
+        // that are not.
+        let left = left.max(times.objective.mul_f64(RETURN_USE));
         let is_scarce = self.upstreams[upstream].shortage.at(now) > SCARCE_ABOVE;
         let usable = if is_scarce { SCARCE_USE } else { PLENTY_USE };
-        if expected > (until - now).mul_f64(usable) {
+        if expected > left.mul_f64(usable) {
             PartOutlook::Short
         } else if is_scarce {
             PartOutlook::Scarce(expected)
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -13,6 +13,9 @@
 /// Shards of a route up to which each is worth a far hedge as soon as it is
 /// slow: what is left out of so few costs a tenth of the answer.
 const DEAR_SHARDS: f64 = 20.0;
+/// Fraction of the last requests without room above which a shard gets no
+/// hedges: they would take the room from requests that were let in.
+const HEDGED_SHORTAGE: f64 = 0.1;
 /// By how much more than the expected time a hedge is given.
 const HEDGE_MARGIN: f64 = 1.5;
 /// Further time that it is given.
@@ -155,6 +158,10 @@
         let Some(sent) = self.first_sent(&state.parts[part]) else {
             return true;
         };
+        let upstream = &self.upstreams[state.parts[part].upstream];
+        if upstream.shortage.at(now) > HEDGED_SHORTAGE {
+            return false;
+        }
         // What has been still for some time is likely to stay so as long.
         choice.expected < (now - sent) * 2
     }
--- /dev/null
+++ b/crates/fake/src/model/event.rs
@@ -0,0 +1,54 @@
+//! Events in the order of their time, and of their making where it is equal.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use wheelmast_core::arena::SlotKey;
+use wheelmast_core::process::forward::input::AttemptEnd;
+
+use crate::model::server::JobKey;
+
+/// Something that happens.
+#[derive(Debug)]
+pub(super) enum PlayEvent {
+    /// The next caller of a kind comes.
+    Come { kind: usize },
+    /// A caller makes a try at an entry.
+    Try { caller: usize },
+    /// A timer of an entry may be due.
+    Wake { entry: usize },
+    /// A request reaches its server.
+    Reach { job: JobKey },
+    /// A server has worked off a request.
+    Finish { job: JobKey },
+    /// An attempt ends at its entry.
+    End {
+        entry: usize,
+        attempt: SlotKey,
+        end: Box<AttemptEnd>,
+        job: JobKey,
+    },
+}
+
+/// What is to happen.
+#[derive(Debug, Default)]
+pub(super) struct EventQueue {
+    order: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: std::collections::HashMap<u64, PlayEvent>,
+    made: u64,
+}
+
+impl EventQueue {
+    pub(super) fn push(&mut self, at: Duration, event: PlayEvent) {
+        self.made += 1;
+        self.order.push(Reverse((at, self.made)));
+        self.events.insert(self.made, event);
+    }
+
+    pub(super) fn pop(&mut self) -> Option<(Duration, PlayEvent)> {
+        let Reverse((at, number)) = self.order.pop()?;
+        let event = self.events.remove(&number)?;
+        Some((at, event))
+    }
+}
--- /dev/null
+++ b/crates/fake/src/model/play.rs
@@ -0,0 +1,522 @@
+//! The play itself: events in virtual time.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, LogNormal};
+use wheelmast_core::arena::SlotKey;
+use wheelmast_core::process::forward::answer::{AttemptOrder, ForwardAction, ForwardAnswer};
+use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
+use wheelmast_core::process::forward::input::{
+    AttemptEnd, ForwardCall, ForwardInput, LoadReport, ServerAnswer,
+};
+use wheelmast_core::process::input::CallTag;
+use wheelmast_core::version::route_table::{
+    CallerLimits, RouteDraft, RouteRule, RouteTable, RouteTarget, ServiceRule,
+};
+
+use crate::model::caller::ModelCaller;
+use crate::model::entry::ModelEntry;
+use crate::model::event::{EventQueue, PlayEvent};
+use crate::model::server::{JobKey, ModelServer, ServerJob};
+use crate::model::spec::{KindSpec, PlaySpec};
+use crate::model::tally::{CallerEnd, KindTally, PlayTally};
+
+/// Names of the two failure domains.
+const DOMAINS: [&str; 2] = ["north", "south"];
+/// Host that all routes are for.
+const HOST: &str = "model.example";
+/// What the seed of the arrivals differs by from that of the rest.
+const ARRIVAL_SEED: u64 = 0x5eed;
+/// Time after which a connection that is not answered counts as failed.
+const OPEN_TIME: Duration = Duration::from_millis(300);
+/// Connections that a server accepts from all entries.
+const CONNECTIONS: u32 = 26;
+/// Time after the traffic in which everything ends.
+const LAST_TIME: Duration = Duration::from_secs(8);
+
+/// Plays a specification with a seed.
+///
+/// # Panics
+///
+/// Panics if the specification makes no route table.
+pub fn play(spec: &PlaySpec, seed: u64) -> PlayTally {
+    let mut state = PlayState::new(spec, seed);
+    for kind in 0..spec.kinds.len() {
+        state.plan_next(kind);
+    }
+    while let Some((at, event)) = state.events.pop() {
+        if at > spec.length + LAST_TIME {
+            break;
+        }
+        state.now = at;
+        state.take(event);
+    }
+    state.finish()
+}
+
+struct PlayState<'a> {
+    spec: &'a PlaySpec,
+    rng: SmallRng,
+    /// For the callers alone: they come alike whatever the entries decide.
+    arrivals: SmallRng,
+    now: Duration,
+    events: EventQueue,
+    entries: Vec<ModelEntry>,
+    servers: Vec<ModelServer>,
+    server_places: HashMap<Arc<str>, usize>,
+    jobs: Vec<ServerJob>,
+    callers: Vec<ModelCaller>,
+    /// The caller of a try, and whether a server ran a part of it.
+    tries: HashMap<CallTag, (usize, bool)>,
+    /// Sends of a try to a shard.
+    sent: HashMap<(CallTag, usize), u32>,
+    /// Work done for tries that wait for their answer.
+    work: HashMap<CallTag, Duration>,
+    tally: PlayTally,
+    next_tag: u64,
+}
+
+impl<'a> PlayState<'a> {
+    fn new(spec: &'a PlaySpec, seed: u64) -> PlayState<'a> {
+        let mut servers = Vec::new();
+        for shard in 0..spec.shards {
+            for domain in 0..DOMAINS.len() {
+                let id = format!("s{shard}-{domain}");
+                let mut server = ModelServer::new(id, domain, spec.slots, spec.queue);
+                let hits = spec
+                    .faults
+                    .iter()
+                    .filter(|fault| fault.shards.contains(&shard) && fault.server == domain);
+                server.faults = hits
+                    .map(|fault| (fault.from, fault.until, fault.effect))
+                    .collect();
+                servers.push(server);
+            }
+        }
+        let table = Arc::new(route_table(spec));
+        let count = spec.entries * DOMAINS.len();
+        let entries = (0..count).map(|number| {
+            let domain = number % DOMAINS.len();
+            let own_seed = seed.wrapping_mul(1000) + number as u64;
+            let mut entry = ModelEntry::new(spec, number, domain, DOMAINS[domain], own_seed);
+            entry.obey(table.clone(), count as u32);
+            for (place, server) in servers.iter().enumerate() {
+                let notice = notice_of(place, server, spec.slots);
+                let _ = entry.step(Duration::ZERO, ForwardInput::Notice(notice));
+            }
+            entry
+        });
+        let entries = entries.collect();
+        let places = servers.iter().enumerate();
+        let server_places = places
+            .map(|(place, server)| (server.id.as_str().into(), place))
+            .collect();
+        PlayState {
+            spec,
+            rng: SmallRng::seed_from_u64(seed),
+            arrivals: SmallRng::seed_from_u64(seed ^ ARRIVAL_SEED),
+            now: Duration::ZERO,
+            events: EventQueue::default(),
+            entries,
+            servers,
+            server_places,
+            jobs: Vec::new(),
+            callers: Vec::new(),
+            tries: HashMap::new(),
+            sent: HashMap::new(),
+            work: HashMap::new(),
+            tally: PlayTally {
+                kinds: vec![KindTally::default(); spec.kinds.len()],
+                ..PlayTally::default()
+            },
+            next_tag: 0,
+        }
+    }
+
+    fn take(&mut self, event: PlayEvent) {
+        match event {
+            PlayEvent::Come { kind } => self.come(kind),
+            PlayEvent::Try { caller } => self.make_try(caller),
+            PlayEvent::Wake { entry } => {
+                self.entries[entry].armed = Duration::MAX;
+                self.step(entry, ForwardInput::Wake);
+            }
+            PlayEvent::Reach { job } => self.reach(job),
+            PlayEvent::Finish { job } => self.finish_job(job),
+            PlayEvent::End {
+                entry,
+                attempt,
+                end,
+                job,
+            } => self.end_attempt(entry, attempt, *end, job),
+        }
+    }
+
+    /// Plans the next caller of a kind.
+    fn plan_next(&mut self, kind: usize) {
+        let gap = Exp::new(self.spec.kinds[kind].rate).map_or(0.0, |gap| gap.sample(&mut self.arrivals));
+        let at = self.now + Duration::from_secs_f64(gap);
+        if gap > 0.0 && at < self.spec.length {
+            self.events.push(at, PlayEvent::Come { kind });
+        }
+    }
+
+    fn come(&mut self, kind: usize) {
+        self.plan_next(kind);
+        let spec = &self.spec.kinds[kind];
+        self.tally.kinds[kind].asked += 1;
+        self.tally.kinds[kind].owed += spec.worth;
+        self.callers
+            .push(ModelCaller::new(kind, self.now, spec.limit));
+        self.make_try(self.callers.len() - 1);
+    }
+
+    fn make_try(&mut self, caller: usize) {
+        let entry = self.rng.random_range(0..self.entries.len());
+        self.next_tag += 1;
+        let tag = CallTag(self.next_tag);
+        let state = &mut self.callers[caller];
+        state.tries_left -= 1;
+        let left = state.until.saturating_sub(self.now);
+        let name = self.spec.kinds[state.kind].name;
+        self.tries.insert(tag, (caller, false));
+        let call = ForwardCall {
+            tag,
+            host: HOST.into(),
+            path: format!("/{name}/x").into(),
+            time_left: Some(left),
+            relayed: None,
+        };
+        self.step(entry, ForwardInput::Call(call));
+    }
+
+    fn step(&mut self, entry: usize, input: ForwardInput) {
+        let actions = self.entries[entry].step(self.now, input);
+        for action in actions {
+            match action {
+                ForwardAction::Send(order) => self.send(entry, &order),
+                ForwardAction::Cancel(attempt) => self.cancel(entry, attempt),
+                ForwardAction::Answer { call, answer } => self.answered(call, &answer),
+                ForwardAction::Close(server) => {
+                    self.entries[entry].idle.remove(&server);
+                }
+                ForwardAction::Decide(_) => {}
+            }
+        }
+        let state = &mut self.entries[entry];
+        if let Some(next) = state.machine.next_wake() {
+            if next < state.armed {
+                state.armed = next;
+                self.events
+                    .push(next.max(self.now), PlayEvent::Wake { entry });
+            }
+        }
+    }
+
+    fn send(&mut self, entry: usize, order: &AttemptOrder) {
+        let place = self.server_places[&order.instance];
+        let has_idle = self.entries[entry].take_idle(order.server);
+        let is_far = self.servers[place].is_far[self.entries[entry].domain];
+        let there_and_back = if is_far {
+            self.spec.far_way
+        } else {
+            self.spec.near_way
+        };
+        let caller = self.tries.get(&order.call).map(|(caller, _)| *caller);
+        let kind = caller.map_or(0, |caller| self.callers[caller].kind);
+        let job = self.jobs.len();
+        self.jobs.push(ServerJob {
+            entry,
+            attempt: order.attempt,
+            call: order.call,
+            server: place,
+            kind,
+            way: there_and_back / 2,
+            begun: None,
+            is_closed: false,
+            is_over: false,
+        });
+        self.entries[entry]
+            .jobs
+            .insert(order.attempt, (job, order.server));
+        let shard = place / DOMAINS.len();
+        let sent = self.sent.entry((order.call, shard)).or_default();
+        *sent += 1;
+        if *sent > 1 {
+            self.tally.extras += 1;
+        }
+        if !has_idle && self.servers[place].is_dark(self.now) {
+            return self.plan_end(job, OPEN_TIME, AttemptEnd::Unsent);
+        }
+        let mut takes = there_and_back / 2;
+        if !has_idle {
+            takes += there_and_back + self.spec.handshake;
+            let connected = ForwardInput::Connected {
+                server: order.server,
+                took: there_and_back + self.spec.handshake,
+            };
+            let _ = self.entries[entry].step(self.now, connected);
+        }
+        self.events
+            .push(self.now + takes, PlayEvent::Reach { job });
+    }
+
+    fn plan_end(&mut self, job: JobKey, after: Duration, end: AttemptEnd) {
+        let state = &self.jobs[job];
+        let event = PlayEvent::End {
+            entry: state.entry,
+            attempt: state.attempt,
+            end: Box::new(end),
+            job,
+        };
+        self.events.push(self.now + after, event);
+    }
+
+    fn reach(&mut self, job: JobKey) {
+        let place = self.jobs[job].server;
+        if self.jobs[job].is_closed || self.servers[place].is_dark(self.now) {
+            return;
+        }
+        self.tally.arrivals += 1;
+        let sheds = self.servers[place].sheds(self.now);
+        let is_shed = sheds > 0.0 && self.rng.random_bool(sheds);
+        if is_shed || !(self.servers[place].has_slot() || self.servers[place].has_room()) {
+            self.jobs[job].is_over = true;
+            let load = self.servers[place].load();
+            let back = self.jobs[job].way;
+            return self.plan_end(job, back, rejection(load));
+        }
+        if self.servers[place].has_slot() {
+            return self.begin_work(job);
+        }
+        self.servers[place].queue.push_back(job);
+    }
+
+    fn begin_work(&mut self, job: JobKey) {
+        let state = &mut self.jobs[job];
+        state.begun = Some(self.now);
+        if let Some((_, ran)) = self.tries.get_mut(&state.call) {
+            *ran = true;
+        }
+        let server = &mut self.servers[state.server];
+        server.running += 1;
+        let mean = self.spec.kinds[state.kind].work.as_secs_f64();
+        let slowness = server.slowness(self.now);
+        let spread = self.spec.work_spread;
+        // The mean of the distribution is one.
+        let factor = LogNormal::new(-spread * spread / 2.0, spread)
+            .map_or(1.0, |factor| factor.sample(&mut self.rng));
+        let takes = Duration::from_secs_f64(mean * slowness * factor);
+        self.events
+            .push(self.now + takes, PlayEvent::Finish { job });
+    }
+
+    fn finish_job(&mut self, job: JobKey) {
+        if self.jobs[job].is_over {
+            return;
+        }
+        self.leave_slot(job);
+        let state = &self.jobs[job];
+        let (place, back, is_closed) = (state.server, state.way, state.is_closed);
+        let load = self.servers[place].load();
+        let id = self.servers[place].id.clone();
+        if !is_closed && !self.servers[place].is_dark(self.now) {
+            self.plan_end(job, back, success(&id, load));
+        }
+        self.next_job(place);
+    }
+
+    /// Frees a job's slot and counts the time that it was taken.
+    fn leave_slot(&mut self, job: JobKey) {
+        let state = &mut self.jobs[job];
+        state.is_over = true;
+        self.servers[state.server].running -= 1;
+        let took = self.now - state.begun.unwrap_or(self.now);
+        self.tally.busy += took;
+        if self.tries.contains_key(&state.call) {
+            *self.work.entry(state.call).or_default() += took;
+        } else {
+            self.tally.wasted += took;
+        }
+    }
+
+    fn next_job(&mut self, place: usize) {
+        while self.servers[place].has_slot() {
+            let Some(job) = self.servers[place].queue.pop_front() else {
+                return;
+            };
+            if !self.jobs[job].is_closed {
+                self.begin_work(job);
+            }
+        }
+    }
+
+    /// Closes an attempt's connection: its server drops it.
+    fn cancel(&mut self, entry: usize, attempt: SlotKey) {
+        let Some((job, _)) = self.entries[entry].jobs.get(&attempt).copied() else {
+            return;
+        };
+        self.jobs[job].is_closed = true;
+        if self.jobs[job].begun.is_some() && !self.jobs[job].is_over {
+            self.leave_slot(job);
+            let place = self.jobs[job].server;
+            self.next_job(place);
+        }
+        self.plan_end(job, Duration::ZERO, AttemptEnd::Broken);
+    }
+
+    fn end_attempt(&mut self, entry: usize, attempt: SlotKey, end: AttemptEnd, job: JobKey) {
+        let state = &mut self.entries[entry];
+        let Some((_, server)) = state.jobs.remove(&attempt) else {
+            return;
+        };
+        if matches!(end, AttemptEnd::Answer(_)) && !self.jobs[job].is_closed {
+            *state.idle.entry(server).or_default() += 1;
+            let idle = state.idle[&server];
+            let _ = state.step(self.now, ForwardInput::Idle { server, idle });
+        }
+        self.step(entry, ForwardInput::Ended { attempt, end });
+    }
+
+    fn answered(&mut self, call: CallTag, answer: &ForwardAnswer) {
+        let Some((caller, ran)) = self.tries.remove(&call) else {
+            return;
+        };
+        let work = self.work.remove(&call).unwrap_or_default();
+        let (end, told) = match answer {
+            ForwardAnswer::Gathered {
+                stamps, missing, ..
+            } => {
+                let all = (stamps.len() + missing) as f64;
+                let end = CallerEnd::Answered {
+                    after: self.now - self.callers[caller].came,
+                    coverage: stamps.len() as f64 / all,
+                };
+                (end, None)
+            }
+            ForwardAnswer::Failure {
+                failure,
+                retry_after,
+            } if failure.is_unrun() => {
+                self.tally.false_refusals += u32::from(ran);
+                (CallerEnd::Refused, *retry_after)
+            }
+            ForwardAnswer::Failure { .. } | ForwardAnswer::Server(_) => (CallerEnd::Failed, None),
+        };
+        if !matches!(end, CallerEnd::Answered { .. }) {
+            self.tally.wasted += work;
+            let state = &mut self.callers[caller];
+            if let Some(at) = state.next_try(told, self.now) {
+                state.came_back |= end == CallerEnd::Refused;
+                return self.events.push(at, PlayEvent::Try { caller });
+            }
+        }
+        self.count(caller, end);
+    }
+
+    fn count(&mut self, caller: usize, end: CallerEnd) {
+        let state = &self.callers[caller];
+        let spec = &self.spec.kinds[state.kind];
+        let tally = &mut self.tally.kinds[state.kind];
+        tally.returns += u32::from(state.came_back);
+        match end {
+            CallerEnd::Answered { after, coverage } if after <= spec.objective => {
+                tally.in_time += 1;
+                tally.earned += spec.worth * coverage * coverage;
+            }
+            CallerEnd::Answered { coverage, .. } => {
+                tally.late += 1;
+                tally.earned += spec.late_worth * coverage * coverage;
+            }
+            CallerEnd::Refused => tally.refused += 1,
+            CallerEnd::Failed => tally.failed += 1,
+        }
+    }
+
+    fn finish(mut self) -> PlayTally {
+        let running: u32 = self.servers.iter().map(|server| server.running).sum();
+        let calls: usize = self
+            .entries
+            .iter()
+            .map(|entry| entry.machine.call_count())
+            .sum();
+        self.tally.left = running as usize + calls + self.tries.len();
+        self.tally
+    }
+}
+
+fn route_table(spec: &PlaySpec) -> RouteTable {
+    let shards: Vec<String> = (0..spec.shards).map(|shard| format!("s{shard}")).collect();
+    let services = shards.iter().map(|name| ServiceRule {
+        name: name.clone(),
+        connections: CONNECTIONS,
+    });
+    let draft = RouteDraft {
+        version: 1,
+        services: services.collect(),
+        routes: spec
+            .kinds
+            .iter()
+            .map(|kind| route_of(kind, &shards))
+            .collect(),
+        limits: CallerLimits::default(),
+    };
+    RouteTable::check(draft).expect("the model's table is sound")
+}
+
+fn route_of(kind: &KindSpec, shards: &[String]) -> RouteRule {
+    RouteRule {
+        name: kind.name.to_string(),
+        host: HOST.to_string(),
+        prefix: format!("/{}/", kind.name),
+        target: RouteTarget::Gather(shards.to_vec()),
+        idempotent: true,
+        time_limit_ms: kind.limit.as_millis() as u64,
+        objective_ms: kind.objective.as_millis() as u64,
+        attempts: 2,
+        rank: kind.rank,
+        top: 5,
+        least_coverage: kind.least_coverage,
+    }
+}
+
+fn notice_of(place: usize, server: &ModelServer, slots: u32) -> ServerNotice {
+    let (shard, domain) = (place / DOMAINS.len(), place % DOMAINS.len());
+    ServerNotice {
+        id: server.id.as_str().into(),
+        service: format!("s{shard}").into(),
+        address: Some(([10, 0, domain as u8, shard as u8], 1000).into()),
+        domain: DOMAINS[domain].into(),
+        slots,
+        standing: ServerStanding::Ready,
+        sequence: 1,
+        cold_ms: 0,
+    }
+}
+
+fn rejection(load: LoadReport) -> AttemptEnd {
+    AttemptEnd::Answer(ServerAnswer {
+        status: 503,
+        stamp: None,
+        not_run: true,
+        load: Some(load),
+        headers: Vec::new(),
+        body: Bytes::new(),
+    })
+}
+
+fn success(id: &str, load: LoadReport) -> AttemptEnd {
+    AttemptEnd::Answer(ServerAnswer {
+        status: 200,
+        stamp: Some(id.into()),
+        not_run: false,
+        load: Some(load),
+        headers: Vec::new(),
+        body: Bytes::new(),
+    })
+}
--- /dev/null
+++ b/crates/fake/src/model/server.rs
@@ -0,0 +1,104 @@
+//! A server: slots, a queue, and what faults do to it.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use wheelmast_core::arena::SlotKey;
+use wheelmast_core::process::forward::input::LoadReport;
+use wheelmast_core::process::input::CallTag;
+
+use crate::model::spec::ServerEffect;
+
+/// Place of a job among all of a play.
+pub(super) type JobKey = usize;
+
+/// A request on its way to a server, or there.
+#[derive(Debug)]
+pub(super) struct ServerJob {
+    pub(super) entry: usize,
+    pub(super) attempt: SlotKey,
+    pub(super) call: CallTag,
+    pub(super) server: usize,
+    /// Kind of the caller's request.
+    pub(super) kind: usize,
+    /// Time there, or back.
+    pub(super) way: Duration,
+    /// When work began.
+    pub(super) begun: Option<Duration>,
+    /// Whether its connection was closed.
+    pub(super) is_closed: bool,
+    /// Whether it ended at its server.
+    pub(super) is_over: bool,
+}
+
+/// A server and its faults.
+#[derive(Debug)]
+pub(super) struct ModelServer {
+    pub(super) id: String,
+    pub(super) is_far: [bool; 2],
+    pub(super) faults: Vec<(Duration, Duration, ServerEffect)>,
+    slots: u32,
+    room: usize,
+    pub(super) running: u32,
+    pub(super) queue: VecDeque<JobKey>,
+}
+
+impl ModelServer {
+    pub(super) fn new(id: String, domain: usize, slots: u32, room: usize) -> ModelServer {
+        ModelServer {
+            id,
+            is_far: [domain != 0, domain != 1],
+            faults: Vec::new(),
+            slots,
+            room,
+            running: 0,
+            queue: VecDeque::new(),
+        }
+    }
+
+    fn effects(&self, now: Duration) -> impl Iterator<Item = ServerEffect> + '_ {
+        let live = self
+            .faults
+            .iter()
+            .filter(move |(from, until, _)| (*from..*until).contains(&now));
+        live.map(|(_, _, effect)| *effect)
+    }
+
+    pub(super) fn is_dark(&self, now: Duration) -> bool {
+        self.effects(now).any(|effect| effect == ServerEffect::Dark)
+    }
+
+    /// Returns the fraction of requests that it rejects.
+    pub(super) fn sheds(&self, now: Duration) -> f64 {
+        let parts = self.effects(now).map(|effect| match effect {
+            ServerEffect::Shed(part) => part,
+            ServerEffect::Slow(_) | ServerEffect::Dark => 0.0,
+        });
+        parts.fold(0.0, f64::max)
+    }
+
+    /// Returns how many times as long its work takes.
+    pub(super) fn slowness(&self, now: Duration) -> f64 {
+        let parts = self.effects(now).map(|effect| match effect {
+            ServerEffect::Slow(times) => times,
+            ServerEffect::Shed(_) | ServerEffect::Dark => 1.0,
+        });
+        parts.fold(1.0, f64::max)
+    }
+
+    pub(super) fn has_slot(&self) -> bool {
+        self.running < self.slots
+    }
+
+    pub(super) fn has_room(&self) -> bool {
+        self.queue.len() < self.room
+    }
+
+    pub(super) fn load(&self) -> LoadReport {
+        LoadReport {
+            running: self.running,
+            waiting: self.queue.len() as u32,
+            slots: self.slots,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/src/model/spec.rs
@@ -0,0 +1,132 @@
+//! What is played: kinds of requests, servers, faults.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use wheelmast_core::process::forward::extra::ExtraBound;
+
+/// A kind of request; all are gathered over the same shards.
+#[derive(Debug, Clone)]
+pub struct KindSpec {
+    /// Its name, which is its route's too.
+    pub name: &'static str,
+    /// Requests a second, over all entries.
+    pub rate: f64,
+    /// Mean time that a server works on a part.
+    pub work: Duration,
+    /// Time within which an answer has its full worth.
+    pub objective: Duration,
+    /// Time that callers wait.
+    pub limit: Duration,
+    /// Least fraction of the shards in an answer.
+    pub least_coverage: f64,
+    /// Rank; 0 goes first.
+    pub rank: u32,
+    /// Worth of an answer in time.
+    pub worth: f64,
+    /// Worth of one that is late.
+    pub late_worth: f64,
+}
+
+/// What a fault does to a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ServerEffect {
+    /// Work takes so many times as long.
+    Slow(f64),
+    /// It rejects this fraction of the requests at once.
+    Shed(f64),
+    /// It answers nothing.
+    Dark,
+}
+
+/// A fault of some servers for some time.
+#[derive(Debug, Clone)]
+pub struct FaultSpec {
+    /// Shards whose servers are hit.
+    pub shards: Range<usize>,
+    /// Which of a shard's servers.
+    pub server: usize,
+    /// From when, since the start of traffic.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+    /// What it does.
+    pub effect: ServerEffect,
+}
+
+/// What is played.
+#[derive(Debug, Clone)]
+pub struct PlaySpec {
+    /// Kinds of requests.
+    pub kinds: Vec<KindSpec>,
+    /// Faults.
+    pub faults: Vec<FaultSpec>,
+    /// Entries in each of the two failure domains.
+    pub entries: usize,
+    /// Shards; each has one server in each failure domain.
+    pub shards: usize,
+    /// Requests that a server works on at once.
+    pub slots: u32,
+    /// Requests that wait at a server at most.
+    pub queue: usize,
+    /// Time to a server of the same failure domain and back.
+    pub near_way: Duration,
+    /// Time to a server of the other one and back.
+    pub far_way: Duration,
+    /// Time that a new connection takes besides.
+    pub handshake: Duration,
+    /// Spread of the work times, as the standard deviation of their logarithm.
+    pub work_spread: f64,
+    /// Bound on extra load.
+    pub extra: ExtraBound,
+    /// Length of the traffic; what came by then is played to its end.
+    pub length: Duration,
+}
+
+impl PlaySpec {
+    /// Returns a deployment of twenty shards and eight entries with sweeps over
+    /// all shards, of which most must be in, and lookups, which can do with
+    /// fewer; a server is busy nearly half of the time.
+    pub fn of_today() -> PlaySpec {
+        let sweep = KindSpec {
+            name: "sweep",
+            rate: 80.0,
+            work: Duration::from_millis(20),
+            objective: Duration::from_millis(200),
+            limit: Duration::from_secs(3),
+            least_coverage: 0.89,
+            rank: 1,
+            worth: 2.0,
+            late_worth: 0.1,
+        };
+        let lookup = KindSpec {
+            name: "lookup",
+            rate: 27.0,
+            work: Duration::from_micros(6700),
+            objective: Duration::from_millis(100),
+            limit: Duration::from_millis(1500),
+            least_coverage: 0.75,
+            rank: 2,
+            worth: 1.0,
+            late_worth: 0.1,
+        };
+        PlaySpec {
+            kinds: vec![sweep, lookup],
+            faults: Vec::new(),
+            entries: 4,
+            shards: 20,
+            slots: 2,
+            queue: 12,
+            near_way: Duration::from_micros(200),
+            far_way: Duration::from_millis(16),
+            handshake: Duration::from_millis(6),
+            work_spread: 0.35,
+            extra: ExtraBound {
+                ratio: 0.2,
+                slack: 56.0,
+                window: Duration::from_secs(10),
+            },
+            length: Duration::from_secs(12),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fake/tests/load.rs
@@ -0,0 +1,151 @@
+//! Loads played on the core in virtual time: what callers get, by kind.
+
+use std::time::Duration;
+
+use wheelmast_fake::model::play;
+use wheelmast_fake::model::spec::{FaultSpec, PlaySpec, ServerEffect};
+use wheelmast_fake::model::tally::PlayTally;
+
+/// Plays of each case.
+const SEEDS: std::ops::Range<u64> = 0..4;
+/// Number of shards of the deployment.
+const SHARDS: usize = 20;
+
+fn seconds(count: f64) -> Duration {
+    Duration::from_secs_f64(count)
+}
+
+fn fault(shards: std::ops::Range<usize>, server: usize, effect: ServerEffect) -> FaultSpec {
+    FaultSpec {
+        shards,
+        server,
+        from: seconds(2.0),
+        until: seconds(10.0),
+        effect,
+    }
+}
+
+struct LoadCase {
+    name: &'static str,
+    faults: fn() -> Vec<FaultSpec>,
+    /// Least part of the worth owed that is earned: of all, of sweeps, of
+    /// lookups.
+    least: [f64; 3],
+    /// The same before requests were weighed, for who reads this.
+    before: [f64; 3],
+}
+
+const CASES: &[LoadCase] = &[
+    LoadCase {
+        name: "calm",
+        faults: Vec::new,
+        least: [0.0, 0.0, 0.0],
+        before: [0.0, 0.0, 0.0],
+    },
+    LoadCase {
+        name: "four shards with one slow server left",
+        faults: || {
+            vec![
+                fault(0..4, 0, ServerEffect::Slow(5.0)),
+                fault(0..4, 1, ServerEffect::Dark),
+            ]
+        },
+        least: [0.0, 0.0, 0.0],
+        before: [0.0, 0.0, 0.0],
+    },
+    LoadCase {
+        name: "one shard with one slow server left",
+        faults: || {
+            vec![
+                fault(0..1, 0, ServerEffect::Slow(5.0)),
+                fault(0..1, 1, ServerEffect::Dark),
+            ]
+        },
+        least: [0.0, 0.0, 0.0],
+        before: [0.0, 0.0, 0.0],
+    },
+    LoadCase {
+        name: "one server of each shard sheds",
+        faults: || vec![fault(0..SHARDS, 1, ServerEffect::Shed(0.6))],
+        least: [0.0, 0.0, 0.0],
+        before: [0.0, 0.0, 0.0],
+    },
+    LoadCase {
+        name: "more work than time at all shards",
+        faults: || {
+            vec![
+                fault(0..SHARDS, 0, ServerEffect::Slow(3.0)),
+                fault(0..SHARDS, 1, ServerEffect::Slow(3.0)),
+            ]
+        },
+        least: [0.0, 0.0, 0.0],
+        before: [0.0, 0.0, 0.0],
+    },
+    LoadCase {
+        name: "a third of the servers slow",
+        faults: || vec![fault(0..13, 0, ServerEffect::Slow(8.0))],
+        least: [0.0, 0.0, 0.0],
+        before: [0.0, 0.0, 0.0],
+    },
+];
+
+fn play_all(case: &LoadCase) -> Vec<PlayTally> {
+    let spec = PlaySpec {
+        faults: (case.faults)(),
+        ..PlaySpec::of_today()
+    };
+    SEEDS.map(|seed| play(&spec, seed)).collect()
+}
+
+fn mean(tallies: &[PlayTally], of: impl Fn(&PlayTally) -> f64) -> f64 {
+    tallies.iter().map(of).sum::<f64>() / tallies.len() as f64
+}
+
+#[test]
+fn callers_get_what_the_servers_can_give() {
+    for case in CASES {
+        let tallies = play_all(case);
+        let shares = [
+            mean(&tallies, PlayTally::share),
+            mean(&tallies, |tally| tally.kinds[0].share()),
+            mean(&tallies, |tally| tally.kinds[1].share()),
+        ];
+        println!("{}: {shares:.3?}, before {:?}", case.name, case.before);
+        let t = &tallies[0]; println!("  {:?}\n  {:?}\n extras {} busy {:?} wasted {:?}", t.kinds[0], t.kinds[1], t.extras, t.busy, t.wasted);
+        for (share, least) in shares.iter().zip(case.least) {
+            assert!(*share >= least, "{}: {shares:?}", case.name);
+        }
+    }
+}
+
+#[test]
+fn promises_hold_under_every_load() {
+    for case in CASES {
+        let spec = PlaySpec::of_today();
+        for tally in play_all(case) {
+            assert_eq!(tally.false_refusals, 0, "{}", case.name);
+            assert_eq!(tally.left, 0, "{}: every request ends", case.name);
+            for kind in &tally.kinds {
+                let ended = kind.in_time + kind.late + kind.refused + kind.failed;
+                assert_eq!(ended, kind.asked, "{}: each ends once", case.name);
+            }
+            // Callers' own repeats are requests of their own.
+            let asked: u32 = tally.kinds.iter().map(|kind| 2 * kind.asked).sum();
+            let windows = 3.0;
+            let bound = spec.extra.ratio * f64::from(asked) + spec.extra.slack * windows;
+            let extras = tally.extras as f64 / SHARDS as f64;
+            assert!(extras <= bound, "{}: {extras} extra arrivals", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_play_repeats_by_its_seed() {
+    let spec = PlaySpec {
+        faults: (CASES[1].faults)(),
+        length: seconds(4.0),
+        ..PlaySpec::of_today()
+    };
+    assert_eq!(play(&spec, 3), play(&spec, 3));
+    assert_ne!(play(&spec, 3), play(&spec, 4));
+}
