Take bundles' parts unweighed, and probe shards that bundles missed

Change: parts that another entry asks for are asked; a request that depends on doubtful shards is let in each 150 ms.

--- a/crates/core/src/process/forward/admit.rs
+++ b/crates/core/src/process/forward/admit.rs
@@ -31,6 +31,10 @@
 /// Time within which a shard must be expected to answer a caller whose
 /// objective is over, as a part of the objective.
 const RETURN_USE: f64 = 0.6;
+/// Time between two requests that are let in to find out whether shards which
+/// bundles came without are there again: a few in a second, as refusals alone
+/// would keep the entry from ever finding out.
+const PROBE_PAUSE: Duration = Duration::from_millis(150);
 /// Fraction of the last bundles without a shard above which it is not counted
 /// on.
 const MISSED_OFTEN: f64 = 0.5;
@@ -53,6 +57,9 @@
 pub(super) enum AdmitVerdict {
     /// It is taken, without these of its parts.
     Take(Vec<usize>),
+    /// It has enough shards only if some answer that did not lately; it is
+    /// taken, without these of its parts, from time to time.
+    Probe(Vec<usize>),
     /// Too few of its shards could answer in time.
     Refuse,
 }
@@ -60,20 +67,25 @@
 impl ForwardMachine {
     /// Decides whether a request is taken, and which parts are left out.
     pub(super) fn weigh(&mut self, state: &CallState, now: Duration) -> AdmitVerdict {
-        if !state.gathers {
+        // What another entry asks for is taken: that one alone knows which of
+        // its shards it can do without.
+        if !state.gathers || state.relayed {
             return AdmitVerdict::Take(Vec::new());
         }
         let outlooks: Vec<PartOutlook> = (0..state.parts.len())
             .map(|part| self.outlook(state, part, now))
             .collect();
         self.count_shortage(state, &outlooks, now);
-        let needed = if state.relayed {
-            0
-        } else {
-            let least = state.rule().least_coverage * state.parts.len() as f64;
-            (least - 1e-9).ceil() as usize
-        };
-        divide_room(&outlooks, needed, state.relayed)
+        let least = state.rule().least_coverage * state.parts.len() as f64;
+        let needed = (least - 1e-9).ceil() as usize;
+        match divide_room(&outlooks, needed) {
+            AdmitVerdict::Probe(_) if now < self.probe_at => AdmitVerdict::Refuse,
+            AdmitVerdict::Probe(without) => {
+                self.probe_at = now + PROBE_PAUSE;
+                AdmitVerdict::Take(without)
+            }
+            verdict => verdict,
+        }
     }
 
     /// Counts the shards that could not take a request.
@@ -181,9 +193,11 @@
 }
 
 /// Decides by the outlooks which parts are left out, or that too few are left.
-fn divide_room(outlooks: &[PartOutlook], needed: usize, takes_all: bool) -> AdmitVerdict {
+fn divide_room(outlooks: &[PartOutlook], needed: usize) -> AdmitVerdict {
     let plenty = outlooks.iter().filter(|one| **one == PartOutlook::Plenty);
     let mut lacking = needed.saturating_sub(plenty.count());
+    let unsure = outlooks.iter().filter(|one| **one == PartOutlook::Unsure);
+    let unsure = unsure.count();
     let mut scarce: Vec<(Duration, usize)> = Vec::new();
     let mut without = Vec::new();
     for (part, outlook) in outlooks.iter().enumerate() {
@@ -193,8 +207,8 @@
             PartOutlook::Plenty | PartOutlook::Unsure => {}
         }
     }
-    if takes_all {
-        return AdmitVerdict::Take(without);
+    if lacking > scarce.len() && lacking <= scarce.len() + unsure {
+        return AdmitVerdict::Probe(without);
     }
     if lacking > scarce.len() {
         return AdmitVerdict::Refuse;
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -159,6 +159,8 @@
     pub(super) splits: HashMap<Box<str>, SplitCounter>,
     pub(super) timers: TimerHeap<ForwardTimer>,
     pub(super) counters: ForwardCounters,
+    /// When a request may be let in again that depends on doubtful shards.
+    pub(super) probe_at: Duration,
     /// Time of the step that is being taken.
     clock: Duration,
 }
@@ -187,6 +189,7 @@
             splits: HashMap::new(),
             timers: TimerHeap::default(),
             counters: ForwardCounters::default(),
+            probe_at: Duration::ZERO,
             clock: Duration::ZERO,
         }
     }
--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -159,7 +159,8 @@
 
     /// Plans the next caller of a kind.
     fn plan_next(&mut self, kind: usize) {
-        let gap = Exp::new(self.spec.kinds[kind].rate).map_or(0.0, |gap| gap.sample(&mut self.arrivals));
+        let gap =
+            Exp::new(self.spec.kinds[kind].rate).map_or(0.0, |gap| gap.sample(&mut self.arrivals));
         let at = self.now + Duration::from_secs_f64(gap);
         if gap > 0.0 && at < self.spec.length {
             self.events.push(at, PlayEvent::Come { kind });
@@ -262,8 +263,7 @@
             };
             let _ = self.entries[entry].step(self.now, connected);
         }
-        self.events
-            .push(self.now + takes, PlayEvent::Reach { job });
+        self.events.push(self.now + takes, PlayEvent::Reach { job });
     }
 
     fn plan_end(&mut self, job: JobKey, after: Duration, end: AttemptEnd) {
--- a/crates/fake/tests/load.rs
+++ b/crates/fake/tests/load.rs
@@ -111,7 +111,11 @@
             mean(&tallies, |tally| tally.kinds[1].share()),
         ];
         println!("{}: {shares:.3?}, before {:?}", case.name, case.before);
-        let t = &tallies[0]; println!("  {:?}\n  {:?}\n extras {} busy {:?} wasted {:?}", t.kinds[0], t.kinds[1], t.extras, t.busy, t.wasted);
+        let t = &tallies[0];
+        println!(
+            "  {:?}\n  {:?}\n extras {} busy {:?} wasted {:?}",
+            t.kinds[0], t.kinds[1], t.extras, t.busy, t.wasted
+        );
         for (share, least) in shares.iter().zip(case.least) {
             assert!(*share >= least, "{}: {shares:?}", case.name);
         }
