--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+mod admit;
 mod bundles;
 mod chance;
 mod divide;
--- a/crates/fake/tests/load.rs
+++ b/crates/fake/tests/load.rs
@@ -31,7 +31,8 @@
     /// Least part of the worth owed that is earned: of all, of sweeps, of
     /// lookups.
     least: [f64; 3],
-    /// The same before requests were weighed, for who reads this.
+    /// What was earned before requests were weighed, as the mean of the same
+    /// seeds: printed beside what is earned now.
     before: [f64; 3],
 }
 
@@ -39,8 +40,8 @@
     LoadCase {
         name: "calm",
         faults: Vec::new,
-        least: [0.0, 0.0, 0.0],
-        before: [0.0, 0.0, 0.0],
+        least: [0.995, 0.995, 0.995],
+        before: [1.000, 1.000, 1.000],
     },
     LoadCase {
         name: "four shards with one slow server left",
@@ -50,8 +51,8 @@
                 fault(0..4, 1, ServerEffect::Dark),
             ]
         },
-        least: [0.0, 0.0, 0.0],
-        before: [0.0, 0.0, 0.0],
+        least: [0.382, 0.320, 0.740],
+        before: [0.374, 0.314, 0.725],
     },
     LoadCase {
         name: "one shard with one slow server left",
@@ -61,14 +62,14 @@
                 fault(0..1, 1, ServerEffect::Dark),
             ]
         },
-        least: [0.0, 0.0, 0.0],
-        before: [0.0, 0.0, 0.0],
+        least: [0.930, 0.930, 0.930],
+        before: [0.934, 0.934, 0.936],
     },
     LoadCase {
         name: "one server of each shard sheds",
         faults: || vec![fault(0..SHARDS, 1, ServerEffect::Shed(0.6))],
-        least: [0.0, 0.0, 0.0],
-        before: [0.0, 0.0, 0.0],
+        least: [0.975, 0.978, 0.960],
+        before: [0.966, 0.968, 0.955],
     },
     LoadCase {
         name: "more work than time at all shards",
@@ -78,14 +79,14 @@
                 fault(0..SHARDS, 1, ServerEffect::Slow(3.0)),
             ]
         },
-        least: [0.0, 0.0, 0.0],
-        before: [0.0, 0.0, 0.0],
+        least: [0.400, 0.400, 0.390],
+        before: [0.337, 0.332, 0.364],
     },
     LoadCase {
         name: "a third of the servers slow",
         faults: || vec![fault(0..13, 0, ServerEffect::Slow(8.0))],
-        least: [0.0, 0.0, 0.0],
-        before: [0.0, 0.0, 0.0],
+        least: [0.930, 0.945, 0.830],
+        before: [0.925, 0.935, 0.868],
     },
 ];
 
@@ -111,11 +112,6 @@
             mean(&tallies, |tally| tally.kinds[1].share()),
         ];
         println!("{}: {shares:.3?}, before {:?}", case.name, case.before);
-        let t = &tallies[0];
-        println!(
-            "  {:?}\n  {:?}\n extras {} busy {:?} wasted {:?}",
-            t.kinds[0], t.kinds[1], t.extras, t.busy, t.wasted
-        );
         for (share, least) in shares.iter().zip(case.least) {
             assert!(*share >= least, "{}: {shares:?}", case.name);
         }
