--- a/crates/fake/src/model/mod.rs
+++ b/crates/fake/src/model/mod.rs
@@ -17,5 +17,6 @@
 mod server;
 pub mod spec;
 pub mod tally;
+mod told;
 
 pub use play::play;
--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -4,38 +4,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 use wheelmast_core::arena::SlotKey;
 use wheelmast_core::process::forward::answer::{AttemptOrder, ForwardAction, ForwardAnswer};
-use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
-use wheelmast_core::process::forward::input::{
-    AttemptEnd, ForwardCall, ForwardInput, LoadReport, ServerAnswer,
-};
+use wheelmast_core::process::forward::input::{AttemptEnd, ForwardCall, ForwardInput};
 use wheelmast_core::process::input::CallTag;
-use wheelmast_core::version::route_table::{
-    CallerLimits, RouteDraft, RouteRule, RouteTable, RouteTarget, ServiceRule,
-};
 
 use crate::model::caller::ModelCaller;
 use crate::model::entry::ModelEntry;
 use crate::model::event::{EventQueue, PlayEvent};
 use crate::model::server::{JobKey, ModelServer, ServerJob};
-use crate::model::spec::{KindSpec, PlaySpec};
+use crate::model::spec::PlaySpec;
 use crate::model::tally::{CallerEnd, KindTally, PlayTally};
+use crate::model::told::{notice_of, rejection, route_table, success, DOMAINS, HOST};
 
-/// Names of the two failure domains.
-const DOMAINS: [&str; 2] = ["north", "south"];
-/// Host that all routes are for.
-const HOST: &str = "model.example";
 /// What the seed of the arrivals differs by from that of the rest.
 const ARRIVAL_SEED: u64 = 0x5eed;
 /// Time after which a connection that is not answered counts as failed.
 const OPEN_TIME: Duration = Duration::from_millis(300);
-/// Connections that a server accepts from all entries.
-const CONNECTIONS: u32 = 26;
 /// Time after the traffic in which everything ends.
 const LAST_TIME: Duration = Duration::from_secs(8);
 
@@ -449,74 +437,3 @@
         self.tally
     }
 }
-
-fn route_table(spec: &PlaySpec) -> RouteTable {
-    let shards: Vec<String> = (0..spec.shards).map(|shard| format!("s{shard}")).collect();
-    let services = shards.iter().map(|name| ServiceRule {
-        name: name.clone(),
-        connections: CONNECTIONS,
-    });
-    let draft = RouteDraft {
-        version: 1,
-        services: services.collect(),
-        routes: spec
-            .kinds
-            .iter()
-            .map(|kind| route_of(kind, &shards))
-            .collect(),
-        limits: CallerLimits::default(),
-    };
-    RouteTable::check(draft).expect("the model's table is sound")
-}
-
-fn route_of(kind: &KindSpec, shards: &[String]) -> RouteRule {
-    RouteRule {
-        name: kind.name.to_string(),
-        host: HOST.to_string(),
-        prefix: format!("/{}/", kind.name),
-        target: RouteTarget::Gather(shards.to_vec()),
-        idempotent: true,
-        time_limit_ms: kind.limit.as_millis() as u64,
-        objective_ms: kind.objective.as_millis() as u64,
-        attempts: 2,
-        rank: kind.rank,
-        top: 5,
-        least_coverage: kind.least_coverage,
-    }
-}
-
-fn notice_of(place: usize, server: &ModelServer, slots: u32) -> ServerNotice {
-    let (shard, domain) = (place / DOMAINS.len(), place % DOMAINS.len());
-    ServerNotice {
-        id: server.id.as_str().into(),
-        service: format!("s{shard}").into(),
-        address: Some(([10, 0, domain as u8, shard as u8], 1000).into()),
-        domain: DOMAINS[domain].into(),
-        slots,
-        standing: ServerStanding::Ready,
-        sequence: 1,
-        cold_ms: 0,
-    }
-}
-
-fn rejection(load: LoadReport) -> AttemptEnd {
-    AttemptEnd::Answer(ServerAnswer {
-        status: 503,
-        stamp: None,
-        not_run: true,
-        load: Some(load),
-        headers: Vec::new(),
-        body: Bytes::new(),
-    })
-}
-
-fn success(id: &str, load: LoadReport) -> AttemptEnd {
-    AttemptEnd::Answer(ServerAnswer {
-        status: 200,
-        stamp: Some(id.into()),
-        not_run: false,
-        load: Some(load),
-        headers: Vec::new(),
-        body: Bytes::new(),
-    })
-}
