--- a/crates/fake/src/model/mod.rs
+++ b/crates/fake/src/model/mod.rs
@@ -18,5 +18,6 @@
 pub mod spec;
 pub mod tally;
 mod told;
+mod work;
 
 pub use play::play;
--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -6,7 +6,7 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use rand_distr::{Distribution, Exp, LogNormal};
+use rand_distr::{Distribution, Exp};
 use wheelmast_core::arena::SlotKey;
 use wheelmast_core::process::forward::answer::{AttemptOrder, ForwardAction, ForwardAnswer};
 use wheelmast_core::process::forward::input::{AttemptEnd, ForwardCall, ForwardInput};
@@ -18,7 +18,7 @@
 use crate::model::server::{JobKey, ModelServer, ServerJob};
 use crate::model::spec::PlaySpec;
 use crate::model::tally::{CallerEnd, KindTally, PlayTally};
-use crate::model::told::{notice_of, rejection, route_table, success, DOMAINS, HOST};
+use crate::model::told::{notice_of, route_table, DOMAINS, HOST};
 
 /// What the seed of the arrivals differs by from that of the rest.
 const ARRIVAL_SEED: u64 = 0x5eed;
@@ -47,26 +47,27 @@
     state.finish()
 }
 
-struct PlayState<'a> {
-    spec: &'a PlaySpec,
-    rng: SmallRng,
+/// The state of a play. What happens at its servers is in `work.rs`.
+pub(super) struct PlayState<'a> {
+    pub(super) spec: &'a PlaySpec,
+    pub(super) rng: SmallRng,
     /// For the callers alone: they come alike whatever the entries decide.
-    arrivals: SmallRng,
-    now: Duration,
-    events: EventQueue,
-    entries: Vec<ModelEntry>,
-    servers: Vec<ModelServer>,
-    server_places: HashMap<Arc<str>, usize>,
-    jobs: Vec<ServerJob>,
-    callers: Vec<ModelCaller>,
+    pub(super) arrivals: SmallRng,
+    pub(super) now: Duration,
+    pub(super) events: EventQueue,
+    pub(super) entries: Vec<ModelEntry>,
+    pub(super) servers: Vec<ModelServer>,
+    pub(super) server_places: HashMap<Arc<str>, usize>,
+    pub(super) jobs: Vec<ServerJob>,
+    pub(super) callers: Vec<ModelCaller>,
     /// The caller of a try, and whether a server ran a part of it.
-    tries: HashMap<CallTag, (usize, bool)>,
+    pub(super) tries: HashMap<CallTag, (usize, bool)>,
     /// Sends of a try to a shard.
-    sent: HashMap<(CallTag, usize), u32>,
+    pub(super) sent: HashMap<(CallTag, usize), u32>,
     /// Work done for tries that wait for their answer.
-    work: HashMap<CallTag, Duration>,
-    tally: PlayTally,
-    next_tag: u64,
+    pub(super) work: HashMap<CallTag, Duration>,
+    pub(super) tally: PlayTally,
+    pub(super) next_tag: u64,
 }
 
 impl<'a> PlayState<'a> {
@@ -254,7 +255,7 @@
         self.events.push(self.now + takes, PlayEvent::Reach { job });
     }
 
-    fn plan_end(&mut self, job: JobKey, after: Duration, end: AttemptEnd) {
+    pub(super) fn plan_end(&mut self, job: JobKey, after: Duration, end: AttemptEnd) {
         let state = &self.jobs[job];
         let event = PlayEvent::End {
             entry: state.entry,
@@ -265,99 +266,6 @@
         self.events.push(self.now + after, event);
     }
 
-    fn reach(&mut self, job: JobKey) {
-        let place = self.jobs[job].server;
-        if self.jobs[job].is_closed || self.servers[place].is_dark(self.now) {
-            return;
-        }
-        self.tally.arrivals += 1;
-        let sheds = self.servers[place].sheds(self.now);
-        let is_shed = sheds > 0.0 && self.rng.random_bool(sheds);
-        if is_shed || !(self.servers[place].has_slot() || self.servers[place].has_room()) {
-            self.jobs[job].is_over = true;
-            let load = self.servers[place].load();
-            let back = self.jobs[job].way;
-            return self.plan_end(job, back, rejection(load));
-        }
-        if self.servers[place].has_slot() {
-            return self.begin_work(job);
-        }
-        self.servers[place].queue.push_back(job);
-    }
-
-    fn begin_work(&mut self, job: JobKey) {
-        let state = &mut self.jobs[job];
-        state.begun = Some(self.now);
-        if let Some((_, ran)) = self.tries.get_mut(&state.call) {
-            *ran = true;
-        }
-        let server = &mut self.servers[state.server];
-        server.running += 1;
-        let mean = self.spec.kinds[state.kind].work.as_secs_f64();
-        let slowness = server.slowness(self.now);
-        let spread = self.spec.work_spread;
-        // The mean of the distribution is one.
-        let factor = LogNormal::new(-spread * spread / 2.0, spread)
-            .map_or(1.0, |factor| factor.sample(&mut self.rng));
-        let takes = Duration::from_secs_f64(mean * slowness * factor);
-        self.events
-            .push(self.now + takes, PlayEvent::Finish { job });
-    }
-
-    fn finish_job(&mut self, job: JobKey) {
-        if self.jobs[job].is_over {
-            return;
-        }
-        self.leave_slot(job);
-        let state = &self.jobs[job];
-        let (place, back, is_closed) = (state.server, state.way, state.is_closed);
-        let load = self.servers[place].load();
-        let id = self.servers[place].id.clone();
-        if !is_closed && !self.servers[place].is_dark(self.now) {
-            self.plan_end(job, back, success(&id, load));
-        }
-        self.next_job(place);
-    }
-
-    /// Frees a job's slot and counts the time that it was taken.
-    fn leave_slot(&mut self, job: JobKey) {
-        let state = &mut self.jobs[job];
-        state.is_over = true;
-        self.servers[state.server].running -= 1;
-        let took = self.now - state.begun.unwrap_or(self.now);
-        self.tally.busy += took;
-        if self.tries.contains_key(&state.call) {
-            *self.work.entry(state.call).or_default() += took;
-        } else {
-            self.tally.wasted += took;
-        }
-    }
-
-    fn next_job(&mut self, place: usize) {
-        while self.servers[place].has_slot() {
-            let Some(job) = self.servers[place].queue.pop_front() else {
-                return;
-            };
-            if !self.jobs[job].is_closed {
-                self.begin_work(job);
-            }
-        }
-    }
-
-    /// Closes an attempt's connection: its server drops it.
-    fn cancel(&mut self, entry: usize, attempt: SlotKey) {
-        let Some((job, _)) = self.entries[entry].jobs.get(&attempt).copied() else {
-            return;
-        };
-        self.jobs[job].is_closed = true;
-        if self.jobs[job].begun.is_some() && !self.jobs[job].is_over {
-            self.leave_slot(job);
-            let place = self.jobs[job].server;
-            self.next_job(place);
-        }
-        self.plan_end(job, Duration::ZERO, AttemptEnd::Broken);
-    }
-
     fn end_attempt(&mut self, entry: usize, attempt: SlotKey, end: AttemptEnd, job: JobKey) {
         let state = &mut self.entries[entry];
         let Some((_, server)) = state.jobs.remove(&attempt) else {
--- /dev/null
+++ b/crates/fake/src/model/work.rs
@@ -0,0 +1,109 @@
+//! What happens at the servers of a play: requests come, wait, are worked off or
+//! dropped.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand_distr::{Distribution, LogNormal};
+use wheelmast_core::arena::SlotKey;
+use wheelmast_core::process::forward::input::AttemptEnd;
+
+use crate::model::event::PlayEvent;
+use crate::model::play::PlayState;
+use crate::model::server::JobKey;
+use crate::model::told::{rejection, success};
+
+impl PlayState<'_> {
+    pub(super) fn reach(&mut self, job: JobKey) {
+        let place = self.jobs[job].server;
+        if self.jobs[job].is_closed || self.servers[place].is_dark(self.now) {
+            return;
+        }
+        self.tally.arrivals += 1;
+        let sheds = self.servers[place].sheds(self.now);
+        let is_shed = sheds > 0.0 && self.rng.random_bool(sheds);
+        if is_shed || !(self.servers[place].has_slot() || self.servers[place].has_room()) {
+            self.jobs[job].is_over = true;
+            let load = self.servers[place].load();
+            let back = self.jobs[job].way;
+            return self.plan_end(job, back, rejection(load));
+        }
+        if self.servers[place].has_slot() {
+            return self.begin_work(job);
+        }
+        self.servers[place].queue.push_back(job);
+    }
+
+    fn begin_work(&mut self, job: JobKey) {
+        let state = &mut self.jobs[job];
+        state.begun = Some(self.now);
+        if let Some((_, ran)) = self.tries.get_mut(&state.call) {
+            *ran = true;
+        }
+        let server = &mut self.servers[state.server];
+        server.running += 1;
+        let mean = self.spec.kinds[state.kind].work.as_secs_f64();
+        let slowness = server.slowness(self.now);
+        let spread = self.spec.work_spread;
+        // The mean of the distribution is one.
+        let factor = LogNormal::new(-spread * spread / 2.0, spread)
+            .map_or(1.0, |factor| factor.sample(&mut self.rng));
+        let takes = Duration::from_secs_f64(mean * slowness * factor);
+        self.events
+            .push(self.now + takes, PlayEvent::Finish { job });
+    }
+
+    pub(super) fn finish_job(&mut self, job: JobKey) {
+        if self.jobs[job].is_over {
+            return;
+        }
+        self.leave_slot(job);
+        let state = &self.jobs[job];
+        let (place, back, is_closed) = (state.server, state.way, state.is_closed);
+        let load = self.servers[place].load();
+        let id = self.servers[place].id.clone();
+        if !is_closed && !self.servers[place].is_dark(self.now) {
+            self.plan_end(job, back, success(&id, load));
+        }
+        self.next_job(place);
+    }
+
+    /// Frees a job's slot and counts the time that it was taken.
+    fn leave_slot(&mut self, job: JobKey) {
+        let state = &mut self.jobs[job];
+        state.is_over = true;
+        self.servers[state.server].running -= 1;
+        let took = self.now - state.begun.unwrap_or(self.now);
+        self.tally.busy += took;
+        if self.tries.contains_key(&state.call) {
+            *self.work.entry(state.call).or_default() += took;
+        } else {
+            self.tally.wasted += took;
+        }
+    }
+
+    fn next_job(&mut self, place: usize) {
+        while self.servers[place].has_slot() {
+            let Some(job) = self.servers[place].queue.pop_front() else {
+                return;
+            };
+            if !self.jobs[job].is_closed {
+                self.begin_work(job);
+            }
+        }
+    }
+
+    /// Closes an attempt's connection: its server drops it.
+    pub(super) fn cancel(&mut self, entry: usize, attempt: SlotKey) {
+        let Some((job, _)) = self.entries[entry].jobs.get(&attempt).copied() else {
+            return;
+        };
+        self.jobs[job].is_closed = true;
+        if self.jobs[job].begun.is_some() && !self.jobs[job].is_over {
+            self.leave_slot(job);
+            let place = self.jobs[job].server;
+            self.next_job(place);
+        }
+        self.plan_end(job, Duration::ZERO, AttemptEnd::Broken);
+    }
+}
