Weigh a request's time once, and count outlooks in one pass

Cause: admission worked out the route's times and the time left for each of a request's shards, and went over the outlooks three times. Change: both are worked out once; plenty and unsure are counted where the rest is. Conclusion: behaviour as before.

--- a/crates/core/src/process/forward/admit.rs
+++ b/crates/core/src/process/forward/admit.rs
@@ -78,8 +78,14 @@
         if !state.gathers || state.relayed {
             return AdmitVerdict::Take(Vec::new());
         }
-        let outlooks: Vec<PartOutlook> = (0..state.parts.len())
-            .map(|part| self.outlook(state, part, now))
+        let times = self.first_times(state);
+        let left = state.plan.aim.saturating_sub(now);
+        // A caller that came back is late already; it takes no room from those
+        // that are not.
+        let left = left.max(times.objective.mul_f64(RETURN_USE));
+        let parts = state.parts.iter();
+        let outlooks: Vec<PartOutlook> = parts
+            .map(|part| self.outlook(part.upstream, times, left, now))
             .collect();
         self.count_shortage(state, &outlooks, now);
         let least = state.rule().least_coverage * state.parts.len() as f64;
@@ -107,9 +113,14 @@
         }
     }
 
-    fn outlook(&self, state: &CallState, part: usize, now: Duration) -> PartOutlook {
-        let upstream = state.parts[part].upstream;
-        let times = self.first_times(state);
+    /// Returns what a part can count on that should be answered within `left`.
+    fn outlook(
+        &self,
+        upstream: UpstreamKey,
+        times: ExpectedTimes,
+        left: Duration,
+        now: Duration,
+    ) -> PartOutlook {
         if self.is_bundled(upstream) {
             let misses = self.upstreams[upstream].bundle_misses.at(now);
             return if misses > MISSED_OFTEN {
@@ -121,10 +132,6 @@
         let Some(expected) = self.expect_loaded(upstream, times, now) else {
             return PartOutlook::Unsure;
         };
-        let left = state.plan.aim.saturating_sub(now);
-        // A caller that came back is late already; it takes no room from those
-        // that are not.
-        let left = left.max(times.objective.mul_f64(RETURN_USE));
         let is_scarce = self.upstreams[upstream].shortage.at(now) > SCARCE_ABOVE;
         let usable = if is_scarce { SCARCE_USE } else { PLENTY_USE };
         if expected > left.mul_f64(usable) {
@@ -201,24 +208,23 @@
 
 /// Decides by the outlooks which parts are left out, or that too few are left.
 fn divide_room(outlooks: &[PartOutlook], needed: usize) -> AdmitVerdict {
-    let plenty = outlooks.iter().filter(|one| **one == PartOutlook::Plenty);
-    let mut lacking = needed.saturating_sub(plenty.count());
-    let unsure = outlooks.iter().filter(|one| **one == PartOutlook::Unsure);
-    let unsure = unsure.count();
+    let (mut plenty, mut unsure) = (0, 0);
     let mut scarce: Vec<(Duration, usize)> = Vec::new();
     let mut without = Vec::new();
     for (part, outlook) in outlooks.iter().enumerate() {
         match outlook {
             PartOutlook::Scarce(expected) => scarce.push((*expected, part)),
             PartOutlook::Short => without.push(part),
-            PartOutlook::Plenty | PartOutlook::Unsure => {}
+            PartOutlook::Plenty => plenty += 1,
+            PartOutlook::Unsure => unsure += 1,
         }
     }
-    if lacking > scarce.len() && lacking <= scarce.len() + unsure {
-        return AdmitVerdict::Probe(without);
+    let mut lacking = needed.saturating_sub(plenty);
+    if lacking > scarce.len() + unsure {
+        return AdmitVerdict::Refuse;
     }
     if lacking > scarce.len() {
-        return AdmitVerdict::Refuse;
+        return AdmitVerdict::Probe(without);
     }
     scarce.sort();
     for (_, part) in scarce {
