Work out the wait before a new connection in one place

Cause: entries and control instances each chose between a short and a long wait by the number of tries, with a constant of their own for that number. Change: retry_wait in connection/frame.rs serves both, beside connect. Ruled out: one pair of times for both, as 25 and 30 ms were measured as they are. Conclusion: behaviour as before.

--- a/crates/node/src/connection/frame.rs
+++ b/crates/node/src/connection/frame.rs
@@ -11,6 +11,8 @@
 use wheelmast_wire::group::{GroupMessage, FRAME_BYTES};
 use wheelmast_wire::peer::{decode, encode};
 
+/// Number of the first tries to connect.
+const FIRST_TRIES: u32 = 20;
 /// Bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
 /// Room kept for reading.
@@ -36,6 +38,16 @@
     Ok(stream)
 }
 
+/// Returns the time before the next try to connect, after `tries`: instances
+/// that start together find each other by the first, which are `soon` apart.
+pub fn retry_wait(tries: u32, soon: Duration, later: Duration) -> Duration {
+    if tries < FIRST_TRIES {
+        soon
+    } else {
+        later
+    }
+}
+
 /// Lets a connection between instances end when the other side is silent.
 ///
 /// # Errors
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -21,7 +21,7 @@
 use wheelmast_wire::group::GroupMessage;
 use wheelmast_wire::pack::unpack;
 
-use crate::connection::frame::{connect, write_frame, FrameReader};
+use crate::connection::frame::{connect, retry_wait, write_frame, FrameReader};
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
 use crate::process::forward::lines::{LineBook, LineState, QUIET_TIME};
 
@@ -34,8 +34,6 @@
 /// The same for the first tries: an entry that starts with its control group
 /// serves no request before it has heard of it.
 const FIRST_RETRY_TIME: Duration = Duration::from_millis(30);
-/// Number of these tries.
-const FIRST_TRIES: u32 = 20;
 /// Tries without success after which an address that is no seed is dropped.
 const MOST_TRIES: u32 = 60;
 /// Time that is let pass before a source is chosen, as others may be about to
@@ -110,12 +108,7 @@
                 tracing::warn!(target: "entry", control = %address, "control: connection lost");
             }
             tries = if heard { 0 } else { tries + 1 };
-            let wait = if tries < FIRST_TRIES {
-                FIRST_RETRY_TIME
-            } else {
-                RETRY_TIME
-            };
-            tokio::time::sleep(wait).await;
+            tokio::time::sleep(retry_wait(tries, FIRST_RETRY_TIME, RETRY_TIME)).await;
         }
         self.known.borrow_mut().remove(&address);
     }
--- a/crates/node/src/process/group/link.rs
+++ b/crates/node/src/process/group/link.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use wheelmast_wire::group::GroupMessage;
 
-use crate::connection::frame::{connect, write_frame};
+use crate::connection::frame::{connect, retry_wait, write_frame};
 use crate::process::group::node::GroupNode;
 use crate::ring::RingReceiver;
 
@@ -20,8 +20,6 @@
 /// The same for the first tries: instances that start together find each other
 /// so before their first election.
 const FIRST_RETRY_TIME: Duration = Duration::from_millis(25);
-/// Number of these tries.
-const FIRST_TRIES: u32 = 20;
 /// Longest time that a write may take.
 const WRITE_TIME: Duration = Duration::from_secs(1);
 /// Tries without success after which an instance that nobody names is let go.
@@ -39,12 +37,7 @@
         if let Err(error) = carry(&node, address, &mut ring, &mut tries).await {
             tracing::debug!(target: "group", peer = %address, "link: lost, {error:#}");
         }
-        let wait = if tries < FIRST_TRIES {
-            FIRST_RETRY_TIME
-        } else {
-            RETRY_TIME
-        };
-        tokio::time::sleep(wait).await;
+        tokio::time::sleep(retry_wait(tries, FIRST_RETRY_TIME, RETRY_TIME)).await;
     }
     let mut state = node.state.borrow_mut();
     state.links.remove(&address);
