Play the leave of a server until it is asked again while that counts

Cause: with the guard off, a server that leaves rejects its work and is ejected for two seconds, then for four. Ruled out: load. The play that failed was alone on the machine, one beside 14 busy processes passed. Change: the case stands as a test of its own and plays 12 s, whose counted span holds the second return. The check is as it was; the other cases too.

--- a/crates/cli/tests/demo.rs
+++ b/crates/cli/tests/demo.rs
@@ -139,14 +139,6 @@
             check: |counts| counts.false_not_run > 0,
             ..DemoCase::default()
         },
-        DemoCase {
-            name: "drain",
-            seconds: 6,
-            faults: vec![FaultKind::Drain],
-            off: |guards| guards.drain = false,
-            check: |counts| counts.work_after_leaving > 0,
-            ..DemoCase::default()
-        },
         DemoCase {
             name: "graceful leave",
             faults: vec![FaultKind::RestartEntry],
@@ -157,3 +149,18 @@
         },
     ]);
 }
+
+/// A server that leaves rejects its work, and each instance ejects it: for two
+/// seconds, then for four. The play lasts until both are over well before its
+/// end, so that the server is asked again while this counts.
+#[test]
+fn the_checker_notices_work_after_leaving() {
+    check_all(vec![DemoCase {
+        name: "drain",
+        seconds: 12,
+        faults: vec![FaultKind::Drain],
+        off: |guards| guards.drain = false,
+        check: |counts| counts.work_after_leaving > 0,
+        ..DemoCase::default()
+    }]);
+}
