--- a/crates/core/src/process/forward/admit.rs
+++ b/crates/core/src/process/forward/admit.rs
@@ -199,10 +199,20 @@
         });
     }
 
-    /// Takes note of whether a shard was in a bundle that was asked for it.
-    pub(super) fn bundled(&mut self, upstream: UpstreamKey, is_in: bool, now: Duration) {
-        let sample = if is_in { 0.0 } else { 1.0 };
-        self.upstreams[upstream].bundle_misses.add(sample, now);
+    /// Takes note of which of the shards that other entries were asked for a
+    /// request had in the end. What was still open when it ended early says
+    /// nothing.
+    pub(super) fn count_bundled(&mut self, state: &CallState, now: Duration) {
+        for part in state.parts.iter().filter(|part| part.bundled) {
+            let sample = match part.status {
+                PartStatus::Answered { .. } => 0.0,
+                PartStatus::Missing => 1.0,
+                PartStatus::Open if now >= state.plan.aim => 1.0,
+                PartStatus::Open => continue,
+            };
+            let misses = &mut self.upstreams[part.upstream].bundle_misses;
+            misses.add(sample, now);
+        }
     }
 }
 
--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -6,6 +6,7 @@
 
 use crate::arena::{ServerKey, SlotKey};
 use crate::process::forward::input::{LoadReport, RelayOrder, ServerAnswer};
+use crate::process::forward::place::PlaceStep;
 use crate::process::input::CallTag;
 
 /// Why a request got no server's answer.
@@ -142,8 +143,8 @@
         instance: Arc<str>,
         /// Why.
         cause: AttemptCause,
-        /// Whether it stands in the entry's failure domain.
-        near: bool,
+        /// How far off it is.
+        place: PlaceStep,
         /// Expected time to an answer.
         expected: Duration,
         /// Servers that could have been asked.
@@ -190,6 +191,17 @@
         /// Their services.
         services: Vec<Arc<str>>,
     },
+    /// Another entry is late; its parts are asked for elsewhere.
+    AskAround {
+        /// What stands for the entries of its failure domain.
+        service: Arc<str>,
+        /// The entry.
+        instance: Arc<str>,
+        /// Time since it was asked.
+        after: Duration,
+        /// Parts that it was asked for and that are not in.
+        parts: usize,
+    },
     /// A part was given up: its service has no server left to ask.
     NoServer {
         /// The service.
@@ -226,6 +238,8 @@
 pub enum ForwardAction {
     /// Send a request.
     Send(AttemptOrder),
+    /// Let another entry run an attempt on so many servers of each shard.
+    Grant(SlotKey, u32),
     /// Nobody waits for an attempt: close its connection.
     Cancel(SlotKey),
     /// Answer a caller.
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -82,6 +82,11 @@
             gathers: matches!(rule.target, RouteTarget::Gather(_)),
             relayed: call.relayed.is_some(),
             divides: call.relayed.as_ref().is_none_or(|order| order.divides),
+            earns: call.relayed.as_ref().is_none_or(|order| order.earns),
+            attempts: match &call.relayed {
+                Some(order) => order.attempts.min(rule.attempts),
+                None => rule.attempts,
+            },
             route,
             timing,
             arrived: now,
@@ -98,7 +103,7 @@
     /// Counts the parts that this entry asks for itself. Those that another
     /// one was asked for count there, as that one may repeat them.
     fn count_direct(&mut self, call: SlotKey, now: Duration) {
-        let Some(state) = self.calls.get(call) else {
+        let Some(state) = self.calls.get(call).filter(|state| state.earns) else {
             return;
         };
         let direct = state.parts.iter().filter(|part| part.attempts.is_empty());
--- a/crates/core/src/process/forward/bundle.rs
+++ b/crates/core/src/process/forward/bundle.rs
@@ -13,11 +13,12 @@
 
 use std::time::Duration;
 
-use crate::arena::{SlotKey, UpstreamKey};
+use crate::arena::{ServerKey, SlotKey, UpstreamKey};
 use crate::process::forward::answer::ForwardAction;
 use crate::process::forward::choose::ServerChoice;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::machine::ForwardMachine;
+use crate::process::forward::place::PlaceStep;
 use crate::process::rendezvous::rank;
 
 /// Fewest far shards that are asked for together.
@@ -25,7 +26,7 @@
 /// Most domains whose entries are asked for one request.
 const MOST_BUNDLES: usize = 4;
 /// Near shards above which they are divided.
-const DIVIDE_ABOVE: usize = 24;
+pub(super) const DIVIDE_ABOVE: usize = 24;
 /// Shards of a route that fall to one entry together.
 const SHARE: usize = 12;
 /// Ways that differ by less than this part of the objective count as equal.
@@ -103,7 +104,7 @@
         }
         let shares = shares.into_iter().enumerate();
         let plans = shares.filter_map(|(index, parts)| {
-            let choice = self.entry_for(*entries, &names[index * SHARE], true, now)?;
+            let choice = self.entry_for(*entries, &names[index * SHARE], true, &[], now)?;
             (!parts.is_empty()).then_some(BundlePlan {
                 choice,
                 parts,
@@ -114,11 +115,12 @@
     }
 
     /// Finds the nearest domain with entries that has far shards, and of
-    /// domains that are as near the one that has most.
+    /// domains that are as near the one that has most. Ways alone do not tell:
+    /// one that was never taken is not known, and looks short.
     fn find_bundle(&self, call: SlotKey, far: &[usize], now: Duration) -> Option<BundlePlan> {
         let state = self.calls.get(call)?;
         let step = state.rule().objective().mul_f64(WAY_STEP).as_secs_f64();
-        let mut best: Option<((u64, usize, Duration), BundlePlan)> = None;
+        let mut best: Option<((PlaceStep, u64, usize, Duration), BundlePlan)> = None;
         for (domain, entries) in &self.peer_domains {
             if *domain == self.options.domain {
                 continue;
@@ -128,14 +130,15 @@
                 .copied()
                 .filter(|part| self.has_server_in(state.parts[*part].upstream, domain))
                 .collect();
-            let Some(choice) = self.entry_for(*entries, &self.options.own, false, now) else {
+            let Some(choice) = self.entry_for(*entries, &self.options.own, false, &[], now) else {
                 continue;
             };
             if parts.len() < LEAST_BUNDLE {
                 continue;
             }
             let way = (choice.expected.as_secs_f64() / step.max(1e-6)) as u64;
-            let rank = (way, usize::MAX - parts.len(), choice.expected);
+            let place = self.place_of(domain);
+            let rank = (place, way, usize::MAX - parts.len(), choice.expected);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 let plan = BundlePlan {
                     choice,
@@ -148,14 +151,15 @@
         best.map(|(_, plan)| plan)
     }
 
-    /// Returns the entry of a domain to which `key` falls, with the way there
-    /// as the time to expect. None if that is this entry, where it `counts`
-    /// among them, or if all are silent.
-    fn entry_for(
+    /// Returns the entry of a domain to which `key` falls, but for those in
+    /// `without`, with the way there as the time to expect. None if that is
+    /// this entry, where it `counts` among them, or if all are silent.
+    pub(super) fn entry_for(
         &self,
         entries: UpstreamKey,
         key: &str,
         counts: bool,
+        without: &[ServerKey],
         now: Duration,
     ) -> Option<ServerChoice> {
         let typical = self.timings[self.relay_timing].relay();
@@ -165,6 +169,7 @@
             let state = &self.servers[**server];
             state.standing == ServerStanding::Ready
                 && now >= state.rest_until
+                && !without.contains(server)
                 && state.outstanding.len() < RELAY_CONNECTIONS
                 && !state.is_still(typical, now)
         });
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -8,6 +8,7 @@
 
 use crate::arena::{ServerKey, SlotKey, UpstreamKey};
 use crate::process::forward::answer::AttemptCause;
+use crate::process::forward::expectation::ExpectationBasis;
 use crate::process::forward::input::ServerAnswer;
 use crate::process::forward::timing::AnswerPlan;
 use crate::process::input::CallTag;
@@ -29,6 +30,8 @@
         stamp: Box<str>,
         /// The records.
         body: Bytes,
+        /// The attempt whose merged records it is part of.
+        bundle: Option<SlotKey>,
     },
     /// It was given up.
     Missing,
@@ -53,6 +56,8 @@
     pub waits: bool,
     /// When to look for a hedge.
     pub hedge_at: Duration,
+    /// Whether another entry was asked for it.
+    pub bundled: bool,
 }
 
 impl PartState {
@@ -67,6 +72,15 @@
             runs: 0,
             waits: false,
             hedge_at: Duration::MAX,
+            bundled: false,
+        }
+    }
+
+    /// Returns the attempt whose merged records it is part of, if it came so.
+    pub fn bundle(&self) -> Option<SlotKey> {
+        match self.status {
+            PartStatus::Answered { bundle, .. } => bundle,
+            PartStatus::Open | PartStatus::Missing => None,
         }
     }
 
@@ -93,6 +107,10 @@
     pub relayed: bool,
     /// Whether near shards may be divided among the entries of the domain.
     pub divides: bool,
+    /// Servers of each part that it may run on.
+    pub attempts: u32,
+    /// Whether it counts for repeats.
+    pub earns: bool,
     /// When it came.
     pub arrived: Duration,
     /// When it should be answered.
@@ -152,12 +170,50 @@
         self.relayed || self.reachable() + 1e-9 >= self.rule().least_coverage
     }
 
+    /// Makes way for a bundle of these parts: drops the bundles that have some
+    /// of them, if it brings more than would be lost. Returns whether it does.
+    pub fn make_way(&mut self, taken: &[usize]) -> bool {
+        let rivals = taken.iter().filter_map(|part| self.parts[*part].bundle());
+        let rivals: Vec<SlotKey> = rivals.collect();
+        if rivals.is_empty() {
+            return true;
+        }
+        let is_lost = |place: &usize| {
+            let bundle = self.parts[*place].bundle();
+            bundle.is_some_and(|bundle| rivals.contains(&bundle)) && !taken.contains(place)
+        };
+        let lost: Vec<usize> = (0..self.parts.len()).filter(is_lost).collect();
+        let is_in =
+            |part: &&usize| matches!(self.parts[**part].status, PartStatus::Answered { .. });
+        let gained = taken.len() - taken.iter().filter(is_in).count();
+        if gained <= lost.len() {
+            return false;
+        }
+        for part in lost {
+            self.parts[part].status = PartStatus::Missing;
+            self.answered -= 1;
+            self.missing += 1;
+        }
+        true
+    }
+
     /// Tells whether any attempt ran, or may have.
     pub fn may_have_run(&self) -> bool {
         self.parts.iter().any(|part| part.runs > 0)
     }
 }
 
+/// How an entry stands that was asked for parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RelayStanding {
+    /// It has not said anything yet.
+    Unheard,
+    /// It is at work, and has what is left of the route's attempts.
+    AtWork,
+    /// It said nothing for too long; its parts are asked for elsewhere.
+    Late,
+}
+
 /// One send that has not ended.
 #[derive(Debug)]
 pub struct ForwardAttempt {
@@ -173,10 +229,17 @@
     pub sent_at: Duration,
     /// Time the server typically takes.
     pub typical: Duration,
+    /// What is expected of a server; none of another entry.
+    pub basis: Option<ExpectationBasis>,
     /// Why it was sent.
     pub cause: AttemptCause,
     /// Servers of each part that it may run on.
     pub runs: u32,
+    /// When another entry should have said that it is at work; `MAX` for a
+    /// server.
+    pub due: Duration,
+    /// How another entry stands.
+    pub relay: RelayStanding,
     /// Key of the route's timing.
     pub timing: usize,
 }
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -8,15 +8,18 @@
 use crate::process::forward::bundle::RELAY_CONNECTIONS;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::machine::ForwardMachine;
+use crate::process::forward::place::PlaceStep;
 use crate::process::forward::server::ServerState;
 
 /// Largest part by which chance changes an expected time, so that entries that
 /// know the same do not all choose the same.
 const JITTER: f64 = 0.15;
-/// What an answer from another failure domain costs, as a part of the
-/// objective: bytes between domains are dear, and a near server that answers
-/// in time is as good.
+/// What an answer from another region costs, as a part of the objective: bytes
+/// between regions are dear, and a near server that answers in time is as good.
 const FAR_COST: f64 = 0.3;
+/// The same for another failure domain of the region, whose bytes cost a quarter
+/// on a deployment of six domains in three regions.
+const REGION_COST: f64 = 0.075;
 /// What a new connection costs, as time.
 const OPEN_COST: Duration = Duration::from_millis(5);
 /// What a server that failed last costs, as time, where a request may not be
@@ -149,7 +152,7 @@
         }
         let used = f64::from(upstream.connections) * CONNECTION_USE;
         let part = (used / f64::from(self.entries.max(1))) as usize;
-        if !state.is_near {
+        if state.place != PlaceStep::Domain {
             return part.max(1);
         }
         let near_part = (used / f64::from(self.near_entries)) as usize;
@@ -158,12 +161,21 @@
     }
 }
 
+/// Returns what an answer from there costs, as a part of the objective.
+fn place_cost(place: PlaceStep) -> f64 {
+    match place {
+        PlaceStep::Domain => 0.0,
+        PlaceStep::Region => REGION_COST,
+        PlaceStep::Elsewhere => FAR_COST,
+    }
+}
+
 /// Returns what speaks against a server besides its expected time, where a
 /// failure costs `failing`.
 fn doubts(state: &ServerState, times: ExpectedTimes, failing: Duration, now: Duration) -> Duration {
     let mut doubt = failing.mul_f64(state.failing);
-    if !state.is_near && !times.far_as_near {
-        doubt += times.objective.mul_f64(FAR_COST);
+    if !times.far_as_near {
+        doubt += times.objective.mul_f64(place_cost(state.place));
     }
     if state.idle == 0 {
         doubt += OPEN_COST;
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -53,7 +53,11 @@
             return self.end_unanswered(call, now, out);
         }
         if is_late && state.is_covered() {
-            self.end_gathered(call, now, out);
+            return self.end_gathered(call, now, out);
+        }
+        if is_late && state.relayed {
+            // The entry that asks can still ask elsewhere, and waits for this.
+            self.end_unanswered(call, now, out);
         }
     }
 
@@ -83,7 +87,7 @@
         let mut merge = RecordMerge::new(state.rule().top);
         let mut stamps = Vec::with_capacity(state.answered);
         for part in &state.parts {
-            if let PartStatus::Answered { stamp, body } = &part.status {
+            if let PartStatus::Answered { stamp, body, .. } = &part.status {
                 merge.take(body);
                 stamps.push(stamp.clone());
             }
@@ -239,6 +243,7 @@
     ) -> Option<CallState> {
         let state = self.calls.remove(call)?;
         self.tags.remove(&state.tag);
+        self.count_bundled(&state, now);
         for attempt in state.parts.iter().flat_map(|part| &part.attempts) {
             let Some(orphan) = self.attempts.get_mut(*attempt) else {
                 continue;
@@ -251,6 +256,9 @@
             let is_relay = orphan.cause == AttemptCause::Relay;
             let closes_in = if is_relay { Duration::ZERO } else { patience };
             let (server, sent_at) = (orphan.server, orphan.sent_at);
+            if now >= orphan.due {
+                self.rest_if_silent(server, sent_at, now);
+            }
             self.timers
                 .set(now + closes_in, ForwardTimer::Orphan(*attempt));
             self.decide(state.tag, out, || {
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -7,6 +7,7 @@
 use crate::process::forward::call::PartState;
 use crate::process::forward::choose::ServerChoice;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
+use crate::process::forward::place::PlaceStep;
 
 /// Time between two looks at a part that could not be hedged.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
@@ -32,6 +33,7 @@
         }
         let open = state.parts.iter().filter(|part| part.is_open());
         let next = open.map(|part| part.hedge_at).min();
+        let next = next.into_iter().chain(self.give_up_at(state)).min();
         let Some(next) = next.filter(|next| *next < state.plan.limit) else {
             return;
         };
@@ -44,7 +46,9 @@
         let Some(state) = self.calls.get(call) else {
             return;
         };
-        for part in 0..state.parts.len() {
+        let count = state.parts.len();
+        self.look_after_relays(call, now, out);
+        for part in 0..count {
             self.hedge_if_slow(call, part, now, out);
         }
         self.plan_sweep(call, now);
@@ -58,26 +62,24 @@
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
-        let Some(state) = self.calls.get_mut(call) else {
+        let Some(state) = self.calls.get(call) else {
             return;
         };
-        let most = state.rule().attempts;
-        let part_state = &mut state.parts[part];
+        let most = state.attempts;
+        let part_state = &state.parts[part];
         if !part_state.is_open() || part_state.waits || now < part_state.hedge_at {
             return;
         }
-        if self.drop_silent_relay(call, part, now, out) {
+        let is_spent = part_state.runs >= most || part_state.attempts.is_full();
+        if is_spent || self.is_with_relay(&state.parts[part]) {
+            if let Some(state) = self.calls.get_mut(call) {
+                state.parts[part].hedge_at = Duration::MAX;
+            }
             return;
         }
-        let Some(state) = self.calls.get_mut(call) else {
-            return;
-        };
-        let part_state = &mut state.parts[part];
-        if part_state.runs >= most || part_state.attempts.is_full() {
-            part_state.hedge_at = Duration::MAX;
-            return;
+        if let Some(state) = self.calls.get_mut(call) {
+            state.parts[part].hedge_at = now + LOOK_AGAIN;
         }
-        part_state.hedge_at = now + LOOK_AGAIN;
         let Ok(choice) = self.choose_for(call, part, now) else {
             return;
         };
@@ -122,7 +124,7 @@
 
     /// Returns when a part that has become slow is worth a hedge.
     ///
-    /// Bytes between failure domains are dear, and most of what is slow now is
+    /// Bytes between regions are dear, and most of what is slow now is
     /// answered before the objective anyway. The more shards a route has, the
     /// less one of them is worth, and the later a far hedge goes out: at the
     /// latest when it is just in time.
@@ -136,7 +138,10 @@
         let Some(state) = self.calls.get(call) else {
             return now;
         };
-        if !state.gathers || self.servers[choice.server].is_near {
+        if !state.gathers || self.servers[choice.server].place < PlaceStep::Elsewhere {
+            return now;
+        }
+        if self.is_with_late_relay(&state.parts[part]) {
             return now;
         }
         let Some(first) = self.first_sent(&state.parts[part]) else {
@@ -155,6 +160,9 @@
         let Some(state) = self.calls.get(call) else {
             return false;
         };
+        if self.is_with_late_relay(&state.parts[part]) {
+            return true;
+        }
         let Some(sent) = self.first_sent(&state.parts[part]) else {
             return true;
         };
@@ -168,7 +176,7 @@
 
     /// Returns when the oldest of a part's attempts was sent, if any is
     /// outstanding.
-    fn first_sent(&self, part: &PartState) -> Option<Duration> {
+    pub(super) fn first_sent(&self, part: &PartState) -> Option<Duration> {
         let attempts = part.attempts.iter();
         let sent = attempts.filter_map(|attempt| self.attempts.get(*attempt));
         sent.map(|attempt| attempt.sent_at).min()
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -34,6 +34,11 @@
     pub version: u64,
     /// Time within which an answer is of use.
     pub answer_in: Duration,
+    /// Servers of each shard that it may run on, until it is told of more.
+    pub attempts: u32,
+    /// Whether the request counts for repeats there. Not if other entries were
+    /// asked for these parts before: it may count with them.
+    pub earns: bool,
     /// Whether it may divide them among the entries of its own domain.
     pub divides: bool,
     /// The services that hold the shards.
@@ -125,6 +130,10 @@
     Peers(Vec<EntryPeer>),
     /// A caller's request.
     Call(ForwardCall),
+    /// Another entry is at work on what it was asked for.
+    Alive(SlotKey),
+    /// The entry that asks allows so many servers of each shard from now on.
+    Granted(CallTag, u32),
     /// A caller left before its answer.
     CallerLeft(CallTag),
     /// An attempt has ended.
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -18,9 +18,11 @@
 use crate::process::forward::directory::{
     NoticeEffect, ServerDirectory, ServerNotice, ServerStanding,
 };
+use crate::process::forward::expectation::ExpectationBook;
 use crate::process::forward::extra::{ExtraBound, ExtraBudget};
 use crate::process::forward::fading::FadingShare;
 use crate::process::forward::input::ForwardInput;
+use crate::process::forward::place::{PlaceStep, RegionMap};
 use crate::process::forward::server::ServerState;
 use crate::process::forward::split::SplitCounter;
 use crate::process::forward::timing::RouteTiming;
@@ -51,6 +53,8 @@
 pub struct ForwardOptions {
     /// Failure domain of the instance.
     pub domain: Box<str>,
+    /// Regions of the failure domains, as far as they are known.
+    pub regions: RegionMap,
     /// Identity of the instance's lifetime among the entries.
     pub own: Box<str>,
     /// Bound on extra load.
@@ -67,6 +71,7 @@
     fn default() -> Self {
         ForwardOptions {
             domain: "unnamed".into(),
+            regions: RegionMap::default(),
             own: "".into(),
             extra: ExtraBound::default(),
             in_flight: 512,
@@ -127,6 +132,9 @@
     pub hedges: u64,
     /// Requests passed on to an entry nearer to the shards.
     pub relays: u64,
+    /// Entries that were late with a request, whose parts were asked for
+    /// elsewhere.
+    pub asked_around: u64,
     /// Repeats that the bound on extra load did not allow.
     pub unaffordable: u64,
     /// Attempts whose connection was closed.
@@ -159,6 +167,7 @@
     pub(super) splits: HashMap<Box<str>, SplitCounter>,
     pub(super) timers: TimerHeap<ForwardTimer>,
     pub(super) counters: ForwardCounters,
+    pub(super) expectations: ExpectationBook,
     /// When a request may be let in again that depends on doubtful shards.
     pub(super) probe_at: Duration,
     /// Time of the step that is being taken.
@@ -189,6 +198,7 @@
             splits: HashMap::new(),
             timers: TimerHeap::default(),
             counters: ForwardCounters::default(),
+            expectations: ExpectationBook::default(),
             probe_at: Duration::ZERO,
             clock: Duration::ZERO,
         }
@@ -205,6 +215,8 @@
             ForwardInput::Entries(entries) => self.entries = entries.max(1),
             ForwardInput::Peers(peers) => self.set_peers(peers, out),
             ForwardInput::Call(call) => self.begin(call, now, out),
+            ForwardInput::Alive(attempt) => self.hear_alive(attempt, now, out),
+            ForwardInput::Granted(tag, attempts) => self.take_grant(tag, attempts, now, out),
             ForwardInput::CallerLeft(tag) => self.caller_left(tag, now, out),
             ForwardInput::Ended { attempt, end } => self.ended(attempt, end, now, out),
             ForwardInput::Connected { server, took } => self.servers[server].connected(took),
@@ -229,6 +241,11 @@
         self.counters
     }
 
+    /// Returns the account of expected against real times.
+    pub fn expectations(&self) -> &ExpectationBook {
+        &self.expectations
+    }
+
     /// Returns the number of requests at work.
     pub fn call_count(&self) -> usize {
         self.calls.len()
@@ -345,7 +362,7 @@
         }
         let upstream = self.upstream(&notice.service);
         let mut state = ServerState::new(notice.id.clone().into(), upstream, address);
-        state.is_near = notice.domain == self.options.domain;
+        state.place = self.place_of(&notice.domain);
         state.domain = notice.domain;
         state.slots = notice.slots;
         state.warm_at = now + Duration::from_millis(notice.cold_ms);
@@ -355,6 +372,11 @@
         self.serve_waiting(upstream, now, out);
     }
 
+    /// Returns how far off a failure domain is.
+    pub(super) fn place_of(&self, domain: &str) -> PlaceStep {
+        self.options.regions.step(&self.options.domain, domain)
+    }
+
     pub(super) fn set_standing(
         &mut self,
         server: ServerKey,
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 pub mod answer;
+mod around;
 pub mod backlog;
 mod begin;
 pub mod bundle;
@@ -13,11 +14,13 @@
 pub mod choose;
 pub mod directory;
 mod end;
+pub mod expectation;
 pub mod extra;
 pub mod fading;
 mod hedge;
 pub mod input;
 pub mod machine;
+pub mod place;
 mod relay;
 mod reply;
 pub mod roll;
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -1,5 +1,6 @@
 //! The other entries, and what becomes of the parts that they are asked for.
-//! Which these are is planned in [`crate::process::forward::bundle`].
+//! Which these are is planned in [`crate::process::forward::bundle`]; what is
+//! done about an entry that is late, in [`crate::process::forward::around`].
 
 use std::time::Duration;
 
@@ -13,9 +14,6 @@
 use crate::process::forward::send::AttemptSend;
 use crate::process::forward::server::ServerState;
 
-/// Time that an entry is late before it is given up, as a part of the
-/// objective.
-const LATE_TIME: f64 = 0.5;
 /// Least time that an entry which was silent is left alone: each request that
 /// asks it loses its share, and the control group drops it by then if it is
 /// gone.
@@ -58,7 +56,7 @@
         let upstream = self.peer_domain(&peer.domain);
         let mut state = ServerState::new(id.clone().into(), upstream, peer.address);
         state.domain = peer.domain.clone();
-        state.is_near = peer.domain == self.options.domain;
+        state.place = self.place_of(&peer.domain);
         state.slots = 1024;
         let server = self.servers.push(state);
         self.server_ids.insert(id, server);
@@ -92,6 +90,7 @@
             divides,
         } = plan;
         let way = self.servers[choice.server].way();
+        let loan = ForwardMachine::loan(state, &parts, way, now);
         let shards = parts.iter().map(|part| {
             let upstream = state.parts[*part].upstream;
             self.upstreams[upstream].name.clone()
@@ -99,6 +98,8 @@
         let relay = RelayOrder {
             version: state.table.version(),
             answer_in: state.plan.aim.saturating_sub(now + way + BUNDLE_MARGIN),
+            attempts: loan.attempts,
+            earns: state.earns && parts.iter().all(|part| state.parts[*part].arrivals == 0),
             divides,
             shards: shards.collect(),
         };
@@ -106,82 +107,42 @@
             cause: AttemptCause::Relay,
             choice,
             timing: self.relay_timing,
-            patience: state.plan.aim - now + state.rule().objective().mul_f64(LATE_TIME),
-            runs: state.rule().attempts,
+            patience: loan.due.saturating_sub(now),
+            runs: loan.attempts,
             relay: Some(relay),
             parts,
         };
         self.send_attempt(call, send, now, out);
     }
 
-    /// Gives up an entry that has not answered in time, with the parts it was
-    /// asked for: it may have sent them to as many servers as the route allows.
-    /// Returns whether the part waited for an entry.
-    pub(super) fn drop_silent_relay(
-        &mut self,
-        call: SlotKey,
-        part: usize,
-        now: Duration,
-        out: &mut Vec<ForwardAction>,
-    ) -> bool {
-        let Some(state) = self.calls.get_mut(call) else {
-            return false;
-        };
-        let Some(key) = state.parts[part].attempts.last().copied() else {
-            return false;
-        };
-        let Some(attempt) = self.attempts.get_mut(key) else {
-            return false;
-        };
-        if attempt.cause != AttemptCause::Relay {
-            return false;
-        }
-        attempt.call = None;
-        let (server, sent_at) = (attempt.server, attempt.sent_at);
-        self.servers[server].rest_at_least(SILENT_REST, now);
-        for part in attempt.parts.clone() {
-            state.parts[part].attempts.clear();
-            if state.parts[part].is_open() {
-                state.parts[part].status = PartStatus::Missing;
-                state.missing += 1;
-            }
-        }
-        out.push(ForwardAction::Cancel(key));
-        self.close_if_silent(server, sent_at, out);
-        true
-    }
-
     /// Takes the parts that another entry gathered. Their records are merged
-    /// and cannot be taken apart: a part among them that came otherwise in the
-    /// meantime is taken from the bundle instead.
+    /// and cannot be taken apart: a part among them that a server answered in
+    /// the meantime is taken from the bundle instead. Of two bundles that have
+    /// a part in common, the one that brings more is taken.
     pub(super) fn take_bundle(
         &mut self,
         call: SlotKey,
+        attempt: SlotKey,
         parts: &[usize],
         bundle: &BundleAnswer,
-        now: Duration,
     ) {
-        for part in parts {
-            let Some(state) = self.calls.get(call) else {
-                return;
-            };
-            let upstream = state.parts[*part].upstream;
-            let name = &*self.upstreams[upstream].name;
-            let is_in = bundle.parts.iter().any(|(shard, _)| **shard == *name);
-            self.bundled(upstream, is_in, now);
-        }
         let Some(state) = self.calls.get_mut(call) else {
             return;
         };
-        let mut body = bundle.body.clone();
+        let mut places = Vec::with_capacity(bundle.parts.len());
         for (shard, stamp) in &bundle.parts {
             let place = parts.iter().copied().find(|part| {
                 let upstream = state.parts[*part].upstream;
                 *self.upstreams[upstream].name == **shard
             });
-            let Some(place) = place else {
-                continue;
-            };
+            places.extend(place.map(|place| (place, stamp)));
+        }
+        let taken: Vec<usize> = places.iter().map(|(place, _)| *place).collect();
+        if !state.make_way(&taken) {
+            return;
+        }
+        let mut body = bundle.body.clone();
+        for (place, stamp) in places {
             match state.parts[place].status {
                 PartStatus::Answered { .. } => {}
                 PartStatus::Missing => {
@@ -193,6 +154,7 @@
             state.parts[place].status = PartStatus::Answered {
                 stamp: stamp.clone(),
                 body: std::mem::take(&mut body),
+                bundle: Some(attempt),
             };
         }
     }
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -134,6 +134,9 @@
         let work = (now - state.sent_at).saturating_sub(server.way());
         match meaning {
             EndMeaning::Final => {
+                if let Some(basis) = &state.basis {
+                    self.expectations.add(basis, now - state.sent_at);
+                }
                 let alone = work.div_f64(queue_factor(end));
                 server.answered(alone, state.typical, now);
                 server.judged(false);
@@ -212,7 +215,8 @@
         }
         match end {
             AttemptEnd::Bundle(bundle) => {
-                self.take_bundle(key, &state.parts, &bundle, now);
+                self.take_bundle(key, attempt, &state.parts, &bundle);
+                self.pass_asked(key, &state.parts, state.server);
                 self.check_end(key, now, out);
             }
             AttemptEnd::Answer(answer) if meaning == EndMeaning::Final => {
@@ -282,6 +286,7 @@
         call.parts[part].status = PartStatus::Answered {
             stamp,
             body: answer.body,
+            bundle: None,
         };
         call.answered += 1;
         self.check_end(key, now, out);
@@ -306,10 +311,16 @@
         }
         let may_repeat = rule.idempotent || state.runs == 0;
         let has_time = now < call.plan.limit;
-        let is_allowed = may_repeat && has_time && state.runs < rule.attempts;
+        let is_allowed = may_repeat && has_time && state.runs < call.attempts;
         let is_last = state.attempts.is_empty();
         // What may not be repeated in doubt is not looked at again.
         let may_wait = is_last && rule.idempotent;
+        let awaits_grant =
+            call.relayed && state.runs >= call.attempts && state.runs < rule.attempts;
+        if is_last && may_repeat && has_time && awaits_grant {
+            // The entry that asks is about to leave its attempts to this one.
+            return self.check_end(key, now, out);
+        }
         if is_allowed && !state.attempts.is_full() {
             match self.choose_for(key, part, now) {
                 Ok(choice) if self.afford(key, part, now, out) => {
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -4,7 +4,9 @@
 
 use crate::arena::{SlotKey, UpstreamKey};
 use crate::process::forward::answer::{AttemptCause, AttemptOrder, ForwardAction, ForwardDecision};
-use crate::process::forward::call::{CallState, ForwardAttempt, PartState, PartStatus};
+use crate::process::forward::call::{
+    CallState, ForwardAttempt, PartState, PartStatus, RelayStanding,
+};
 use crate::process::forward::choose::{ExpectedTimes, NoChoice, ServerChoice};
 use crate::process::forward::input::RelayOrder;
 use crate::process::forward::machine::ForwardMachine;
@@ -114,6 +116,7 @@
             return;
         };
         let AttemptSend { cause, choice, .. } = send;
+        let typical = self.timings[send.timing].typical(state.rule());
         let server = &mut self.servers[choice.server];
         let attempt = self.attempts.insert(ForwardAttempt {
             call: Some(call),
@@ -121,10 +124,20 @@
             server: choice.server,
             upstream: server.upstream,
             sent_at: now,
-            typical: self.timings[send.timing].typical(state.rule()),
+            typical,
+            basis: send
+                .relay
+                .is_none()
+                .then(|| server.basis(choice.expected, now)),
             cause,
             timing: send.timing,
             runs: send.runs,
+            due: if send.relay.is_some() {
+                now + send.patience
+            } else {
+                Duration::MAX
+            },
+            relay: RelayStanding::Unheard,
         });
         state.sends += 1;
         let (tag, gathers) = (state.tag, state.gathers);
@@ -135,6 +148,7 @@
             part.arrivals += 1;
             part.runs += send.runs;
             part.hedge_at = now + send.patience;
+            part.bundled |= send.relay.is_some();
         }
         let counts = &mut self.upstreams[server.upstream].counts;
         counts.sends += 1;
@@ -143,7 +157,6 @@
         }
         let outstanding = server.outstanding.len();
         if send.relay.is_none() {
-            let typical = self.timings[send.timing].typical(state.rule());
             let work = server.work(typical, now);
             server.backlog.sent(work, server.slots, self.entries, now);
         }
@@ -153,7 +166,7 @@
         });
         server.idle = server.idle.saturating_sub(1);
         let (address, instance) = (server.address, server.id.clone());
-        let near = server.is_near;
+        let place = server.place;
         match cause {
             AttemptCause::First => self.counters.sends += 1,
             AttemptCause::Retry => self.counters.retries += 1,
@@ -166,7 +179,7 @@
                 service,
                 instance,
                 cause,
-                near,
+                place,
                 expected: choice.expected,
                 candidates: choice.candidates,
                 outstanding,
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -7,7 +7,9 @@
 use crate::arena::{SlotKey, UpstreamKey};
 use crate::process::forward::backlog::ServerBacklog;
 use crate::process::forward::directory::ServerStanding;
+use crate::process::forward::expectation::ExpectationBasis;
 use crate::process::forward::input::LoadReport;
+use crate::process::forward::place::PlaceStep;
 
 /// Weight of a new sample in the moving average of failures.
 const SAMPLE_WEIGHT: f64 = 0.15;
@@ -49,8 +51,8 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: Box<str>,
-    /// Whether it stands in the entry's own failure domain.
-    pub is_near: bool,
+    /// How far off it is.
+    pub place: PlaceStep,
     /// Whether it takes work.
     pub standing: ServerStanding,
     /// Whether the control group no longer hears it.
@@ -88,7 +90,7 @@
             upstream,
             address,
             domain: "".into(),
-            is_near: false,
+            place: PlaceStep::Elsewhere,
             standing: ServerStanding::Ready,
             silent: false,
             slots: 1,
@@ -217,6 +219,17 @@
         self.way + work + work.mul_f64(queue) + pause
     }
 
+    /// Returns what the expectation of a request sent now is made of.
+    pub fn basis(&self, expected: Duration, now: Duration) -> ExpectationBasis {
+        let slots = f64::from(self.slots.max(1));
+        ExpectationBasis {
+            expected,
+            queue: (self.ahead(now) + 1.0 - slots).max(0.0),
+            slowness: self.slowness(now),
+            age: now.saturating_sub(self.answered_at),
+        }
+    }
+
     /// Returns how many requests are ahead of a new one.
     fn ahead(&self, now: Duration) -> f64 {
         let own = self.outstanding.len() as f64;
--- a/crates/core/tests/forward/divide.rs
+++ b/crates/core/tests/forward/divide.rs
@@ -68,6 +68,8 @@
         let order = RelayOrder {
             version: 3,
             answer_in: Duration::from_millis(60),
+            attempts: 1,
+            earns: true,
             divides,
             shards: (0..SHARDS)
                 .map(|shard| format!("s{shard}").into())
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -3,12 +3,14 @@
 mod harness;
 
 mod admit;
+mod around;
 mod bundles;
 mod chance;
 mod divide;
 mod ends;
 mod hedges;
 mod parts;
+mod places;
 mod remember;
 mod roll;
 mod silent;
--- a/crates/fake/src/model/event.rs
+++ b/crates/fake/src/model/event.rs
@@ -6,6 +6,7 @@
 
 use wheelmast_core::arena::SlotKey;
 use wheelmast_core::process::forward::input::AttemptEnd;
+use wheelmast_core::process::input::CallTag;
 
 use crate::model::server::JobKey;
 
@@ -22,6 +23,16 @@
     Reach { job: JobKey },
     /// A server has worked off a request.
     Finish { job: JobKey },
+    /// A request of an entry reaches the one that it asks.
+    RelayReach { tag: CallTag },
+    /// The word of an entry that it is at work reaches the one that asked.
+    RelaySign { tag: CallTag },
+    /// Leave for more attempts reaches the entry that was asked.
+    RelayGrant { tag: CallTag, attempts: u32 },
+    /// What another entry was asked for ends at the one that asked.
+    RelayEnd { tag: CallTag, end: Box<AttemptEnd> },
+    /// The end of a connection reaches the entry that was asked.
+    RelayLeft { tag: CallTag },
     /// An attempt ends at its entry.
     End {
         entry: usize,
--- a/crates/fake/src/model/mod.rs
+++ b/crates/fake/src/model/mod.rs
@@ -5,15 +5,18 @@
 //! callers that come by chance, have objectives and come back once. A play is
 //! decided by its seed. What callers got is counted by kind of request.
 //!
-//! Left out, as it is not needed to weigh policy for one load: entries that ask
-//! each other, the processor time of entries, messages that are lost.
+//! Entries ask each other as well, and may be cut off. Left out, as it is not
+//! needed to weigh policy for one load: the processor time of entries, single
+//! messages that are lost.
 //!
 //! [`ForwardMachine`]: wheelmast_core::process::forward::machine::ForwardMachine
 
+mod bound;
 mod caller;
 mod entry;
 mod event;
 mod play;
+mod relay;
 mod server;
 pub mod spec;
 pub mod tally;
--- a/crates/fake/src/model/server.rs
+++ b/crates/fake/src/model/server.rs
@@ -35,7 +35,8 @@
 #[derive(Debug)]
 pub(super) struct ModelServer {
     pub(super) id: String,
-    pub(super) is_far: [bool; 2],
+    /// Place of its failure domain.
+    pub(super) domain: usize,
     pub(super) faults: Vec<(Duration, Duration, ServerEffect)>,
     slots: u32,
     room: usize,
@@ -47,7 +48,7 @@
     pub(super) fn new(id: String, domain: usize, slots: u32, room: usize) -> ModelServer {
         ModelServer {
             id,
-            is_far: [domain != 0, domain != 1],
+            domain,
             faults: Vec::new(),
             slots,
             room,
--- a/crates/fake/src/model/spec.rs
+++ b/crates/fake/src/model/spec.rs
@@ -54,6 +54,18 @@
     pub effect: ServerEffect,
 }
 
+/// Entries that are cut off from everything for some time. The balancer sends
+/// no callers there meanwhile.
+#[derive(Debug, Clone)]
+pub struct CutSpec {
+    /// Which entries, by number.
+    pub entries: Range<usize>,
+    /// From when, since the start of traffic.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+}
+
 /// What is played.
 #[derive(Debug, Clone)]
 pub struct PlaySpec {
@@ -61,8 +73,12 @@
     pub kinds: Vec<KindSpec>,
     /// Faults.
     pub faults: Vec<FaultSpec>,
+    /// Entries that are cut off.
+    pub cuts: Vec<CutSpec>,
     /// Entries in each of the two failure domains.
     pub entries: usize,
+    /// Entries in a third failure domain, which has no servers.
+    pub outlying: usize,
     /// Shards; each has one server in each failure domain.
     pub shards: usize,
     /// Requests that a server works on at once.
@@ -113,7 +129,9 @@
         PlaySpec {
             kinds: vec![sweep, lookup],
             faults: Vec::new(),
+            cuts: Vec::new(),
             entries: 4,
+            outlying: 0,
             shards: 20,
             slots: 2,
             queue: 12,
@@ -129,4 +147,48 @@
             length: Duration::from_secs(12),
         }
     }
+
+    /// Returns a deployment of 96 shards and 60 entries: each asks others of
+    /// its failure domain for most of its shards, and those of a domain
+    /// without servers ask one elsewhere for all. The two domains with servers
+    /// are near each other; a server is busy a tenth of the time.
+    pub fn of_many_entries() -> PlaySpec {
+        let sweep = KindSpec {
+            name: "sweep",
+            rate: 36.0,
+            work: Duration::from_millis(20),
+            objective: Duration::from_millis(300),
+            limit: Duration::from_secs(2),
+            least_coverage: 0.95,
+            rank: 1,
+            worth: 2.0,
+            late_worth: 0.1,
+        };
+        let lookup = KindSpec {
+            name: "lookup",
+            rate: 12.0,
+            work: Duration::from_micros(6700),
+            objective: Duration::from_millis(100),
+            limit: Duration::from_secs(1),
+            least_coverage: 0.85,
+            rank: 2,
+            worth: 1.0,
+            late_worth: 0.1,
+        };
+        PlaySpec {
+            kinds: vec![sweep, lookup],
+            entries: 24,
+            outlying: 12,
+            shards: 96,
+            slots: 3,
+            queue: 18,
+            far_way: Duration::from_millis(2),
+            extra: ExtraBound {
+                ratio: 0.2,
+                slack: 128.0,
+                window: Duration::from_secs(10),
+            },
+            ..PlaySpec::of_today()
+        }
+    }
 }
--- a/crates/fake/src/model/tally.rs
+++ b/crates/fake/src/model/tally.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use wheelmast_core::process::forward::expectation::ExpectationBook;
+
 /// How a caller's request ended, over all of its tries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum CallerEnd {
@@ -49,6 +51,8 @@
 /// What became of a play.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct PlayTally {
+    /// Expected against real times, over all entries.
+    pub expectations: ExpectationBook,
     /// By kind of request, in the order of the specification.
     pub kinds: Vec<KindTally>,
     /// Requests that reached a server.
@@ -61,6 +65,11 @@
     pub wasted: Duration,
     /// Requests said not to have run of which a server had run a part.
     pub false_refusals: u32,
+    /// By how many arrivals the bound on extra load was exceeded at most in any
+    /// window and at any shard; less than 0 if it never was.
+    pub excess: f64,
+    /// Parts of requests that ran more often than their route allows.
+    pub over_attempts: usize,
     /// Requests and slots that were still taken at the end.
     pub left: usize,
 }
--- a/crates/fake/src/model/told.rs
+++ b/crates/fake/src/model/told.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
-use wheelmast_core::process::forward::input::{AttemptEnd, LoadReport, ServerAnswer};
+use wheelmast_core::process::forward::input::{AttemptEnd, EntryPeer, LoadReport, ServerAnswer};
 use wheelmast_core::version::route_table::{
     CallerLimits, RouteDraft, RouteRule, RouteTable, RouteTarget, ServiceRule,
 };
@@ -10,10 +10,14 @@
 use crate::model::server::ModelServer;
 use crate::model::spec::{KindSpec, PlaySpec};
 
-/// Names of the two failure domains.
+/// Names of the two failure domains with servers.
 pub(super) const DOMAINS: [&str; 2] = ["north", "south"];
+/// Name of the one with entries alone.
+pub(super) const OUTLYING: &str = "east";
 /// Host that all routes are for.
 pub(super) const HOST: &str = "model.example";
+/// Servers that a part of a request may run on.
+pub(super) const ATTEMPTS: u32 = 2;
 /// Connections that a server accepts from all entries.
 const CONNECTIONS: u32 = 26;
 
@@ -45,13 +49,38 @@
         idempotent: true,
         time_limit_ms: kind.limit.as_millis() as u64,
         objective_ms: kind.objective.as_millis() as u64,
-        attempts: 2,
+        attempts: ATTEMPTS,
         rank: kind.rank,
         top: 5,
         least_coverage: kind.least_coverage,
     }
 }
 
+/// Returns the place of the failure domain of an entry.
+pub(super) fn domain_of(spec: &PlaySpec, number: usize) -> usize {
+    if number < spec.entries * DOMAINS.len() {
+        number % DOMAINS.len()
+    } else {
+        DOMAINS.len()
+    }
+}
+
+/// Returns all entries, in the order of their numbers.
+pub(super) fn peers_of(spec: &PlaySpec) -> Vec<EntryPeer> {
+    let count = spec.entries * DOMAINS.len() + spec.outlying;
+    let peers = (0..count).map(|number| EntryPeer {
+        instance: format!("entry-{number}").into(),
+        lifetime: 1,
+        domain: DOMAINS
+            .get(domain_of(spec, number))
+            .copied()
+            .unwrap_or(OUTLYING)
+            .into(),
+        address: ([10, 1, (number / 256) as u8, (number % 256) as u8], 2000).into(),
+    });
+    peers.collect()
+}
+
 pub(super) fn notice_of(place: usize, server: &ModelServer, slots: u32) -> ServerNotice {
     let (shard, domain) = (place / DOMAINS.len(), place % DOMAINS.len());
     ServerNotice {
--- a/crates/fake/tests/load.rs
+++ b/crates/fake/tests/load.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use wheelmast_fake::model::play;
-use wheelmast_fake::model::spec::{FaultSpec, PlaySpec, ServerEffect};
+use wheelmast_fake::model::spec::{CutSpec, FaultSpec, PlaySpec, ServerEffect};
 use wheelmast_fake::model::tally::PlayTally;
 
 /// Plays of each case.
@@ -131,6 +131,7 @@
             }
             // Callers' own repeats are requests of their own.
             let asked: u32 = tally.kinds.iter().map(|kind| 2 * kind.asked).sum();
+            assert!(tally.excess <= 0.0, "{}: {}", case.name, tally.excess);
             let windows = 3.0;
             let bound = spec.extra.ratio * f64::from(asked) + spec.extra.slack * windows;
             let extras = tally.extras as f64 / SHARDS as f64;
@@ -149,3 +150,30 @@
     assert_eq!(play(&spec, 3), play(&spec, 3));
     assert_ne!(play(&spec, 3), play(&spec, 4));
 }
+
+/// Half of the entries are away until a second before all servers begin to
+/// reject requests: the others have earned by the requests of all, and those
+/// that are back earn by theirs.
+#[test]
+fn the_bound_on_extra_load_holds_when_the_load_shifts() {
+    let faults = [0, 1].map(|server| FaultSpec {
+        from: seconds(14.0),
+        until: seconds(24.0),
+        ..fault(0..SHARDS, server, ServerEffect::Shed(0.4))
+    });
+    let cut = CutSpec {
+        entries: 0..4,
+        from: seconds(2.0),
+        until: seconds(13.0),
+    };
+    let spec = PlaySpec {
+        faults: faults.to_vec(),
+        cuts: vec![cut],
+        length: seconds(26.0),
+        ..PlaySpec::of_today()
+    };
+    for seed in SEEDS {
+        let excess = play(&spec, seed).excess;
+        assert!(excess <= 0.0, "seed {seed}: {excess} arrivals too many");
+    }
+}
--- a/crates/node/src/connection/exchange.rs
+++ b/crates/node/src/connection/exchange.rs
@@ -4,11 +4,12 @@
 //! all other cases the connection is closed, as what comes next on it would
 //! belong to nobody knows what.
 
+use std::future::Future;
 use std::io::{Error, ErrorKind, Result};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::{AsyncReadExt, Interest};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 
 /// Most header lines of an answer.
@@ -19,6 +20,8 @@
 const BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Room kept for reading.
 const READ_BYTES: usize = 8 * 1024;
+/// Status of the word to continue.
+const CONTINUE: u16 = 100;
 /// Status codes below this are interim.
 const FIRST_FINAL: u16 = 200;
 
@@ -59,6 +62,22 @@
     stream: &mut TcpStream,
     buffer: &mut BytesMut,
     request: &[u8],
+) -> std::result::Result<WholeAnswer, ExchangeFailure> {
+    exchange_in_two(stream, buffer, request, std::future::pending).await
+}
+
+/// Sends a request whose last bytes wait for the server's word to continue, and
+/// reads its answer. Once that word is there, what `rest` then comes to is sent
+/// beside the reading, if it comes to anything before the answer does.
+///
+/// # Errors
+///
+/// Fails unless a whole answer came.
+pub async fn exchange_in_two<R: Future<Output = Vec<u8>>>(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    request: &[u8],
+    rest: impl FnOnce() -> R,
 ) -> std::result::Result<WholeAnswer, ExchangeFailure> {
     if !buffer.is_empty() || has_bytes(stream) {
         return Err(ExchangeFailure::Unsent);
@@ -69,7 +88,7 @@
         Err(_) if written == 0 => return Err(ExchangeFailure::Unsent),
         Err(_) => return Err(ExchangeFailure::Broken),
     };
-    let answer = read_answer(stream, buffer).await;
+    let answer = read_answer(stream, buffer, rest).await;
     let mut answer = answer.map_err(|_| ExchangeFailure::Broken)?;
     // Of a request that was answered early, the server may still read the
     // rest; and bytes beyond the answer belong to no request.
@@ -137,12 +156,20 @@
     keep: Option<Duration>,
 }
 
-async fn read_answer(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<WholeAnswer> {
+async fn read_answer<R: Future<Output = Vec<u8>>>(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    rest: impl FnOnce() -> R,
+) -> Result<WholeAnswer> {
+    let mut rest = Some(rest);
     let head = loop {
         let head = read_head(stream, buffer).await?;
         if head.status >= FIRST_FINAL {
             break head;
         }
+        if let Some(rest) = rest.take_if(|_| head.status == CONTINUE) {
+            send_rest(stream, buffer, rest()).await?;
+        }
     };
     let body = match head.frame {
         BodyFrame::Empty => Bytes::new(),
@@ -158,6 +185,24 @@
     })
 }
 
+/// Sends the rest of a request as soon as it is there, unless more bytes of the
+/// server come before.
+async fn send_rest(
+    stream: &mut TcpStream,
+    buffer: &mut BytesMut,
+    rest: impl Future<Output = Vec<u8>>,
+) -> Result<()> {
+    if !buffer.is_empty() {
+        return Ok(());
+    }
+    let bytes = tokio::select! {
+        biased;
+        bytes = rest => bytes,
+        more = read_more(stream, buffer) => return more,
+    };
+    stream.write_all(&bytes).await
+}
+
 async fn read_more(stream: &mut TcpStream, buffer: &mut BytesMut) -> Result<()> {
     buffer.reserve(READ_BYTES);
     match stream.read_buf(buffer).await? {
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, CONNECTION, HOST};
+use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -29,6 +29,7 @@
     say_retry_after, serve_http, typed_response, FullResponse, PLAIN_TYPE,
 };
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
+use crate::process::forward::grant::GrantReader;
 use crate::process::forward::image::{read_order, RequestImage, RELAY_HEADER, SHARDS_HEADER};
 
 /// Least size of a connection's buffer that the HTTP library takes.
@@ -115,32 +116,45 @@
     if entry.phase() == EntryPhase::Learning {
         return failure_response(ForwardFailure::NoTable, Some(Duration::from_millis(200)));
     }
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let host: Box<str> = host.or_else(|| parts.uri.host()).unwrap_or_default().into();
     let time_left = parts.headers.get(D::HEADERS.time_left);
     let time_left = time_left.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
     let time_left = time_left.filter(|millis| millis.is_finite());
     let time_left = time_left.map(|millis| Duration::from_secs_f64(millis.max(0.0) / 1000.0));
-    let body = match Limited::new(body, limits.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return typed_response(StatusCode::PAYLOAD_TOO_LARGE, PLAIN_TYPE, "body too large");
+    let Ok(relayed) = relay_order(&parts.headers) else {
+        // An entry of another version: it asks the shards itself.
+        return failure_response(ForwardFailure::NoServer, None);
+    };
+    let mut grant = None;
+    let body = if relayed.is_some() {
+        match GrantReader::read_body(&parts.headers, body, limits.body_bytes).await {
+            Ok((body, reader)) => {
+                grant = Some(reader);
+                body
+            }
+            Err(_) => return unreadable_response(),
         }
-        Err(_) => {
-            return typed_response(
-                StatusCode::BAD_REQUEST,
-                PLAIN_TYPE,
-                "body could not be read",
-            )
+    } else {
+        match Limited::new(body, limits.body_bytes).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                return typed_response(StatusCode::PAYLOAD_TOO_LARGE, PLAIN_TYPE, "body too large");
+            }
+            Err(_) => return unreadable_response(),
         }
     };
+    if grant.is_some() && body.is_empty() {
+        // It was that of the grant.
+        parts.headers.remove(CONTENT_LENGTH);
+    }
     let call = ForwardCall {
         tag: CallTag(0),
-        host: host.into(),
+        host,
         path: parts.uri.path().into(),
         time_left,
-        relayed: relay_order(&parts.headers),
+        relayed,
     };
     let id = parts.headers.get(D::HEADERS.request);
     let id = id.and_then(|id| id.to_str().ok()).map(str::to_string);
@@ -152,6 +166,9 @@
         tag,
     };
     entry.step(ForwardInput::Call(ForwardCall { tag, ..call }));
+    if let Some(reader) = grant {
+        tokio::task::spawn_local(reader.wait(entry.clone(), tag));
+    }
     let answer = receiver.await;
     drop(guard);
     match answer {
@@ -160,8 +177,23 @@
     }
 }
 
-fn relay_order(headers: &HeaderMap) -> Option<RelayOrder> {
-    read_order(headers.get(RELAY_HEADER)?.to_str().ok()?)
+fn unreadable_response() -> FullResponse {
+    typed_response(
+        StatusCode::BAD_REQUEST,
+        PLAIN_TYPE,
+        "body could not be read",
+    )
+}
+
+/// Reads what another entry asks for, if one passed the request on.
+fn relay_order(headers: &HeaderMap) -> anyhow::Result<Option<RelayOrder>> {
+    let Some(value) = headers.get(RELAY_HEADER) else {
+        return Ok(None);
+    };
+    let order = value.to_str().ok().and_then(read_order);
+    Ok(Some(
+        order.context("could not read what an entry asks for")?,
+    ))
 }
 
 fn respond<D: ForwardDialect>(answer: ForwardAnswer, id: &str) -> FullResponse {
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -45,6 +45,8 @@
     pub pool: ServerPool,
     /// Ways to end attempts that nobody waits for.
     pub cancels: RefCell<HashMap<SlotKey, oneshot::Sender<()>>>,
+    /// Ways to tell other entries what they are granted.
+    grants: RefCell<HashMap<SlotKey, oneshot::Sender<u32>>>,
     calls: RefCell<HashMap<CallTag, WaitingCall>>,
     stories: RefCell<StoryBook>,
     spare: RefCell<Vec<ForwardAction>>,
@@ -65,6 +67,7 @@
             machine: RefCell::new(ForwardMachine::new(options)),
             pool: ServerPool::default(),
             cancels: RefCell::default(),
+            grants: RefCell::default(),
             calls: RefCell::default(),
             stories: RefCell::new(StoryBook::new(plain_every)),
             spare: RefCell::default(),
@@ -132,6 +135,12 @@
                     },
                 );
             }
+            ForwardAction::Grant(attempt, attempts) => {
+                if let Some(grant) = self.grants.borrow_mut().remove(&attempt) {
+                    // The attempt may have ended just now.
+                    let _ = grant.send(attempts);
+                }
+            }
             ForwardAction::Cancel(attempt) => {
                 if let Some(cancel) = self.cancels.borrow_mut().remove(&attempt) {
                     // The attempt may have ended just now.
@@ -149,6 +158,18 @@
         }
     }
 
+    /// Returns where it comes what another entry is granted.
+    pub fn await_grant(&self, attempt: SlotKey) -> oneshot::Receiver<u32> {
+        let (grant, receiver) = oneshot::channel();
+        self.grants.borrow_mut().insert(attempt, grant);
+        receiver
+    }
+
+    /// Takes note that an attempt has ended.
+    pub fn drop_grant(&self, attempt: SlotKey) {
+        self.grants.borrow_mut().remove(&attempt);
+    }
+
     /// Renders the metrics.
     pub fn render_metrics(&self) -> String {
         let stories = self.stories.borrow();
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -13,6 +13,14 @@
 pub const RELAY_HEADER: &str = "wheelmast-relayed";
 /// Header of an answer to another entry: the shards that are in.
 pub const SHARDS_HEADER: &str = "wheelmast-shards";
+/// Length of what another entry is granted: a digit.
+pub const GRANT_BYTES: usize = 1;
+/// Most attempts that a grant can tell.
+const MOST_GRANTED: u32 = 9;
+/// Value of the header that asks for the word to continue.
+const CONTINUE_WORD: &str = "100-continue";
+/// Fields of what another entry is asked for.
+const ORDER_FIELDS: usize = 6;
 /// Headers that concern only one connection.
 const HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -38,6 +46,8 @@
     pub id: Box<str>,
     head: Vec<u8>,
     body: Bytes,
+    /// Whether its length is told although it may be empty.
+    tells_length: bool,
 }
 
 impl RequestImage {
@@ -64,17 +74,11 @@
         }
         push_line(&mut head, D::HEADERS.request, id.as_bytes());
         let has_body = !body.is_empty() || headers.contains_key(CONTENT_LENGTH);
-        if has_body || *method == Method::POST || *method == Method::PUT {
-            push_line(
-                &mut head,
-                "content-length",
-                body.len().to_string().as_bytes(),
-            );
-        }
         RequestImage {
             id: id.into(),
             head,
             body,
+            tells_length: has_body || *method == Method::POST || *method == Method::PUT,
         }
     }
 
@@ -91,8 +95,15 @@
         let (left, expect) = (D::HEADERS.time_left, D::HEADERS.expect);
         // Writing to a vector cannot fail.
         let _ = write!(bytes, "{left}: {millis}\r\n{expect}: {instance}\r\n");
+        let length = self.body.len();
         if let Some(order) = relay {
             push_line(&mut bytes, RELAY_HEADER, render_order(order).as_bytes());
+            // The other entry says by its word to continue that it is at work;
+            // what it is granted then follows the body.
+            let _ = write!(bytes, "{EXPECT}: {CONTINUE_WORD}\r\n");
+            let _ = write!(bytes, "{CONTENT_LENGTH}: {}\r\n", length + GRANT_BYTES);
+        } else if self.tells_length {
+            let _ = write!(bytes, "{CONTENT_LENGTH}: {length}\r\n");
         }
         bytes.extend_from_slice(b"\r\n");
         bytes.extend_from_slice(&self.body);
@@ -100,24 +111,45 @@
     }
 }
 
+/// Writes what another entry is granted.
+pub fn render_grant(attempts: u32) -> Vec<u8> {
+    vec![b'0' + attempts.min(MOST_GRANTED) as u8]
+}
+
+/// Reads what another entry grants.
+pub fn read_grant(bytes: &[u8]) -> Option<u32> {
+    let digit = *bytes.first()?;
+    digit.is_ascii_digit().then(|| u32::from(digit - b'0'))
+}
+
 /// Writes what another entry is asked for: version of the table, time for the
-/// answer in milliseconds, whether it may divide (1) or not, and the shards.
+/// answer in milliseconds, servers of each shard that it may run on, whether it
+/// counts for repeats (1) or not, whether it may divide or not, and the shards.
 fn render_order(order: &RelayOrder) -> String {
     let millis = order.answer_in.as_millis();
-    let (divides, shards) = (u8::from(order.divides), order.shards.join(","));
-    format!("{};{millis};{divides};{shards}", order.version)
+    let attempts = order.attempts;
+    let (earns, divides) = (u8::from(order.earns), u8::from(order.divides));
+    let shards = order.shards.join(",");
+    format!(
+        "{};{millis};{attempts};{earns};{divides};{shards}",
+        order.version
+    )
 }
 
 /// Reads what another entry asks for.
 pub fn read_order(text: &str) -> Option<RelayOrder> {
-    let mut fields = text.splitn(4, ';');
+    let mut fields = text.splitn(ORDER_FIELDS, ';');
     let version = fields.next()?.parse().ok()?;
     let millis = fields.next()?.parse().ok()?;
+    let attempts = fields.next()?.parse().ok()?;
+    let earns = fields.next()? == "1";
     let divides = fields.next()? == "1";
     let shards = fields.next()?.split(',').map(Into::into).collect();
     Some(RelayOrder {
         version,
         answer_in: Duration::from_millis(millis),
+        attempts,
+        earns,
         divides,
         shards,
     })
--- a/crates/node/src/process/forward/measure.rs
+++ b/crates/node/src/process/forward/measure.rs
@@ -81,6 +81,7 @@
         ("wheelmast_forward_retries_total", counts.retries),
         ("wheelmast_forward_hedges_total", counts.hedges),
         ("wheelmast_forward_relays_total", counts.relays),
+        ("wheelmast_forward_asked_around_total", counts.asked_around),
         ("wheelmast_forward_unaffordable_total", counts.unaffordable),
         ("wheelmast_forward_cancels_total", counts.cancels),
         ("wheelmast_log_lines_dropped_total", lines_dropped),
@@ -91,6 +92,17 @@
     let version = machine.table().map_or(0, |table| table.version());
     gauge!("wheelmast_route_table_version").set(version as f64);
     gauge!("wheelmast_forward_running").set(machine.call_count() as f64);
+    for row in machine.expectations().rows() {
+        let cell = [
+            ("queue", row.queue),
+            ("slowness", row.slowness),
+            ("age", row.age),
+        ];
+        counter!("wheelmast_expected_answers_total", &cell).absolute(row.samples);
+        gauge!("wheelmast_expected_seconds", &cell).set(row.expected);
+        gauge!("wheelmast_real_seconds", &cell).set(row.real);
+        gauge!("wheelmast_expected_median_error", &cell).set(row.median_error);
+    }
     gauge!("wheelmast_servers_ready").set(machine.server_count() as f64);
     for (service, counts, servers, room) in machine.services(now) {
         let service = service.to_string();
--- a/crates/node/src/process/forward/mod.rs
+++ b/crates/node/src/process/forward/mod.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod entry;
 pub mod feed;
+pub mod grant;
 pub mod image;
 pub mod lines;
 pub mod measure;
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to upstream servers: kept, one request at a time each.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,9 +16,9 @@
 };
 use wheelmast_wire::dialect::ForwardDialect;
 
-use crate::connection::exchange::{exchange, ExchangeFailure, WholeAnswer};
+use crate::connection::exchange::{exchange_in_two, ExchangeFailure, WholeAnswer};
 use crate::process::forward::entry::EntryDuty;
-use crate::process::forward::image::{is_hop, RequestImage, SHARDS_HEADER};
+use crate::process::forward::image::{is_hop, render_grant, RequestImage, SHARDS_HEADER};
 
 /// Longest time a connection may take to open.
 const CONNECT_TIME: Duration = Duration::from_millis(700);
@@ -147,9 +147,26 @@
         mut cancelled,
     } = order;
     let request = image.render::<D>(&order.instance, order.time_left, order.relay.as_ref());
+    let attempt = order.attempt;
+    let is_whole = Cell::new(order.relay.is_none());
+    let granted = order.relay.as_ref().map(|_| entry.await_grant(attempt));
+    let is_told = &is_whole;
+    let rest = || async move {
+        entry.step(ForwardInput::Alive(attempt));
+        match granted {
+            Some(granted) => match granted.await {
+                Ok(attempts) => {
+                    is_told.set(true);
+                    render_grant(attempts)
+                }
+                Err(_) => std::future::pending().await,
+            },
+            None => std::future::pending().await,
+        }
+    };
     let result = tokio::select! {
         biased;
-        result = exchange(stream, buffer, &request) => result,
+        result = exchange_in_two(stream, buffer, &request, rest) => result,
         _ = &mut cancelled => Err(ExchangeFailure::Broken),
     };
     let (end, keep) = match result {
@@ -159,12 +176,14 @@
         Err(ExchangeFailure::Broken) => (AttemptEnd::Broken, None),
     };
     finish(entry, &order, end);
-    keep
+    // The other entry may still wait for what it was not granted.
+    keep.filter(|_| is_whole.get())
 }
 
 fn finish<D: ForwardDialect>(entry: &Rc<EntryDuty<D>>, order: &AttemptOrder, end: AttemptEnd) {
     let attempt = order.attempt;
     entry.cancels.borrow_mut().remove(&attempt);
+    entry.drop_grant(attempt);
     entry.step(ForwardInput::Ended { attempt, end });
 }
 
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -58,6 +58,7 @@
     };
     let options = ForwardOptions {
         domain: settings.domain.as_str().into(),
+        regions: settings.regions.clone(),
         own: peer.id(),
         extra: settings.extra,
         seed: rand::random(),
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -150,6 +150,35 @@
         found
     }
 
+    /// Reads an object of texts under names that are the operator's own.
+    pub fn names(
+        &mut self,
+        name: &'static str,
+        findings: &mut FindingList,
+    ) -> Vec<(Box<str>, Box<str>)> {
+        let Some(value) = self.field(name) else {
+            return Vec::new();
+        };
+        let Some(object) = value.as_object() else {
+            self.report(value, name, "an object of texts", findings);
+            return Vec::new();
+        };
+        let mut names: Vec<(Box<str>, Box<str>)> = Vec::new();
+        for property in &object.properties {
+            let key = property.name.as_str();
+            let Some(text) = property.value.as_string_lit() else {
+                self.report(&property.value, name, "an object of texts", findings);
+                continue;
+            };
+            if names.iter().any(|(other, _)| **other == *key) {
+                let message = format!("{name}: {key} is named twice");
+                findings.add(self.property_place(property), message);
+            }
+            names.push((key.into(), text.value.as_ref().into()));
+        }
+        names
+    }
+
     /// Reads an object, to be read on by its own reader.
     pub fn object(
         &mut self,
--- a/crates/node/src/settings/role.rs
+++ b/crates/node/src/settings/role.rs
@@ -7,6 +7,7 @@
 use jsonc_parser::ast::Object;
 use wheelmast_core::finding::{FindingList, FindingPlace};
 use wheelmast_core::process::forward::extra::ExtraBound;
+use wheelmast_core::process::forward::place::RegionMap;
 
 use crate::settings::reader::ObjectReader;
 
@@ -46,6 +47,8 @@
     pub instance: String,
     /// Failure domain it stands in.
     pub domain: String,
+    /// Regions of the failure domains, as far as they are known.
+    pub regions: RegionMap,
     /// Whose names and formats are spoken.
     pub dialect: DialectKind,
     /// Listener for callers, of an entry.
@@ -115,6 +118,7 @@
     };
     let instance = reader.text("instance", findings);
     let domain = reader.text("failure_domain", findings);
+    let regions = reader.names("regions", findings);
     let address = reader.parsed("address", "an IP address", findings);
     let peer_port = reader.number("peer_port", 1, 65_535, findings);
     let seeds = reader.parsed_list("seeds", ADDRESS_ALLOWED, findings);
@@ -137,6 +141,7 @@
         role,
         instance: instance?,
         domain: domain?,
+        regions: RegionMap::new(regions),
         dialect,
         callers: listen.callers,
         ready: listen.ready,
--- a/crates/node/tests/exchange.rs
+++ b/crates/node/tests/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use wheelmast_node::connection::exchange::{exchange, ExchangeFailure};
+use wheelmast_node::connection::exchange::{exchange, exchange_in_two, ExchangeFailure};
 
 const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n";
 
@@ -174,3 +174,74 @@
         drop(held);
     }
 }
+
+struct RestCase {
+    name: &'static str,
+    /// What the server writes before it reads the rest.
+    writes: &'static [u8],
+    /// What there is to send.
+    rest: Option<&'static [u8]>,
+    /// What the server gets in all.
+    gets: &'static [u8],
+}
+
+#[tokio::test]
+async fn the_rest_of_a_request_waits_for_the_word_to_continue() {
+    let head = b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n";
+    let cases = [
+        RestCase {
+            name: "the word comes",
+            writes: b"HTTP/1.1 100 Continue\r\n\r\n",
+            rest: Some(b"2"),
+            gets: b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n2",
+        },
+        RestCase {
+            name: "the word comes and there is nothing to send",
+            writes: b"HTTP/1.1 100 Continue\r\n\r\n",
+            rest: None,
+            gets: head,
+        },
+        RestCase {
+            name: "another interim answer",
+            writes: b"HTTP/1.1 103 Early Hints\r\n\r\n",
+            rest: Some(b"2"),
+            gets: head,
+        },
+        RestCase {
+            name: "no word",
+            writes: b"",
+            rest: Some(b"2"),
+            gets: head,
+        },
+    ];
+    for case in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let writes = case.writes;
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut bytes = vec![0; REQUEST.len()];
+            stream.read_exact(&mut bytes).await.expect("the head");
+            stream.write_all(writes).await.expect("written");
+            let mut rest = [0; 16];
+            let wait = Duration::from_millis(200);
+            if let Ok(read) = tokio::time::timeout(wait, stream.read(&mut rest)).await {
+                bytes.extend_from_slice(&rest[..read.expect("read")]);
+            }
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+            stream.write_all(answer).await.expect("written");
+            bytes
+        });
+        let mut stream = TcpStream::connect(address).await.expect("a connection");
+        let mut buffer = BytesMut::new();
+        let rest = || async move {
+            match case.rest {
+                Some(rest) => rest.to_vec(),
+                None => std::future::pending().await,
+            }
+        };
+        let answer = exchange_in_two(&mut stream, &mut buffer, REQUEST, rest).await;
+        assert_eq!(answer.expect("an answer").status, 200, "{}", case.name);
+        assert_eq!(server.await.expect("a server"), case.gets, "{}", case.name);
+    }
+}
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -2,5 +2,6 @@
 
 mod harness;
 
+mod relayed;
 mod serve;
 mod soak;
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings: every finding with its line and column, all at once.
 
+use wheelmast_core::process::forward::place::RegionMap;
 use wheelmast_node::settings::read::{read_any, read_settings, AnySettings};
 
 struct SettingsCase {
@@ -101,6 +102,14 @@
     };
     assert_eq!(settings.seed_peers()[1].to_string(), "127.0.0.3:7380");
     assert!((settings.extra.slack - 54.0).abs() < 1e-9);
+    let mapped = entry.replace(
+        "\"peer_port\"",
+        "\"regions\": {\"d\": \"r\"}, \"peer_port\"",
+    );
+    let Ok(AnySettings::Role(mapped)) = read_any(&mapped) else {
+        panic!("regions are good settings");
+    };
+    assert_eq!(mapped.regions, RegionMap::new([("d".into(), "r".into())]));
     struct RoleCase {
         from: &'static str,
         to: &'static str,
@@ -132,6 +141,21 @@
             to: "127.0.0.1:82\", \"metrics\": \"here\"",
             finding: "metrics: must be an IP address and port",
         },
+        RoleCase {
+            from: "\"peer_port\"",
+            to: "\"regions\": [\"d\"], \"peer_port\"",
+            finding: "regions: must be an object of texts",
+        },
+        RoleCase {
+            from: "\"peer_port\"",
+            to: "\"regions\": {\"d\": 1}, \"peer_port\"",
+            finding: "regions: must be an object of texts",
+        },
+        RoleCase {
+            from: "\"peer_port\"",
+            to: "\"regions\": {\"d\": \"r\", \"d\": \"s\"}, \"peer_port\"",
+            finding: "regions: d is named twice",
+        },
         RoleCase {
             from: "127.0.0.2:80",
             to: "there",
