--- a/crates/core/src/process/forward/around.rs
+++ b/crates/core/src/process/forward/around.rs
@@ -31,6 +31,7 @@
 /// Time after the aim at which a silent entry is given up, as a part of the
 /// objective: until then a late answer may still come of it.
 const LATE_TIME: f64 = 0.5;
+
 /// What another entry may do for a request.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RelayLoan {
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -12,6 +12,7 @@
 pub mod bundle;
 pub mod call;
 pub mod choose;
+pub mod counts;
 pub mod directory;
 mod end;
 pub mod expectation;
