Spend the bound on extra load slowly while the load shifts

One entry spent 77 repeats in ten seconds whose own requests earn 51: until two seconds before, others had been restarted in turn and it had their requests; they earned by the same callers again. Ruled out: refusals counted twice, bundles counted twice, a wrong number of entries (a copy that printed each request and repeat: 8 entries at each, the sums are those of the bench). Change: for a window after an entry has joined, half a window spends half of what is earned.

--- a/crates/core/src/process/forward/extra.rs
+++ b/crates/core/src/process/forward/extra.rs
@@ -8,6 +8,9 @@
 /// Steps that a window is divided into.
 const STEPS: usize = 20;
 
+/// Part of what a window earns that half of it may spend while the load shifts.
+const HALF_PART: f64 = 0.5;
+
 /// The bound, as the operator sets it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ExtraBound {
@@ -57,6 +60,24 @@
         true
     }
 
+    /// Takes one like [`ExtraBudget::take`], while the load shifts between
+    /// entries: half a window spends half of what is earned. An entry that had
+    /// the requests of others while these were restarted must not spend at once
+    /// what they earned, as the others earn by the same callers again.
+    pub fn take_slowly(&mut self, bound: &ExtraBound, entries: u32, now: Duration) -> bool {
+        let (allowed, spent) = self.account(bound, entries, now);
+        let part = bound.slack / f64::from(entries.max(1));
+        let newer = step_of(bound, now).saturating_sub(STEPS as u64 / 2);
+        let live = self.steps.iter().filter(|count| count.step > newer);
+        let recent: u32 = live.map(|count| count.extras).sum();
+        let usable = (part + (allowed - part) * HALF_PART).max(1.0);
+        if spent + 1.0 > allowed || f64::from(recent) + 1.0 > usable {
+            return false;
+        }
+        self.slot(bound, now).extras += 1;
+        true
+    }
+
     /// Returns how many extra arrivals the bound leaves room for.
     pub fn room(&self, bound: &ExtraBound, entries: u32, now: Duration) -> f64 {
         let (allowed, spent) = self.account(bound, entries, now);
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -199,7 +199,12 @@
         let (tag, upstream) = (state.tag, state.parts[part].upstream);
         let (bound, entries) = (self.options.extra, self.entries);
         let budget = &mut self.upstreams[upstream].budget;
-        if budget.take(&bound, entries, now) {
+        let is_taken = if now < self.shifts_until {
+            budget.take_slowly(&bound, entries, now)
+        } else {
+            budget.take(&bound, entries, now)
+        };
+        if is_taken {
             return true;
         }
         self.counters.unaffordable += 1;
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -130,6 +130,8 @@
     pub(super) expectations: ExpectationBook,
     /// When a request may be let in again that depends on doubtful shards.
     pub(super) probe_at: Duration,
+    /// Until when the load is taken to shift between entries.
+    pub(super) shifts_until: Duration,
     /// Time of the step that is being taken.
     clock: Duration,
 }
@@ -160,6 +162,7 @@
             counters: ForwardCounters::default(),
             expectations: ExpectationBook::default(),
             probe_at: Duration::ZERO,
+            shifts_until: Duration::ZERO,
             clock: Duration::ZERO,
         }
     }
@@ -173,7 +176,7 @@
             ForwardInput::Notice(notice) => self.notice(notice, now, out),
             ForwardInput::Silent(id, silent) => self.set_silent(&id, silent),
             ForwardInput::Entries(entries) => self.entries = entries.max(1),
-            ForwardInput::Peers(peers) => self.set_peers(peers, out),
+            ForwardInput::Peers(peers) => self.set_peers(peers, now, out),
             ForwardInput::Call(call) => self.begin(call, now, out),
             ForwardInput::Alive(attempt) => self.hear_alive(attempt, now, out),
             ForwardInput::Granted(tag, attempts) => self.take_grant(tag, attempts, now, out),
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -23,7 +23,12 @@
 
 impl ForwardMachine {
     /// Takes over the entries that take requests.
-    pub(super) fn set_peers(&mut self, peers: Vec<EntryPeer>, out: &mut Vec<ForwardAction>) {
+    pub(super) fn set_peers(
+        &mut self,
+        peers: Vec<EntryPeer>,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
         let near = peers
             .iter()
             .filter(|peer| peer.domain == self.options.domain);
@@ -38,6 +43,10 @@
             }
             if !self.server_ids.contains_key(&id) {
                 self.add_peer(peer, id.clone());
+                if !known.is_empty() {
+                    // It takes requests that came to the others so far.
+                    self.shifts_until = now + self.options.extra.window;
+                }
             }
             wanted.push(id);
         }
--- a/crates/core/tests/forward/divide.rs
+++ b/crates/core/tests/forward/divide.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wheelmast_core::process::forward::input::{AttemptEnd, RelayOrder};
+use wheelmast_core::process::forward::input::{AttemptEnd, RelayOrder, ServerAnswer};
 
-use crate::harness::{route, shards, table, Harness};
+use crate::harness::{answer, route, shards, table, Harness};
 
 /// Shards of the route.
 const SHARDS: usize = 60;
@@ -139,3 +139,38 @@
     harness.call("q");
     assert_eq!(harness.sends.len(), 20);
 }
+
+/// Requests before another entry joins.
+const EARNING: usize = 40;
+
+#[test]
+fn half_a_window_spends_half_once_an_entry_has_joined() {
+    for (joins, least, most) in [(false, 80, 80), (true, 40, 61)] {
+        let mut harness = Harness::at_home(0);
+        harness.obey(table(3, vec![route("q", shards(1))]));
+        harness.serve("s0", 3);
+        harness.meet_at_home(2);
+        for _ in 0..EARNING {
+            harness.call("q");
+            harness.end_well(harness.sends.len() - 1, b"");
+        }
+        if joins {
+            harness.meet_at_home(3);
+        }
+        // Each request earns one repeat by itself, and wants one.
+        for _ in 0..2 * EARNING {
+            harness.call("q");
+            let first = harness.sends.len() - 1;
+            let rejected = ServerAnswer {
+                not_run: true,
+                ..answer(503, "s", b"")
+            };
+            harness.end(first, AttemptEnd::Answer(rejected));
+            if harness.sends.len() > first + 1 {
+                harness.end_well(first + 1, b"");
+            }
+        }
+        let made = harness.machine.counters().retries;
+        assert!((least..=most).contains(&made), "{made} repeats");
+    }
+}
