Keep each request in the homes of its route

Ways weighed: a check at each of the seven places that send (begin, hedge, retry, waiting parts, bundles, divided shares, entries asked around); and a type that only one place makes. Taken is the type: a send needs a PermittedServer, and only HomeSet::permit makes one, so that a new cause of sends cannot forget to ask. Admission and the planning of bundles ask the same set. Ruled out: checking at the adapter, which decides nothing.

Tests: core/tests/forward/homes.rs (first sends, hedges, repeats, bundles, an entry outside of the homes, no server or no entry in them) fail with the permit always given.

--- a/crates/core/src/process/forward/admit.rs
+++ b/crates/core/src/process/forward/admit.rs
@@ -18,6 +18,7 @@
 use crate::process::forward::call::{CallState, PartStatus};
 use crate::process::forward::choose::ExpectedTimes;
 use crate::process::forward::directory::ServerStanding;
+use crate::process::forward::home::HomeSet;
 use crate::process::forward::machine::ForwardMachine;
 
 /// Fraction of the last requests without room above which a shard is scarce. A
@@ -121,7 +122,7 @@
         left: Duration,
         now: Duration,
     ) -> PartOutlook {
-        if self.is_bundled(upstream) {
+        if self.is_bundled(upstream, times.homes) {
             let misses = self.upstreams[upstream].bundle_misses.at(now);
             return if misses > MISSED_OFTEN {
                 PartOutlook::Unsure
@@ -144,10 +145,10 @@
     }
 
     /// Tells whether a shard is asked for through another entry.
-    fn is_bundled(&self, upstream: UpstreamKey) -> bool {
+    fn is_bundled(&self, upstream: UpstreamKey, homes: HomeSet) -> bool {
         let own = &self.options.domain;
         let has_peers = self.peer_domains.iter().any(|(name, _)| name != own);
-        has_peers && !self.has_server_in(upstream, own)
+        has_peers && !self.has_server_in(upstream, own, homes)
     }
 
     /// Returns the least time to an answer that load explains, if a server of
@@ -159,14 +160,17 @@
         now: Duration,
     ) -> Option<Duration> {
         let servers = self.upstreams[upstream].servers.iter();
-        let able = servers.filter(|server| self.is_able(**server, now));
+        let able = servers.filter(|server| self.is_able(**server, times.homes, now));
         able.map(|server| self.servers[*server].expect_loaded(times.typical, now))
             .min()
     }
 
-    fn is_able(&self, server: ServerKey, now: Duration) -> bool {
+    fn is_able(&self, server: ServerKey, homes: HomeSet, now: Duration) -> bool {
         let state = &self.servers[server];
-        state.standing == ServerStanding::Ready && !state.silent && now >= state.rest_until
+        homes.allows(state)
+            && state.standing == ServerStanding::Ready
+            && !state.silent
+            && now >= state.rest_until
     }
 
     /// Leaves parts of a request out before anything is sent.
--- a/crates/core/src/process/forward/around.rs
+++ b/crates/core/src/process/forward/around.rs
@@ -243,7 +243,8 @@
         }
         let entries = self.servers[server].upstream;
         let own = self.options.own.clone();
-        let Some(choice) = self.entry_for(entries, &own, false, &[server], now) else {
+        let homes = state.homes;
+        let Some(choice) = self.entry_for(entries, &own, false, homes, &[server], now) else {
             return;
         };
         let parts = open.into_iter();
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -68,6 +68,7 @@
     ) -> CallState {
         let rule = &table.routes()[route];
         let timing = self.timing(&rule.name);
+        let homes = self.options.regions.homes(&rule.homes);
         let mut plan = self.timings[timing].plan(rule, call.time_left, now);
         let upstreams = match &call.relayed {
             Some(order) => {
@@ -87,6 +88,7 @@
                 Some(order) => order.attempts.min(rule.attempts),
                 None => rule.attempts,
             },
+            homes,
             route,
             timing,
             arrived: now,
--- a/crates/core/src/process/forward/bundle.rs
+++ b/crates/core/src/process/forward/bundle.rs
@@ -17,6 +17,7 @@
 use crate::process::forward::answer::ForwardAction;
 use crate::process::forward::choose::ServerChoice;
 use crate::process::forward::directory::ServerStanding;
+use crate::process::forward::home::HomeSet;
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::place::PlaceStep;
 use crate::process::rendezvous::rank;
@@ -58,11 +59,11 @@
         if !state.gathers || self.peer_domains.is_empty() || state.plan.aim <= now {
             return;
         }
-        let (relayed, divides) = (state.relayed, state.divides);
+        let (relayed, divides, homes) = (state.relayed, state.divides, state.homes);
         let own = self.options.domain.clone();
         let (near, mut far): (Vec<usize>, Vec<usize>) = (0..state.parts.len())
             .filter(|part| state.parts[*part].is_open())
-            .partition(|part| self.has_server_in(state.parts[*part].upstream, &own));
+            .partition(|part| self.has_server_in(state.parts[*part].upstream, &own, homes));
         let mut plans = Vec::new();
         if divides && near.len() > DIVIDE_ABOVE {
             plans.extend(self.divide(call, &near, now));
@@ -104,7 +105,8 @@
         }
         let shares = shares.into_iter().enumerate();
         let plans = shares.filter_map(|(index, parts)| {
-            let choice = self.entry_for(*entries, &names[index * SHARE], true, &[], now)?;
+            let key = &names[index * SHARE];
+            let choice = self.entry_for(*entries, key, true, state.homes, &[], now)?;
             (!parts.is_empty()).then_some(BundlePlan {
                 choice,
                 parts,
@@ -128,9 +130,11 @@
             let parts: Vec<usize> = far
                 .iter()
                 .copied()
-                .filter(|part| self.has_server_in(state.parts[*part].upstream, domain))
+                .filter(|part| self.has_server_in(state.parts[*part].upstream, domain, state.homes))
                 .collect();
-            let Some(choice) = self.entry_for(*entries, &self.options.own, false, &[], now) else {
+            let own = &self.options.own;
+            let choice = self.entry_for(*entries, own, false, state.homes, &[], now);
+            let Some(choice) = choice else {
                 continue;
             };
             if parts.len() < LEAST_BUNDLE {
@@ -159,6 +163,7 @@
         entries: UpstreamKey,
         key: &str,
         counts: bool,
+        homes: HomeSet,
         without: &[ServerKey],
         now: Duration,
     ) -> Option<ServerChoice> {
@@ -170,6 +175,7 @@
             state.standing == ServerStanding::Ready
                 && now >= state.rest_until
                 && !without.contains(server)
+                && homes.allows(state)
                 && state.outstanding.len() < RELAY_CONNECTIONS
                 && !state.is_still(typical, now)
         });
@@ -179,19 +185,24 @@
             return None;
         }
         Some(ServerChoice {
-            server: *best,
+            server: homes.permit(*best, state)?,
             expected: state.way(),
             candidates: servers.len(),
         })
     }
 
-    /// Tells whether a service has a server in a domain that takes work and
-    /// answers.
-    pub(super) fn has_server_in(&self, upstream: UpstreamKey, domain: &str) -> bool {
+    /// Tells whether a service has a server in a domain that takes work, answers
+    /// and may be asked.
+    pub(super) fn has_server_in(
+        &self,
+        upstream: UpstreamKey,
+        domain: &str,
+        homes: HomeSet,
+    ) -> bool {
         let mut servers = self.upstreams[upstream].servers.iter();
         servers.any(|server| {
             let state = &self.servers[*server];
-            *state.domain == *domain && !state.silent
+            *state.domain == *domain && !state.silent && homes.allows(state)
         })
     }
 }
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -9,6 +9,7 @@
 use crate::arena::{ServerKey, SlotKey, UpstreamKey};
 use crate::process::forward::answer::AttemptCause;
 use crate::process::forward::expectation::ExpectationBasis;
+use crate::process::forward::home::HomeSet;
 use crate::process::forward::input::ServerAnswer;
 use crate::process::forward::timing::AnswerPlan;
 use crate::process::input::CallTag;
@@ -109,6 +110,8 @@
     pub divides: bool,
     /// Servers of each part that it may run on.
     pub attempts: u32,
+    /// Where it may be served.
+    pub homes: HomeSet,
     /// Whether it counts for repeats.
     pub earns: bool,
     /// When it came.
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -7,6 +7,7 @@
 use crate::arena::{ServerKey, UpstreamKey};
 use crate::process::forward::bundle::RELAY_CONNECTIONS;
 use crate::process::forward::directory::ServerStanding;
+use crate::process::forward::home::{HomeSet, PermittedServer};
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::place::PlaceStep;
 use crate::process::forward::server::ServerState;
@@ -52,12 +53,14 @@
     pub(super) far_as_near: bool,
     /// Whether it may be repeated.
     pub(super) repeats: bool,
+    /// Where it may be served.
+    pub(super) homes: HomeSet,
 }
 
 /// The choice of a server.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ServerChoice {
-    pub(super) server: ServerKey,
+    pub(super) server: PermittedServer,
     /// Time to expect to an answer.
     pub(super) expected: Duration,
     /// Servers that could have been asked.
@@ -67,7 +70,7 @@
 /// Why there is no choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NoChoice {
-    /// The service has no server that takes work.
+    /// The service has no server that takes work and may be asked.
     NoServer,
     /// All of its servers have as many requests as they may.
     Full,
@@ -82,7 +85,7 @@
         times: ExpectedTimes,
         now: Duration,
     ) -> Result<ServerChoice, NoChoice> {
-        let mut best: Option<(ServerKey, f64, Duration)> = None;
+        let mut best: Option<(PermittedServer, f64, Duration)> = None;
         let mut candidates = 0;
         let mut is_full = false;
         let repeat = self.repeat_cost(upstream, times, now);
@@ -91,6 +94,9 @@
             if state.standing != ServerStanding::Ready || tried.contains(server) {
                 continue;
             }
+            let Some(permitted) = times.homes.permit(*server, state) else {
+                continue;
+            };
             let would_open = state.idle == 0;
             let cap = self.connection_cap(*server);
             if state.outstanding.len() >= cap
@@ -106,7 +112,7 @@
             let doubt = doubts(state, times, failing, now);
             let cost = (expected + doubt).as_secs_f64() * jitter;
             if best.is_none_or(|(_, least, _)| cost < least) {
-                best = Some((*server, cost, expected));
+                best = Some((permitted, cost, expected));
             }
         }
         match best {
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -138,7 +138,7 @@
         let Some(state) = self.calls.get(call) else {
             return now;
         };
-        if !state.gathers || self.servers[choice.server].place < PlaceStep::Elsewhere {
+        if !state.gathers || self.servers[choice.server.key()].place < PlaceStep::Elsewhere {
             return now;
         }
         if self.is_with_late_relay(&state.parts[part]) {
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -326,6 +326,7 @@
         let upstream = self.upstream(&notice.service);
         let mut state = ServerState::new(notice.id.clone().into(), upstream, address);
         state.place = self.place_of(&notice.domain);
+        state.region = self.options.regions.region_of(&notice.domain);
         state.domain = notice.domain;
         state.slots = notice.slots;
         state.warm_at = now + Duration::from_millis(notice.cold_ms);
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -19,6 +19,7 @@
 pub mod extra;
 pub mod fading;
 mod hedge;
+pub mod home;
 pub mod input;
 pub mod machine;
 pub mod place;
--- a/crates/core/src/process/forward/place.rs
+++ b/crates/core/src/process/forward/place.rs
@@ -7,6 +7,8 @@
 
 use std::collections::BTreeMap;
 
+use crate::process::forward::home::{HomeSet, RegionKey};
+
 /// How far off a failure domain is; the order is by distance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum PlaceStep {
@@ -32,15 +34,50 @@
 /// The regions of the failure domains.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct RegionMap {
-    regions: BTreeMap<Box<str>, Box<str>>,
+    /// Places of the regions in `names`, by failure domain.
+    regions: BTreeMap<Box<str>, usize>,
+    /// The regions, in the order of their names.
+    names: Vec<Box<str>>,
 }
 
 impl RegionMap {
     /// Returns the map of these pairs of failure domain and region.
     pub fn new(regions: impl IntoIterator<Item = (Box<str>, Box<str>)>) -> RegionMap {
+        let pairs: BTreeMap<Box<str>, Box<str>> = regions.into_iter().collect();
+        let mut names: Vec<Box<str>> = pairs.values().cloned().collect();
+        names.sort_unstable();
+        names.dedup();
+        let place = |region: &str| names.partition_point(|name| **name < *region);
+        let pairs = pairs.iter();
+        let regions = pairs.map(|(domain, region)| (domain.clone(), place(region)));
         RegionMap {
-            regions: regions.into_iter().collect(),
+            regions: regions.collect(),
+            names,
+        }
+    }
+
+    /// Returns the region of a failure domain.
+    pub fn region_of(&self, domain: &str) -> RegionKey {
+        let place = self.regions.get(domain);
+        place.map_or(RegionKey::UNKNOWN, |place| RegionKey::new(*place))
+    }
+
+    /// Returns the set of the regions of these names; all regions if there are
+    /// none. A name that is not known stands for no failure domain.
+    pub fn homes(&self, names: &[String]) -> HomeSet {
+        if names.is_empty() {
+            return HomeSet::ANYWHERE;
         }
+        let places = names
+            .iter()
+            .filter_map(|name| self.names.iter().position(|region| **region == **name));
+        HomeSet::of(places.map(RegionKey::new))
+    }
+
+    /// Tells whether a failure domain is among those known. All are taken for
+    /// known if the settings name none.
+    pub fn knows(&self, domain: &str) -> bool {
+        self.regions.is_empty() || self.regions.contains_key(domain)
     }
 
     /// Returns how far off a failure domain is from another.
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -67,6 +67,7 @@
         let mut state = ServerState::new(id.clone().into(), upstream, peer.address);
         state.domain = peer.domain.clone();
         state.place = self.place_of(&peer.domain);
+        state.region = self.options.regions.region_of(&peer.domain);
         state.slots = 1024;
         let server = self.servers.push(state);
         self.server_ids.insert(id, server);
@@ -99,8 +100,8 @@
             parts,
             divides,
         } = plan;
-        let way = self.servers[choice.server].way();
-        let entry = &self.servers[choice.server];
+        let entry = &self.servers[choice.server.key()];
+        let way = entry.way();
         // Within a failure domain ways are short.
         let is_near = entry.place == PlaceStep::Domain;
         let known_way = entry.known_way().or(is_near.then_some(way));
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -72,6 +72,7 @@
             objective: state.rule().objective(),
             far_as_near: false,
             repeats: state.rule().idempotent,
+            homes: state.homes,
         }
     }
 
@@ -94,13 +95,13 @@
             cause,
             choice,
             timing,
-            patience: self.servers[choice.server].way() + slow,
+            patience: self.servers[choice.server.key()].way() + slow,
             runs: 1,
             relay: None,
         };
         self.send_attempt(call, send, now, out);
         if let Some(state) = self.calls.get_mut(call) {
-            let _ = state.parts[part].tried.try_push(choice.server);
+            let _ = state.parts[part].tried.try_push(choice.server.key());
         }
     }
 
@@ -117,11 +118,12 @@
         };
         let AttemptSend { cause, choice, .. } = send;
         let typical = self.timings[send.timing].typical(state.rule());
-        let server = &mut self.servers[choice.server];
+        let key = choice.server.key();
+        let server = &mut self.servers[key];
         let attempt = self.attempts.insert(ForwardAttempt {
             call: Some(call),
             parts: send.parts.clone(),
-            server: choice.server,
+            server: key,
             upstream: server.upstream,
             sent_at: now,
             typical,
@@ -174,7 +176,7 @@
             AttemptCause::Relay => self.counters.relays += 1,
         }
         self.decide(tag, out, || {
-            let (service, instance) = self.names(choice.server);
+            let (service, instance) = self.names(key);
             ForwardDecision::Send {
                 service,
                 instance,
@@ -188,7 +190,7 @@
         out.push(ForwardAction::Send(AttemptOrder {
             attempt,
             call: tag,
-            server: choice.server,
+            server: key,
             address,
             instance,
             time_left,
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -8,6 +8,7 @@
 use crate::process::forward::backlog::ServerBacklog;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::expectation::ExpectationBasis;
+use crate::process::forward::home::RegionKey;
 use crate::process::forward::input::LoadReport;
 use crate::process::forward::place::PlaceStep;
 
@@ -53,6 +54,10 @@
     pub domain: Box<str>,
     /// How far off it is.
     pub place: PlaceStep,
+    /// Its region.
+    pub region: RegionKey,
+    /// Whether its failure domain was taken out of use.
+    pub evacuated: bool,
     /// Whether it takes work.
     pub standing: ServerStanding,
     /// Whether the control group no longer hears it.
@@ -91,6 +96,8 @@
             address,
             domain: "".into(),
             place: PlaceStep::Elsewhere,
+            region: RegionKey::UNKNOWN,
+            evacuated: false,
             standing: ServerStanding::Ready,
             silent: false,
             slots: 1,
--- a/crates/core/src/version/route_table.rs
+++ b/crates/core/src/version/route_table.rs
@@ -59,6 +59,9 @@
     /// Least fraction of the shards in the answer of a gathered route.
     #[serde(default)]
     pub least_coverage: f64,
+    /// Regions in which its requests may be served; all, if it names none.
+    #[serde(default)]
+    pub homes: Vec<String>,
 }
 
 impl RouteRule {
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -36,6 +36,7 @@
         rank: 1,
         top: 3,
         least_coverage: 0.5,
+        homes: Vec::new(),
     }
 }
 
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -9,6 +9,7 @@
 mod divide;
 mod ends;
 mod hedges;
+mod homes;
 mod parts;
 mod places;
 mod remember;
--- a/crates/fake/src/model/told.rs
+++ b/crates/fake/src/model/told.rs
@@ -53,6 +53,7 @@
         rank: kind.rank,
         top: 5,
         least_coverage: kind.least_coverage,
+        homes: Vec::new(),
     }
 }
 
