Take failure domains out of use and back; tell lives of one id apart

Change: orders are entries of the replicated log (control/evacuation.rs), published to every entry on every line, confirmed to an entry before it obeys a table. Each names the last change of its failure domain that the instance knew, so that one which an instance held through a cut undoes nothing later (property test). Weighed: the highest revision of an order drawn by the instance (clocks differ), and a lease kept by the operator (the calls have no place for it). A notice's lifetime is its id and its start; renewals between control instances name both. A notice that contradicts what its server said before, lacks a field, or lacks the start that the server used to tell, is refused, counted (wheelmast_announcements_refused_total) and logged once a second at most.

Found by the test on processes: the replica told of changes of tables and members alone.

--- a/crates/core/src/arena.rs
+++ b/crates/core/src/arena.rs
@@ -83,6 +83,14 @@
     }
 }
 
+impl<K: ArenaKey, V> KeyArena<K, V> {
+    /// Iterates over keys and records, which may be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (K, &mut V)> {
+        let items = self.items.iter_mut().enumerate();
+        items.map(|(index, value)| (K::from_index(index), value))
+    }
+}
+
 impl<K: ArenaKey, V> std::ops::Index<K> for KeyArena<K, V> {
     type Output = V;
 
--- a/crates/core/src/process/control/apply.rs
+++ b/crates/core/src/process/control/apply.rs
@@ -77,7 +77,7 @@
 
     /// Applies what is committed, ends its proposals, and compacts the log.
     pub(super) fn apply_committed(&mut self, out: &mut Vec<ReplicaAction>) {
-        let before = (self.state.version(), self.state.route_version());
+        let before = self.state.published_marks();
         let mut members_changed = false;
         while self.applied < self.commit {
             let index = self.applied + 1;
@@ -97,7 +97,7 @@
                 out.push(ReplicaAction::End { tag, end });
             }
         }
-        let after = (self.state.version(), self.state.route_version());
+        let after = self.state.published_marks();
         if after != before || members_changed {
             out.push(ReplicaAction::KeepCommit(self.applied));
             out.push(ReplicaAction::Changed);
--- a/crates/core/src/process/control/mod.rs
+++ b/crates/core/src/process/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod apply;
 mod elect;
+pub mod evacuation;
 pub mod fence;
 pub mod log;
 mod members;
--- a/crates/core/src/process/control/state.rs
+++ b/crates/core/src/process/control/state.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::process::control::evacuation::{EvacuationBook, EvacuationChange, EvacuationOutcome};
 use crate::process::control::fence::{ClaimBook, ClaimEnd, ClaimOutcome, ClaimRequest};
 use crate::process::control::log::ReplicaId;
 
@@ -61,6 +62,8 @@
         /// What became of the request.
         end: Option<ClaimEnd>,
     },
+    /// A failure domain is taken out of use, or back into use.
+    Evacuate(EvacuationChange),
 }
 
 impl ControlCommand {
@@ -70,6 +73,7 @@
             ControlCommand::Change { note, csv, .. } => note.len() + csv.len(),
             ControlCommand::Route { text, .. } => text.len(),
             ControlCommand::EndClaim { end: Some(end), .. } => end.bytes(),
+            ControlCommand::Evacuate(change) => change.domain.len(),
             _ => 0,
         };
         COMMAND_BYTES + text
@@ -87,6 +91,8 @@
     Claim(ClaimOutcome),
     /// What came of a change of the route table.
     Route(RouteOutcome),
+    /// What came of a change of a failure domain's use.
+    Evacuate(EvacuationOutcome),
 }
 
 /// What came of a change of the route table.
@@ -145,6 +151,7 @@
     route_text: Vec<u8>,
     members: Vec<MemberRecord>,
     is_founded: bool,
+    evacuations: EvacuationBook,
 }
 
 impl ControlState {
@@ -173,6 +180,9 @@
                 self.claims.end(key, *claimant, end.clone());
                 CommandOutcome::Done
             }
+            ControlCommand::Evacuate(change) => {
+                CommandOutcome::Evacuate(self.evacuations.apply(change))
+            }
         }
     }
 
@@ -208,6 +218,21 @@
         self.is_founded
     }
 
+    /// Returns the failure domains out of use.
+    pub fn evacuations(&self) -> &EvacuationBook {
+        &self.evacuations
+    }
+
+    /// Returns how far all that the group publishes has come: the table, the
+    /// route table, and the failure domains out of use.
+    pub(super) fn published_marks(&self) -> [u64; 3] {
+        [
+            self.version,
+            self.route_version,
+            self.evacuations.revision(),
+        ]
+    }
+
     /// Returns the claims.
     pub fn claims(&self) -> &ClaimBook {
         &self.claims
--- a/crates/core/src/process/forward/directory.rs
+++ b/crates/core/src/process/forward/directory.rs
@@ -1,8 +1,8 @@
 //! What upstream servers announced, ordered by their own sequence numbers.
 //!
-//! A lifetime of a server has an id of its own. Within it the standing only
-//! ever goes from ready to draining to gone, so that late and doubled news
-//! undo nothing, whatever way they took.
+//! A lifetime of a server has an id of its own, or the id of an earlier one and
+//! a later start. Within it the standing only ever goes from ready to draining
+//! to gone, so that late and doubled news undo nothing, whatever way they took.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -43,6 +43,8 @@
     pub slots: u32,
     /// Whether it takes work.
     pub standing: ServerStanding,
+    /// When this lifetime started, in Unix milliseconds; 0 if it does not say.
+    pub born: u64,
     /// Grows with each notice of this lifetime.
     pub sequence: u64,
     /// How much longer it is slow after its start, in milliseconds.
@@ -51,18 +53,30 @@
 
 impl ServerNotice {
     /// Returns the notice that a server has left, of which nothing else need
-    /// be known.
-    pub fn gone(id: &str) -> ServerNotice {
-        ServerNotice::bare(id.into(), ServerStanding::Gone, u64::MAX)
+    /// be known; `born` is 0 if it does not say when it started.
+    pub fn gone(id: &str, born: u64) -> ServerNotice {
+        let mark = LifeMark {
+            born,
+            sequence: u64::MAX,
+        };
+        ServerNotice::bare(id.into(), ServerStanding::Gone, mark)
+    }
+
+    /// Returns which lifetime it is of, and how new it is in that.
+    pub fn mark(&self) -> LifeMark {
+        LifeMark {
+            born: self.born,
+            sequence: self.sequence,
+        }
     }
 
     /// Returns the part of the notice that must reach everybody at once: that
     /// the server leaves.
     pub fn urgent(&self) -> ServerNotice {
-        ServerNotice::bare(self.id.clone(), self.standing, self.sequence)
+        ServerNotice::bare(self.id.clone(), self.standing, self.mark())
     }
 
-    fn bare(id: Box<str>, standing: ServerStanding, sequence: u64) -> ServerNotice {
+    fn bare(id: Box<str>, standing: ServerStanding, mark: LifeMark) -> ServerNotice {
         ServerNotice {
             id,
             service: "".into(),
@@ -70,10 +84,30 @@
             domain: "".into(),
             slots: 0,
             standing,
-            sequence,
+            born: mark.born,
+            sequence: mark.sequence,
             cold_ms: 0,
         }
     }
+
+    /// Tells whether another writer made one of these: a server's service,
+    /// address and failure domain are the same in a whole lifetime.
+    pub fn contradicts(&self, known: &ServerNotice) -> bool {
+        let are_whole = self.address.is_some() && known.address.is_some();
+        are_whole
+            && (self.address != known.address
+                || self.service != known.service
+                || self.domain != known.domain)
+    }
+}
+
+/// A lifetime of a server, and how new a notice of it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct LifeMark {
+    /// When it started, in Unix milliseconds; 0 if it does not say.
+    pub born: u64,
+    /// Grows with each notice of it.
+    pub sequence: u64,
 }
 
 /// What a notice changed.
@@ -81,9 +115,11 @@
 pub enum NoticeEffect {
     /// It was older than what is known.
     Stale,
+    /// It contradicts what the server said of itself before.
+    Foreign,
     /// The server lives on as it was.
     Renewed,
-    /// The server is new, or its standing changed.
+    /// The server is new, or its standing changed, or it became cold again.
     Changed,
 }
 
@@ -120,6 +156,22 @@
             return NoticeEffect::Changed;
         };
         let known = &mut record.notice;
+        if notice.born > known.born {
+            // It started again under its id: nothing of before holds.
+            *record = DirectoryRecord {
+                heard: now,
+                silent: false,
+                remembered: false,
+                notice,
+            };
+            return NoticeEffect::Changed;
+        }
+        if notice.born != 0 && notice.born < known.born {
+            return NoticeEffect::Stale;
+        }
+        if notice.contradicts(known) {
+            return NoticeEffect::Foreign;
+        }
         if notice.standing > known.standing {
             let sequence = known.sequence.max(notice.sequence);
             known.standing = notice.standing;
@@ -131,11 +183,13 @@
         if notice.sequence <= known.sequence || known.standing == ServerStanding::Gone {
             return NoticeEffect::Stale;
         }
+        let was_cold = now < record.heard + Duration::from_millis(known.cold_ms);
+        let is_cold_again = notice.cold_ms > 0 && !was_cold;
         known.sequence = notice.sequence;
         known.cold_ms = notice.cold_ms;
         record.heard = now;
         record.remembered = false;
-        if record.silent {
+        if record.silent || is_cold_again {
             record.silent = false;
             return NoticeEffect::Changed;
         }
@@ -164,13 +218,15 @@
         living.map(|record| &record.notice)
     }
 
-    /// Takes a peer's word that a server was heard of at a sequence number.
-    pub fn renew(&mut self, id: &str, sequence: u64, now: Duration) {
+    /// Takes a peer's word that a server was heard of. What it says of another
+    /// lifetime than the one that is known says nothing of this one.
+    pub fn renew(&mut self, id: &str, mark: LifeMark, now: Duration) {
         let Some(record) = self.records.get_mut(id) else {
             return;
         };
-        if sequence > record.notice.sequence && record.notice.standing != ServerStanding::Gone {
-            record.notice.sequence = sequence;
+        let is_newer = mark.born == record.notice.born && mark > record.notice.mark();
+        if is_newer && record.notice.standing != ServerStanding::Gone {
+            record.notice.sequence = mark.sequence;
             record.heard = now;
             record.silent = false;
             record.remembered = false;
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -124,6 +124,8 @@
     Notice(ServerNotice),
     /// A server is silent at the control group, or no longer.
     Silent(Box<str>, bool),
+    /// The failure domains that are out of use, all of them.
+    Evacuated(Vec<Box<str>>),
     /// Number of entries that share the servers' limits.
     Entries(u32),
     /// The entries that take requests, this one among them.
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -111,6 +111,8 @@
     /// Entries of this failure domain, this one among them.
     pub(super) near_entries: u32,
     pub(super) directory: ServerDirectory,
+    /// Failure domains out of use: their servers are sent nothing.
+    evacuated: Vec<Box<str>>,
     pub(super) upstreams: KeyArena<UpstreamKey, UpstreamState>,
     pub(super) upstream_names: HashMap<Box<str>, UpstreamKey>,
     pub(super) servers: KeyArena<ServerKey, ServerState>,
@@ -146,6 +148,7 @@
             entries: ENTRIES_UNKNOWN,
             near_entries: ENTRIES_UNKNOWN,
             directory: ServerDirectory::default(),
+            evacuated: Vec::new(),
             upstreams: KeyArena::default(),
             upstream_names: HashMap::new(),
             servers: KeyArena::default(),
@@ -175,6 +178,7 @@
             ForwardInput::Table(table) => self.adopt(table),
             ForwardInput::Notice(notice) => self.notice(notice, now, out),
             ForwardInput::Silent(id, silent) => self.set_silent(&id, silent),
+            ForwardInput::Evacuated(domains) => self.set_evacuated(domains, now, out),
             ForwardInput::Entries(entries) => self.entries = entries.max(1),
             ForwardInput::Peers(peers) => self.set_peers(peers, now, out),
             ForwardInput::Call(call) => self.begin(call, now, out),
@@ -290,7 +294,8 @@
 
     fn notice(&mut self, notice: ServerNotice, now: Duration, out: &mut Vec<ForwardAction>) {
         let id = notice.id.clone();
-        if self.directory.apply(notice, now) == NoticeEffect::Stale {
+        let effect = self.directory.apply(notice, now);
+        if matches!(effect, NoticeEffect::Stale | NoticeEffect::Foreign) {
             return;
         }
         let Some(record) = self.directory.get(&id) else {
@@ -298,7 +303,14 @@
         };
         let known = record.notice.clone();
         if let Some(server) = self.server_ids.get(&id).copied() {
-            return self.set_standing(server, known.standing, out);
+            let state = &mut self.servers[server];
+            if known.born <= state.born {
+                state.warm_at = now + Duration::from_millis(known.cold_ms);
+                return self.set_standing(server, known.standing, out);
+            }
+            // It started again under its id, and knows nothing of before.
+            self.server_ids.remove(&id);
+            self.set_standing(server, ServerStanding::Gone, out);
         }
         let Some(address) = known.address else {
             return;
@@ -327,8 +339,10 @@
         let mut state = ServerState::new(notice.id.clone().into(), upstream, address);
         state.place = self.place_of(&notice.domain);
         state.region = self.options.regions.region_of(&notice.domain);
+        state.evacuated = self.evacuated.contains(&notice.domain);
         state.domain = notice.domain;
         state.slots = notice.slots;
+        state.born = notice.born;
         state.warm_at = now + Duration::from_millis(notice.cold_ms);
         let server = self.servers.push(state);
         self.server_ids.insert(notice.id, server);
@@ -364,6 +378,40 @@
         }
     }
 
+    /// Takes over which failure domains are out of use. What their servers have
+    /// is finished there. Entries there go on as they do: it is the servers
+    /// that are to get nothing.
+    fn set_evacuated(
+        &mut self,
+        domains: Vec<Box<str>>,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let mut returned = Vec::new();
+        for (key, server) in self.servers.iter_mut() {
+            if self.upstreams[server.upstream].is_entry {
+                continue;
+            }
+            let evacuated = domains.contains(&server.domain);
+            if server.evacuated && !evacuated && !returned.contains(&server.upstream) {
+                returned.push(server.upstream);
+            }
+            server.evacuated = evacuated;
+            if evacuated {
+                out.push(ForwardAction::Close(key));
+            }
+        }
+        self.evacuated = domains;
+        for upstream in returned {
+            self.serve_waiting(upstream, now, out);
+        }
+    }
+
+    /// Returns the failure domains that are out of use.
+    pub fn evacuated(&self) -> &[Box<str>] {
+        &self.evacuated
+    }
+
     /// Records a decision about a request.
     pub(super) fn decide(
         &self,
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -46,6 +46,8 @@
 pub struct ServerState {
     /// Identity of its lifetime.
     pub id: Arc<str>,
+    /// When it started, in Unix milliseconds; 0 if it does not say.
+    pub born: u64,
     /// Its service.
     pub upstream: UpstreamKey,
     /// Where it takes requests.
@@ -92,6 +94,7 @@
     pub fn new(id: Arc<str>, upstream: UpstreamKey, address: SocketAddr) -> ServerState {
         ServerState {
             id,
+            born: 0,
             upstream,
             address,
             domain: "".into(),
--- a/crates/core/tests/forward/chance.rs
+++ b/crates/core/tests/forward/chance.rs
@@ -103,7 +103,7 @@
             Event::Notice(pick, how) => {
                 let id = format!("desk-{}", pick % 3);
                 let news = match how % 3 {
-                    0 => ServerNotice::gone(&id),
+                    0 => ServerNotice::gone(&id, 0),
                     _ => notice(&id, "desk", HOME, 1000),
                 };
                 harness.step(ForwardInput::Notice(news));
--- a/crates/core/tests/forward/ends.rs
+++ b/crates/core/tests/forward/ends.rs
@@ -184,7 +184,7 @@
         vec![route("a", RouteTarget::Service("desk".into()))],
     ));
     harness.serve("desk", 1);
-    harness.step(ForwardInput::Notice(ServerNotice::gone("desk-0")));
+    harness.step(ForwardInput::Notice(ServerNotice::gone("desk-0", 0)));
     let late = ServerNotice {
         sequence: 50,
         ..notice("desk-0", "desk", HOME, 1000)
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -68,6 +68,7 @@
         domain: domain.into(),
         slots: 2,
         standing: ServerStanding::Ready,
+        born: 0,
         sequence: 1,
         cold_ms: 0,
     }
--- a/crates/core/tests/forward/remember.rs
+++ b/crates/core/tests/forward/remember.rs
@@ -38,7 +38,7 @@
     let mut announced = remembering();
     assert_eq!(announced.apply(later(2), now), NoticeEffect::Renewed);
     let mut renewed = remembering();
-    renewed.renew("desk-0", 2, now);
+    renewed.renew("desk-0", later(2).mark(), now);
     for mut directory in [announced, renewed] {
         assert!(directory.sweep(now + LEASE, LEASE).is_empty());
         assert_eq!(directory.living().count(), 1);
@@ -48,7 +48,7 @@
 #[test]
 fn what_is_known_already_is_not_remembered_over() {
     let mut directory = ServerDirectory::default();
-    directory.apply(ServerNotice::gone("desk-0"), START);
+    directory.apply(ServerNotice::gone("desk-0", 0), START);
     directory.remember(notice("desk-0", "desk", HOME, 1), START);
     let record = directory.get("desk-0").expect("it is known");
     assert_eq!(record.notice.standing, ServerStanding::Gone);
--- a/crates/fake/src/model/told.rs
+++ b/crates/fake/src/model/told.rs
@@ -91,6 +91,7 @@
         domain: DOMAINS[domain].into(),
         slots,
         standing: ServerStanding::Ready,
+        born: 0,
         sequence: 1,
         cold_ms: 0,
     }
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -60,6 +60,8 @@
     fetching: Cell<u64>,
     /// The newest table heard of.
     newest: RefCell<Option<Arc<RouteTable>>>,
+    /// Revision of the failure domains out of use that the entry obeys.
+    evacuations: Cell<u64>,
     /// The version that a quorum has confirmed to be the newest; nothing older
     /// is obeyed.
     confirmed: Cell<Option<u64>>,
@@ -78,6 +80,7 @@
             choosing: Cell::new(false),
             fetching: Cell::new(0),
             newest: RefCell::default(),
+            evacuations: Cell::new(0),
             confirmed: Cell::new(None),
         }
     }
@@ -168,6 +171,9 @@
                 }
             }
             GroupMessage::Routes { version, packed } => self.take_routes(version, &packed),
+            GroupMessage::Evacuations { revision, domains } => {
+                self.take_evacuations(revision, domains);
+            }
             GroupMessage::Confirmed { version } => self.confirm(version),
             GroupMessage::Members {
                 entries,
@@ -297,6 +303,17 @@
         }
     }
 
+    /// Takes over which failure domains are out of use, unless it is older
+    /// than what is known.
+    fn take_evacuations(&self, revision: u64, domains: Vec<Box<str>>) {
+        if revision <= self.evacuations.get() {
+            return;
+        }
+        self.evacuations.set(revision);
+        tracing::info!(target: "entry", revision, ?domains, "evacuation: obeyed");
+        self.entry.step(ForwardInput::Evacuated(domains));
+    }
+
     /// Takes a quorum's word that no version above this one was acknowledged.
     /// The table itself may come later.
     fn confirm(self: &Rc<Self>, version: u64) {
--- a/crates/node/src/process/group/answer.rs
+++ b/crates/node/src/process/group/answer.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 use tokio::net::TcpListener;
+use wheelmast_core::process::control::evacuation::EvacuationOutcome;
 use wheelmast_core::process::control::state::{CommandOutcome, ControlCommand, RouteOutcome};
 use wheelmast_core::process::forward::directory::ServerNotice;
 use wheelmast_core::version::route_table::RouteTable;
@@ -64,16 +65,31 @@
     match call {
         ControlCall::Announce(id) => match D::read_notice(&id, &body) {
             Ok(notice) => announce::<D>(&node, notice).await,
-            Err(findings) => text_response(StatusCode::BAD_REQUEST, findings.to_string()),
+            Err(findings) => refuse(&node, &id, findings.to_string()),
+        },
+        ControlCall::Withdraw(id) => match D::read_withdrawal(&id, &body) {
+            Ok(notice) => announce::<D>(&node, notice).await,
+            Err(findings) => refuse(&node, &id, findings.to_string()),
         },
-        ControlCall::Withdraw(id) => announce::<D>(&node, ServerNotice::gone(&id)).await,
         ControlCall::PutTable => put_table::<D>(&node, body).await,
         ControlCall::GetTable => get_table(&node).await,
+        ControlCall::Evacuate(domain) => evacuate(&node, &domain, true).await,
+        ControlCall::EndEvacuation(domain) => evacuate(&node, &domain, false).await,
+        ControlCall::ListEvacuations => list_evacuations(&node).await,
         ControlCall::Ready => text_response(StatusCode::OK, TAKEN.to_string()),
     }
 }
 
+/// Refuses what is no announcement of a server.
+fn refuse(node: &GroupNode, id: &str, reason: String) -> FullResponse {
+    node.refuse_announcement(id, &reason);
+    text_response(StatusCode::BAD_REQUEST, reason)
+}
+
 async fn announce<D: ForwardDialect>(node: &Rc<GroupNode>, notice: ServerNotice) -> FullResponse {
+    if let Some(reason) = node.doubt_announcement(&notice) {
+        return refuse(node, &notice.id, reason.to_string());
+    }
     let domain = notice.domain.clone();
     if !node.take_announcement(notice).await {
         return unavailable("not held by a quorum yet");
@@ -113,10 +129,10 @@
 }
 
 async fn get_table(node: &Rc<GroupNode>) -> FullResponse {
-    let GroupTell::Version(version) = node.read().await else {
+    let GroupTell::Mark(mark) = node.read().await else {
         return unavailable("no quorum answered");
     };
-    if version == 0 || !node.wait_published(version).await {
+    if mark.version == 0 || !node.wait_published(mark).await {
         return unavailable("no table is in force here");
     }
     let packed = node.state.borrow().published.packed.clone();
@@ -129,6 +145,39 @@
     }
 }
 
+/// Takes a failure domain out of use, or back into use.
+async fn evacuate(node: &Rc<GroupNode>, domain: &str, evacuated: bool) -> FullResponse {
+    if !node.settings.regions.knows(domain) {
+        tracing::warn!(target: "group", domain, "evacuation: refused, no such failure domain");
+        let text = format!("no failure domain {domain}");
+        return text_response(StatusCode::NOT_FOUND, text);
+    }
+    let outcome = node.evacuate(domain, evacuated).await;
+    tracing::info!(target: "group", domain, evacuated, ?outcome, "evacuation: change asked for");
+    match outcome {
+        Some(EvacuationOutcome::Stands(_)) => taken(),
+        Some(EvacuationOutcome::Full) => text_response(
+            StatusCode::INSUFFICIENT_STORAGE,
+            "too many failure domains are remembered".to_string(),
+        ),
+        Some(EvacuationOutcome::Conflict(_)) => unavailable("other orders came between"),
+        None => unavailable("no quorum answered"),
+    }
+}
+
+/// Tells which failure domains are out of use.
+async fn list_evacuations(node: &Rc<GroupNode>) -> FullResponse {
+    let GroupTell::Mark(mark) = node.read().await else {
+        return unavailable("no quorum answered");
+    };
+    if !node.wait_published(mark).await {
+        return unavailable("not in force here yet");
+    }
+    let domains = node.state.borrow().evacuations.domains.clone();
+    let text = serde_json::json!({ "evacuated": domains }).to_string();
+    typed_response(StatusCode::OK, JSON_TYPE, text)
+}
+
 fn unavailable(text: &'static str) -> FullResponse {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let mut response = typed_response(status, PLAIN_TYPE, text);
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -110,8 +110,8 @@
         GroupMessage::Renewals(servers) => {
             let now = node.now();
             let mut state = node.state.borrow_mut();
-            for (id, sequence) in servers {
-                state.directory.renew(&id, sequence, now);
+            for (id, mark) in servers {
+                state.directory.renew(&id, mark, now);
             }
         }
         GroupMessage::Ask { tag, ask } => {
@@ -262,7 +262,7 @@
 fn greeting(node: &Rc<GroupNode>) -> Vec<GroupMessage> {
     let leavers = node.late_leavers(LEAVER_TIME);
     let state = node.state.borrow();
-    let mut messages = vec![node.here(&state)];
+    let mut messages = vec![node.here(&state), state.evacuations.message()];
     messages.push(GroupMessage::Control(state.told_control.clone()));
     if !leavers.is_empty() {
         messages.push(GroupMessage::Notices(leavers));
@@ -295,10 +295,13 @@
 /// Confirms the table to an entry, as soon as a quorum says so.
 async fn confirm(node: Rc<GroupNode>, key: u64) {
     loop {
-        if let GroupTell::Version(version) = node.read().await {
-            if node.wait_published(version).await {
+        if let GroupTell::Mark(mark) = node.read().await {
+            if node.wait_published(mark).await {
                 let state = node.state.borrow();
                 if let Some(subscriber) = state.subscribers.get(&key) {
+                    // Which failure domains are out of use stands before it
+                    // in the same ring.
+                    let version = mark.version;
                     let message = GroupMessage::Confirmed { version };
                     if let Some(frame) = OutFrame::new(&message) {
                         // Full: it is let go and asks again.
--- a/crates/node/src/process/group/measure.rs
+++ b/crates/node/src/process/group/measure.rs
@@ -28,6 +28,11 @@
         ("wheelmast_group_contacts", state.count_contacts(now) as u64),
         ("wheelmast_servers_known", state.directory.len() as u64),
         ("wheelmast_servers_silent", silent as u64),
+        (
+            "wheelmast_evacuated_domains",
+            state.evacuations.domains.len() as u64,
+        ),
+        ("wheelmast_evacuations_revision", state.evacuations.revision),
         ("wheelmast_disk_batches_total", state.lasting),
         ("wheelmast_disk_batches_waiting", waiting),
         ("wheelmast_group_asks_waiting", state.asks.len() as u64),
--- a/crates/node/src/process/group/mod.rs
+++ b/crates/node/src/process/group/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod disk;
+mod evacuate;
 pub mod inbound;
 pub mod link;
 pub mod measure;
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -52,6 +52,8 @@
     started: Instant,
     tags: Cell<u64>,
     seeds: RefCell<HashSet<SocketAddr>>,
+    /// When a refused announcement was last logged.
+    pub(super) refusal_told: Cell<Option<Duration>>,
 }
 
 impl GroupNode {
@@ -74,6 +76,7 @@
             started,
             tags: Cell::new(1),
             seeds: RefCell::default(),
+            refusal_told: Cell::new(None),
         }
     }
 
--- a/crates/node/src/process/group/replica.rs
+++ b/crates/node/src/process/group/replica.rs
@@ -10,11 +10,11 @@
 };
 use wheelmast_core::process::control::replica::{ReplicaMachine, ReplicaRules, ReplicaStart};
 use wheelmast_core::process::control::state::ControlCommand;
-use wheelmast_wire::group::{GroupAsk, GroupMessage, GroupTell};
+use wheelmast_wire::group::{ControlMark, GroupAsk, GroupMessage, GroupTell};
 
 use crate::process::group::disk::{DiskNote, DiskOrder};
 use crate::process::group::node::GroupNode;
-use crate::process::group::state::PublishedTable;
+use crate::process::group::state::{PublishedEvacuations, PublishedTable};
 use crate::process::store::replica_store::KeptState;
 use crate::ring::RingReceiver;
 
@@ -149,8 +149,36 @@
         }
     }
 
-    /// Puts the replica's table in force and tells the entries.
+    /// Puts in force what the replica has and tells the entries.
     pub fn publish(&self) {
+        self.publish_evacuations();
+        self.publish_routes();
+        self.published.notify_waiters();
+    }
+
+    /// Takes over which failure domains are out of use. Every entry is told:
+    /// each has a few seconds to obey, whatever its source is.
+    fn publish_evacuations(&self) {
+        let mut state = self.state.borrow_mut();
+        let Some(replica) = &state.replica else {
+            return;
+        };
+        let book = replica.state().evacuations();
+        if book.revision() <= state.evacuations.revision {
+            return;
+        }
+        let published = PublishedEvacuations {
+            revision: book.revision(),
+            domains: book.evacuated().map(Into::into).collect(),
+        };
+        tracing::info!(target: "group", revision = published.revision, domains = ?published.domains, "evacuation: in force");
+        let message = published.message();
+        state.evacuations = published;
+        state.tell_entries(message);
+    }
+
+    /// Puts the replica's table in force and tells the entries.
+    fn publish_routes(&self) {
         let mut state = self.state.borrow_mut();
         let Some(replica) = &state.replica else {
             return;
@@ -173,15 +201,15 @@
         state.tell_whole(routes);
         let here = self.here(&state);
         state.tell_urgent(here);
-        self.published.notify_waiters();
     }
 
-    /// Waits until a version is in force here, for a short while.
-    pub async fn wait_published(&self, version: u64) -> bool {
+    /// Waits until what is in force here has come as far as `mark`, for a short
+    /// while.
+    pub async fn wait_published(&self, mark: ControlMark) -> bool {
         let wait = async {
             loop {
                 let changed = self.published.notified();
-                if self.state.borrow().published.version >= version {
+                if self.state.borrow().has_reached(mark) {
                     return;
                 }
                 changed.await;
@@ -195,7 +223,7 @@
         self.ask_leader(GroupAsk::Propose(command)).await
     }
 
-    /// Asks which version is in force for sure, wherever the leader is.
+    /// Asks what is in force for sure, wherever the leader is.
     pub async fn read(self: &Rc<Self>) -> GroupTell {
         self.ask_leader(GroupAsk::Read).await
     }
@@ -258,10 +286,10 @@
             .await
     }
 
-    /// Asks which version is in force for sure, if this instance leads.
+    /// Asks what is in force for sure, if this instance leads.
     pub async fn read_here(self: &Rc<Self>) -> GroupTell {
         match self.step_and_wait(|tag| ReplicaInput::Read { tag }).await {
-            GroupTell::Done(_) => GroupTell::Version(self.state.borrow().published.version),
+            GroupTell::Done(_) => GroupTell::Mark(self.state.borrow().mark()),
             _ => GroupTell::Unknown,
         }
     }
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use metrics::counter;
 use tokio::sync::oneshot;
 use wheelmast_core::process::forward::directory::{NoticeEffect, ServerNotice, ServerStanding};
 use wheelmast_wire::group::GroupMessage;
@@ -15,6 +16,8 @@
 
 /// Longest time to wait until others hold that a server leaves.
 const KEEP_TIME: Duration = Duration::from_millis(600);
+/// Time between two log lines on announcements that were refused.
+const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
 
 impl GroupNode {
     /// Returns all that is known of servers.
@@ -70,11 +73,40 @@
         self.state.borrow().calls_in(domain, self.now())
     }
 
+    /// Returns what speaks against an announcement made here, if it is none of
+    /// the server that it names.
+    pub fn doubt_announcement(&self, notice: &ServerNotice) -> Option<&'static str> {
+        let state = self.state.borrow();
+        let known = &state.directory.get(&notice.id)?.notice;
+        if notice.address.is_some() && notice.born == 0 && known.born != 0 {
+            return Some("it does not say when the server started");
+        }
+        notice
+            .contradicts(known)
+            .then_some("the server is another one by what it said before")
+    }
+
+    /// Counts what was taken for no announcement, and logs it at times: another
+    /// writer may send many.
+    pub fn refuse_announcement(&self, id: &str, reason: &str) {
+        counter!("wheelmast_announcements_refused_total").increment(1);
+        let now = self.now();
+        if self
+            .refusal_told
+            .get()
+            .is_some_and(|told| now < told + REFUSAL_PAUSE)
+        {
+            return;
+        }
+        self.refusal_told.set(Some(now));
+        tracing::warn!(target: "group", server = id, reason, "server: announcement refused");
+    }
+
     /// Takes an announcement made here. Returns whether it may be
     /// acknowledged: that a server leaves must outlast this instance, and that
     /// it lives must come to the others, or they would take it for silent.
     pub async fn take_announcement(self: &Rc<Self>, notice: ServerNotice) -> bool {
-        let (id, sequence) = (notice.id.clone(), notice.sequence);
+        let (id, mark) = (notice.id.clone(), notice.mark());
         let leaves = notice.standing != ServerStanding::Ready;
         let effect = self.take_notice(notice.clone());
         if leaves {
@@ -86,9 +118,9 @@
                 self.state.borrow().tell_control(&message);
             }
             NoticeEffect::Renewed => {
-                self.state.borrow_mut().renewals.insert(id, sequence);
+                self.state.borrow_mut().renewals.insert(id, mark);
             }
-            NoticeEffect::Stale => {}
+            NoticeEffect::Stale | NoticeEffect::Foreign => {}
         }
         let contacts = self.state.borrow().count_contacts(self.now());
         contacts >= self.settings.tolerate
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -9,10 +9,10 @@
 use wheelmast_core::process::control::log::ReplicaId;
 use wheelmast_core::process::control::message::ReplicaAction;
 use wheelmast_core::process::control::replica::ReplicaMachine;
-use wheelmast_core::process::forward::directory::ServerDirectory;
+use wheelmast_core::process::forward::directory::{LifeMark, ServerDirectory};
 use wheelmast_core::process::forward::input::EntryPeer;
 use wheelmast_core::process::forward::roll::view_of;
-use wheelmast_wire::group::{GroupMessage, GroupTell};
+use wheelmast_wire::group::{ControlMark, GroupMessage, GroupTell};
 
 use crate::connection::frame::write_frame;
 use crate::ring::RingSender;
@@ -42,6 +42,25 @@
     }
 }
 
+/// The failure domains out of use.
+#[derive(Debug, Clone, Default)]
+pub struct PublishedEvacuations {
+    /// Revision of the last change; 0 before the first.
+    pub revision: u64,
+    /// All of them.
+    pub domains: Vec<Box<str>>,
+}
+
+impl PublishedEvacuations {
+    /// Returns the message that tells them.
+    pub fn message(&self) -> GroupMessage {
+        GroupMessage::Evacuations {
+            revision: self.revision,
+            domains: self.domains.clone(),
+        }
+    }
+}
+
 /// News of a server that wait to be held by others.
 #[derive(Debug)]
 pub struct KeepWait {
@@ -145,12 +164,14 @@
     pub outbox: VecDeque<(u64, Vec<ReplicaAction>)>,
     /// The route table in force.
     pub published: PublishedTable,
+    /// The failure domains out of use.
+    pub evacuations: PublishedEvacuations,
     /// Servers known.
     pub directory: ServerDirectory,
     /// Whether servers came or went since they were last kept.
     pub servers_changed: bool,
     /// Servers heard of here since the others were told.
-    pub renewals: HashMap<Box<str>, u64>,
+    pub renewals: HashMap<Box<str>, LifeMark>,
     /// Lines to other control instances.
     pub links: HashMap<SocketAddr, RingSender<GroupMessage>>,
     /// When another control instance was last heard.
@@ -174,6 +195,20 @@
 }
 
 impl GroupState {
+    /// Returns how far what is in force here has come.
+    pub fn mark(&self) -> ControlMark {
+        ControlMark {
+            version: self.published.version,
+            evacuations: self.evacuations.revision,
+        }
+    }
+
+    /// Tells whether what is in force here has come as far as `mark`.
+    pub fn has_reached(&self, mark: ControlMark) -> bool {
+        let here = self.mark();
+        here.version >= mark.version && here.evacuations >= mark.evacuations
+    }
+
     /// Returns the number of entries that share the servers' limits.
     pub fn count_entries(&mut self, now: Duration) -> u32 {
         for subscriber in self.subscribers.values() {
--- a/crates/node/src/process/store/replica_store.rs
+++ b/crates/node/src/process/store/replica_store.rs
@@ -6,6 +6,7 @@
 use anyhow::{bail, Context};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use wheelmast_core::process::control::evacuation::EvacuationBook;
 use wheelmast_core::process::control::log::{HardState, LogEntry, LogPlace};
 use wheelmast_core::process::control::message::ReplicaAction;
 use wheelmast_core::process::control::state::ControlState;
@@ -60,7 +61,7 @@
             RecordKind::Commit => self.commit = read(body)?,
             RecordKind::Batch => {}
             RecordKind::Snapshot | RecordKind::Installed => {
-                let (place, state) = read(body)?;
+                let (place, state) = read_snapshot(body)?;
                 self.keep_snapshot(place, state, kind == RecordKind::Installed);
             }
         }
@@ -72,6 +73,16 @@
     decode(body).context("could not read a record of good checksum")
 }
 
+/// Reads a snapshot. One that was written before failure domains could be taken
+/// out of use ends before them: none was.
+fn read_snapshot(body: &[u8]) -> anyhow::Result<(LogPlace, ControlState)> {
+    read(body).or_else(|error| {
+        let nothing = encode(&EvacuationBook::default())?;
+        let whole = [body, &nothing].concat();
+        read(&whole).map_err(|_| error)
+    })
+}
+
 /// The log file of a replica, open for appending.
 #[derive(Debug)]
 pub struct ReplicaStore {
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -212,6 +212,7 @@
             domain: "here".into(),
             slots: 2,
             standing: ServerStanding::Ready,
+            born: 0,
             sequence: 4,
             cold_ms: 0,
         };
@@ -220,6 +221,7 @@
         until("it takes work", || count() == 1).await;
         let leaves = ServerNotice {
             standing: ServerStanding::Draining,
+            born: 0,
             sequence: 5,
             ..notice.clone()
         };
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+mod evacuate;
 mod relayed;
 mod serve;
 mod soak;
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -3,12 +3,14 @@
 use std::path::Path;
 
 use tempfile::TempDir;
+use wheelmast_core::process::control::evacuation::EvacuationBook;
 use wheelmast_core::process::control::log::{HardState, LogEntry, LogPlace};
 use wheelmast_core::process::control::message::ReplicaAction;
 use wheelmast_core::process::control::state::{ControlCommand, ControlState};
 use wheelmast_node::process::store::folder::{DataFolder, FolderIdentity, FOLDER_FORMAT};
 use wheelmast_node::process::store::record::{read_records, write_record, RecordKind, FILE_HEADER};
 use wheelmast_node::process::store::replica_store::ReplicaStore;
+use wheelmast_wire::peer::encode;
 
 fn identity() -> FolderIdentity {
     FolderIdentity {
@@ -200,3 +202,27 @@
         proptest::prop_assert!(found.good <= cut);
     }
 }
+
+#[test]
+fn a_snapshot_of_before_evacuations_is_read() {
+    let mut state = ControlState::default();
+    state.apply(&ControlCommand::Route {
+        version: 9,
+        base: None,
+        text: b"text".to_vec(),
+    });
+    let place = LogPlace { term: 2, index: 5 };
+    let now = encode(&(place, &state)).expect("encoded");
+    let book = encode(&EvacuationBook::default()).expect("encoded");
+    let before = now.strip_suffix(&*book).expect("the book is last");
+    let folder = TempDir::new().expect("a folder");
+    let data = DataFolder::create(folder.path(), &identity()).expect("it is new");
+    drop(ReplicaStore::open(data).expect("it opens"));
+    let mut bytes = FILE_HEADER.to_vec();
+    write_record(RecordKind::Snapshot, before, &mut bytes);
+    let log = folder.path().join("control-1.log");
+    std::fs::write(log, bytes).expect("written");
+    let store = reopen(folder.path()).expect("it is read");
+    assert_eq!(store.kept().state.route_version(), 9);
+    assert_eq!(store.kept().state.evacuations().revision(), 0);
+}
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -101,6 +101,7 @@
                 domain: "oulu".into(),
                 slots: 2,
                 standing: ServerStanding::Ready,
+                born: 0,
                 sequence: 1,
                 cold_ms: 0,
             }));
--- a/crates/wire/src/dialect.rs
+++ b/crates/wire/src/dialect.rs
@@ -42,6 +42,12 @@
     PutTable,
     /// An operator reads the route table.
     GetTable,
+    /// An operator takes a failure domain out of use.
+    Evacuate(String),
+    /// An operator takes a failure domain back into use.
+    EndEvacuation(String),
+    /// An operator asks which failure domains are out of use.
+    ListEvacuations,
     /// The balancer asks whether the instance takes requests.
     Ready,
 }
@@ -71,6 +77,13 @@
     ///
     /// Returns all findings at once.
     fn read_notice(id: &str, text: &[u8]) -> Result<ServerNotice, FindingList>;
+
+    /// Reads what a server says when it leaves; it need not say anything.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings at once.
+    fn read_withdrawal(id: &str, text: &[u8]) -> Result<ServerNotice, FindingList>;
 }
 
 /// Returns the one finding that a text is not what was expected.
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -8,7 +8,7 @@
 use wheelmast_core::process::control::log::ReplicaId;
 use wheelmast_core::process::control::message::ReplicaMessage;
 use wheelmast_core::process::control::state::{CommandOutcome, ControlCommand, MemberRecord};
-use wheelmast_core::process::forward::directory::ServerNotice;
+use wheelmast_core::process::forward::directory::{LifeMark, ServerNotice};
 use wheelmast_core::process::forward::input::EntryPeer;
 
 /// Largest frame, in bytes.
@@ -50,8 +50,8 @@
     },
     /// The news of this tag are held.
     Kept(u64),
-    /// Servers heard of, with their sequence numbers.
-    Renewals(Vec<(Box<str>, u64)>),
+    /// Servers heard of, with how new that is.
+    Renewals(Vec<(Box<str>, LifeMark)>),
     /// Servers that are silent, or no longer.
     Silent(Vec<(Box<str>, bool)>),
     /// A question to the leader.
@@ -112,6 +112,14 @@
         /// The table as the operator sent it, packed.
         packed: Vec<u8>,
     },
+    /// The failure domains that are out of use. To every entry, when it
+    /// subscribes and at each change.
+    Evacuations {
+        /// Grows with each change.
+        revision: u64,
+        /// All of them.
+        domains: Vec<Box<str>>,
+    },
     /// A quorum has confirmed that no version above this one was
     /// acknowledged when the entry subscribed.
     Confirmed {
@@ -132,12 +140,21 @@
     Ping,
 }
 
+/// How far the state that the control group agreed on has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct ControlMark {
+    /// Version of the route table; 0 for none.
+    pub version: u64,
+    /// Revision of the failure domains out of use; 0 for none yet.
+    pub evacuations: u64,
+}
+
 /// A question to the leader.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum GroupAsk {
     /// Make this change.
     Propose(ControlCommand),
-    /// Which version of the route table is in force for sure?
+    /// What is in force for sure?
     Read,
 }
 
@@ -146,8 +163,8 @@
 pub enum GroupTell {
     /// The change is made, with this outcome.
     Done(CommandOutcome),
-    /// This version is in force.
-    Version(u64),
+    /// This is in force.
+    Mark(ControlMark),
     /// It cannot be said now.
     Unknown,
 }
--- a/crates/wire/src/native.rs
+++ b/crates/wire/src/native.rs
@@ -13,6 +13,8 @@
 const UPSTREAM_PATH: &str = "/v1/servers/";
 /// Path of the route table.
 pub const ROUTES_PATH: &str = "/v1/routes";
+/// Path of the failure domains that are out of use.
+pub const EVACUATIONS_PATH: &str = "/v1/evacuations";
 /// Path of the balancer's question.
 const READY_PATH: &str = "/ready";
 
@@ -31,6 +33,15 @@
     sequence: u64,
     #[serde(default)]
     cold_ms: u64,
+    #[serde(default)]
+    born: u64,
+}
+
+/// What a server says when it leaves.
+#[derive(Debug, Deserialize)]
+struct WithdrawalBody {
+    #[serde(default)]
+    born: u64,
 }
 
 impl ForwardDialect for NativeDialect {
@@ -50,8 +61,12 @@
             ("GET", READY_PATH) => return Some(ControlCall::Ready),
             ("GET", ROUTES_PATH) => return Some(ControlCall::GetTable),
             ("PUT", ROUTES_PATH) => return Some(ControlCall::PutTable),
+            ("GET", EVACUATIONS_PATH) => return Some(ControlCall::ListEvacuations),
             _ => {}
         }
+        if let Some(call) = evacuation_call(method, path) {
+            return Some(call);
+        }
         let id = path.strip_prefix(UPSTREAM_PATH)?;
         match method {
             "PUT" => Some(ControlCall::Announce(id.to_string())),
@@ -83,8 +98,31 @@
             domain: body.failure_domain,
             slots: body.slots,
             standing,
+            born: body.born,
             sequence: body.sequence,
             cold_ms: body.cold_ms,
         })
     }
+
+    fn read_withdrawal(id: &str, text: &[u8]) -> Result<ServerNotice, FindingList> {
+        if text.is_empty() {
+            return Ok(ServerNotice::gone(id, 0));
+        }
+        let body: WithdrawalBody =
+            serde_json::from_slice(text).map_err(|error| unreadable(&error))?;
+        Ok(ServerNotice::gone(id, body.born))
+    }
+}
+
+/// Tells which call concerning a failure domain a method and a path are.
+fn evacuation_call(method: &str, path: &str) -> Option<ControlCall> {
+    let domain = path.strip_prefix(EVACUATIONS_PATH)?.strip_prefix('/')?;
+    if domain.is_empty() {
+        return None;
+    }
+    match method {
+        "POST" => Some(ControlCall::Evacuate(domain.to_string())),
+        "DELETE" => Some(ControlCall::EndEvacuation(domain.to_string())),
+        _ => None,
+    }
 }
