Order failure domains out of use and back from the command line

Change: wheelmast domain out, back and list; each goes to one control instance after the other until one takes it, a clear no ends it.

--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -8,6 +8,7 @@
 use crate::cmd::control::ControlCommand;
 use crate::cmd::data::DataCommand;
 use crate::cmd::demo::DemoCommand;
+use crate::cmd::domain::DomainCommand;
 use crate::cmd::explain::ExplainCommand;
 use crate::cmd::load::LoadCommand;
 use crate::cmd::measure::MeasureCommand;
@@ -30,6 +31,7 @@
         .subcommand(TableCommand::command())
         .subcommand(RouteCommand::command())
         .subcommand(ControlCommand::command())
+        .subcommand(DomainCommand::command())
         .subcommand(DataCommand::command())
         .subcommand(ExplainCommand::command())
         .subcommand(WatchCommand::command())
@@ -50,6 +52,7 @@
         Some(("table", matches)) => TableCommand::new(matches)?.run(),
         Some(("route", matches)) => RouteCommand::new(matches)?.run(),
         Some(("control", matches)) => Ok(ControlCommand::new(matches).run()),
+        Some(("domain", matches)) => DomainCommand::new(matches)?.run(),
         Some(("data", matches)) => DataCommand::new(matches)?.run(),
         Some(("explain", matches)) => ExplainCommand::new(matches)?.run(),
         Some(("watch", matches)) => WatchCommand::new(matches)?.run(),
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -159,6 +159,24 @@
         self.send(request).await
     }
 
+    /// Makes a call without a body to a path of the instance at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no response at all.
+    pub async fn order(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+    ) -> anyhow::Result<WholeResponse> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .body(Full::default())?;
+        self.send(request).await
+    }
+
     /// Opens a response that goes on, such as a stream of decisions.
     ///
     /// # Errors
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod data;
 pub mod demo;
+pub mod domain;
 pub mod explain;
 pub mod load;
 pub mod measure;
