Bound what cold servers get; build ways for pace and for far parts

Rules: a server that is cold gets no more than its service's figure times cold_load.excess plus cold_load.slack in a second from all entries together, cut off or not (core cold.rs). Two ways, each a type behind ColdShare: equal parts, and all for the one entry to which the server falls. Equal parts leave nothing where entries are many (30 entries, 20 a second: 0 against 10), one holder wastes it where they are few (5 entries: 2 each); taken is the one that fits, by the number of entries. Each view of who the entries are spends half.

Far parts: by themselves (stands), and together through an entry over there that is told the least record of use. Direct stays for now.

A property test plays bundles of both forms in any order (tests/forward/merged.rs).

--- a/crates/core/src/process/forward/bundle.rs
+++ b/crates/core/src/process/forward/bundle.rs
@@ -18,6 +18,7 @@
 use crate::process::forward::choose::ServerChoice;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::home::HomeSet;
+use crate::process::forward::input::BundleForm;
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::place::PlaceStep;
 use crate::process::rendezvous::rank;
@@ -42,6 +43,8 @@
     pub(super) parts: Vec<usize>,
     /// Whether the entry may divide them further.
     pub(super) divides: bool,
+    /// How the parts are wanted.
+    pub(super) form: BundleForm,
 }
 
 impl ForwardMachine {
@@ -111,6 +114,7 @@
                 choice,
                 parts,
                 divides: false,
+                form: BundleForm::Merged,
             })
         });
         plans.collect()
@@ -148,6 +152,7 @@
                     choice,
                     parts,
                     divides: true,
+                    form: BundleForm::Merged,
                 };
                 best = Some((rank, plan));
             }
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -6,11 +6,13 @@
 
 use crate::arena::{ServerKey, UpstreamKey};
 use crate::process::forward::bundle::RELAY_CONNECTIONS;
+use crate::process::forward::cold::{ColdShare, ColdView, FittingShare};
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::home::{HomeSet, PermittedServer};
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::place::PlaceStep;
 use crate::process::forward::server::ServerState;
+use crate::process::rendezvous::rank;
 
 /// Largest part by which chance changes an expected time, so that entries that
 /// know the same do not all choose the same.
@@ -97,6 +99,10 @@
             let Some(permitted) = times.homes.permit(*server, state) else {
                 continue;
             };
+            if !self.cold_has_room(*server, now) {
+                is_full = true;
+                continue;
+            }
             let would_open = state.idle == 0;
             let cap = self.connection_cap(*server);
             if state.outstanding.len() >= cap
@@ -144,6 +150,37 @@
         Some(times.objective.mul_f64(part))
     }
 
+    /// Tells whether a server that is cold may get one more request.
+    fn cold_has_room(&self, server: ServerKey, now: Duration) -> bool {
+        let state = &self.servers[server];
+        let per_s = self.upstreams[state.upstream].cold_per_s;
+        if per_s <= 0.0 || !state.is_cold(now) {
+            return true;
+        }
+        let most = self.options.cold.most(per_s);
+        let view = ColdView {
+            entries: self.entries,
+            is_holder: self.holds(state),
+        };
+        let allowance = FittingShare.allowance(most, view);
+        state.cold.has_room(allowance, now)
+    }
+
+    /// Tells whether a server falls to this entry among the entries of the
+    /// server's failure domain. Before it has heard of the others none does.
+    fn holds(&self, state: &ServerState) -> bool {
+        if state.place != PlaceStep::Domain || !self.knows_peers {
+            return false;
+        }
+        let own = rank(&state.id, &self.options.own);
+        let mut domains = self.peer_domains.iter();
+        let Some((_, entries)) = domains.find(|(name, _)| *name == self.options.domain) else {
+            return true;
+        };
+        let mut others = self.upstreams[*entries].servers.iter();
+        others.all(|other| rank(&state.id, &self.servers[*other].id) < own)
+    }
+
     /// Returns how many connections this entry may have to a server: its part
     /// of the server's limit, which all entries share.
     ///
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -10,6 +10,7 @@
 use crate::arena::{ServerKey, SlotKey};
 use crate::process::forward::directory::ServerNotice;
 use crate::process::input::CallTag;
+use crate::request::records::PartRecord;
 use crate::version::route_table::RouteTable;
 
 /// A caller's request, as far as decisions need it.
@@ -41,17 +42,35 @@
     pub earns: bool,
     /// Whether it may divide them among the entries of its own domain.
     pub divides: bool,
+    /// How the parts are wanted.
+    pub form: BundleForm,
     /// The services that hold the shards.
     pub shards: Vec<Arc<str>>,
 }
 
-/// Parts that another entry has gathered and merged.
+/// How another entry answers with the parts that it gathered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum BundleForm {
+    /// Their records merged: the greatest of all.
+    #[default]
+    Merged,
+    /// Each part's records by themselves.
+    Apart {
+        /// The least record that is of use, if that is known.
+        above: Option<PartRecord>,
+    },
+}
+
+/// Parts that another entry has gathered.
 #[derive(Debug, Clone)]
 pub struct BundleAnswer {
     /// Services and stamps of the parts that are in.
     pub parts: Vec<(Box<str>, Box<str>)>,
-    /// Their merged records.
+    /// Their records.
     pub body: Bytes,
+    /// How many records of the body each part has, one after the other; none
+    /// if they are merged.
+    pub counts: Vec<usize>,
 }
 
 /// Another entry instance.
@@ -83,6 +102,9 @@
     pub waiting: u32,
     /// Requests it can work on at once.
     pub slots: u32,
+    /// How long its work takes at this moment, in hundredths of the usual, if it
+    /// says so.
+    pub pace: Option<u32>,
 }
 
 /// A server's whole answer.
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -15,6 +15,7 @@
 use crate::arena::{KeyArena, ServerKey, SlotArena, SlotKey, UpstreamKey};
 use crate::process::forward::answer::{ForwardAction, ForwardDecision, ForwardEvent};
 use crate::process::forward::call::{CallState, ForwardAttempt};
+use crate::process::forward::cold::ColdBound;
 use crate::process::forward::counts::{ForwardCounters, UpstreamCounts};
 use crate::process::forward::directory::{
     NoticeEffect, ServerDirectory, ServerNotice, ServerStanding,
@@ -22,7 +23,9 @@
 use crate::process::forward::expectation::ExpectationBook;
 use crate::process::forward::extra::{ExtraBound, ExtraBudget};
 use crate::process::forward::fading::FadingShare;
+use crate::process::forward::far::FarWay;
 use crate::process::forward::input::ForwardInput;
+use crate::process::forward::pace::{PaceWay, ServerPace};
 use crate::process::forward::place::{PlaceStep, RegionMap};
 use crate::process::forward::server::ServerState;
 use crate::process::forward::split::SplitCounter;
@@ -60,12 +63,18 @@
     pub own: Box<str>,
     /// Bound on extra load.
     pub extra: ExtraBound,
+    /// Bound on what cold servers get.
+    pub cold: ColdBound,
     /// Most requests at work.
     pub in_flight: usize,
     /// Seed of the random numbers.
     pub seed: u64,
     /// Whether decisions are recorded.
     pub records: bool,
+    /// How it is estimated how fast a server is.
+    pub pace: PaceWay,
+    /// How parts of another region are asked for beside a near server.
+    pub far: FarWay,
 }
 
 impl Default for ForwardOptions {
@@ -75,9 +84,12 @@
             regions: RegionMap::default(),
             own: "".into(),
             extra: ExtraBound::default(),
+            cold: ColdBound::default(),
             in_flight: 512,
             seed: 1,
             records: true,
+            pace: PaceWay::default(),
+            far: FarWay::default(),
         }
     }
 }
@@ -87,6 +99,9 @@
 pub(super) struct UpstreamState {
     pub(super) name: Arc<str>,
     pub(super) connections: u32,
+    /// Requests that a server takes in a second while it is cold; 0 for no
+    /// bound.
+    pub(super) cold_per_s: f64,
     /// Whether it stands for the entries of a failure domain.
     pub(super) is_entry: bool,
     pub(super) servers: Vec<ServerKey>,
@@ -110,6 +125,8 @@
     pub(super) entries: u32,
     /// Entries of this failure domain, this one among them.
     pub(super) near_entries: u32,
+    /// Whether it was told of the entries.
+    pub(super) knows_peers: bool,
     pub(super) directory: ServerDirectory,
     /// Failure domains out of use: their servers are sent nothing.
     evacuated: Vec<Box<str>>,
@@ -147,6 +164,7 @@
             table: None,
             entries: ENTRIES_UNKNOWN,
             near_entries: ENTRIES_UNKNOWN,
+            knows_peers: false,
             directory: ServerDirectory::default(),
             evacuated: Vec::new(),
             upstreams: KeyArena::default(),
@@ -177,7 +195,7 @@
         match input {
             ForwardInput::Table(table) => self.adopt(table),
             ForwardInput::Notice(notice) => self.notice(notice, now, out),
-            ForwardInput::Silent(id, silent) => self.set_silent(&id, silent),
+            ForwardInput::Silent(id, silent) => self.set_silent(&id, silent, now),
             ForwardInput::Evacuated(domains) => self.set_evacuated(domains, now, out),
             ForwardInput::Entries(entries) => self.entries = entries.max(1),
             ForwardInput::Peers(peers) => self.set_peers(peers, now, out),
@@ -263,6 +281,7 @@
         for service in table.services() {
             let upstream = self.upstream(&service.name);
             self.upstreams[upstream].connections = service.connections.max(1);
+            self.upstreams[upstream].cold_per_s = service.cold_per_s;
         }
         self.table = Some(table);
     }
@@ -342,6 +361,7 @@
         state.evacuated = self.evacuated.contains(&notice.domain);
         state.domain = notice.domain;
         state.slots = notice.slots;
+        state.pace = ServerPace::new(self.options.pace);
         state.born = notice.born;
         state.warm_at = now + Duration::from_millis(notice.cold_ms);
         let server = self.servers.push(state);
@@ -372,9 +392,13 @@
         out.push(ForwardAction::Close(server));
     }
 
-    fn set_silent(&mut self, id: &str, silent: bool) {
+    fn set_silent(&mut self, id: &str, silent: bool, now: Duration) {
         if let Some(server) = self.server_ids.get(id) {
-            self.servers[*server].silent = silent;
+            let state = &mut self.servers[*server];
+            if state.silent && !silent {
+                state.doubt_warmth(now);
+            }
+            state.silent = silent;
         }
     }
 
@@ -393,8 +417,11 @@
                 continue;
             }
             let evacuated = domains.contains(&server.domain);
-            if server.evacuated && !evacuated && !returned.contains(&server.upstream) {
-                returned.push(server.upstream);
+            if server.evacuated && !evacuated {
+                server.doubt_warmth(now);
+                if !returned.contains(&server.upstream) {
+                    returned.push(server.upstream);
+                }
             }
             server.evacuated = evacuated;
             if evacuated {
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -33,6 +33,7 @@
         let near = peers
             .iter()
             .filter(|peer| peer.domain == self.options.domain);
+        self.knows_peers = true;
         self.near_entries = (near.count() as u32).max(1);
         let known = self.peer_domains.iter();
         let known: Vec<UpstreamKey> = known.map(|(_, upstream)| *upstream).collect();
@@ -99,6 +100,7 @@
             choice,
             parts,
             divides,
+            form,
         } = plan;
         let entry = &self.servers[choice.server.key()];
         let way = entry.way();
@@ -116,6 +118,7 @@
             attempts: loan.attempts,
             earns: state.earns && parts.iter().all(|part| state.parts[*part].arrivals == 0),
             divides,
+            form,
             shards: shards.collect(),
         };
         let send = AttemptSend {
@@ -124,6 +127,7 @@
             timing: self.relay_timing,
             patience: loan.due.saturating_sub(now),
             runs: loan.attempts,
+            is_last: loan.is_last,
             relay: Some(relay),
             parts,
         };
@@ -133,7 +137,8 @@
     /// Takes the parts that another entry gathered. Their records are merged
     /// and cannot be taken apart: a part among them that a server answered in
     /// the meantime is taken from the bundle instead. Of two bundles that have
-    /// a part in common, the one that brings more is taken.
+    /// a part in common, the one that brings more is taken. Parts that come
+    /// apart are taken one by one.
     pub(super) fn take_bundle(
         &mut self,
         call: SlotKey,
@@ -150,7 +155,14 @@
                 let upstream = state.parts[*part].upstream;
                 *self.upstreams[upstream].name == **shard
             });
-            places.extend(place.map(|place| (place, stamp)));
+            places.extend(place.map(|place| (place, &**stamp)));
+        }
+        if places.len() != bundle.parts.len() {
+            // It holds parts that were not asked for.
+            return;
+        }
+        if !bundle.counts.is_empty() {
+            return state.take_apart(places, bundle);
         }
         let taken: Vec<usize> = places.iter().map(|(place, _)| *place).collect();
         if !state.make_way(&taken) {
@@ -167,7 +179,7 @@
                 PartStatus::Open => state.answered += 1,
             }
             state.parts[place].status = PartStatus::Answered {
-                stamp: stamp.clone(),
+                stamp: stamp.into(),
                 body: std::mem::take(&mut body),
                 bundle: Some(attempt),
             };
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -9,6 +9,7 @@
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::input::{AttemptEnd, ServerAnswer};
 use crate::process::forward::machine::ForwardMachine;
+use crate::process::forward::pace::PaceEstimate;
 use crate::process::forward::relay::SILENT_REST;
 use crate::process::input::CallTag;
 
@@ -82,6 +83,14 @@
     }
 }
 
+/// Returns what the server says of how fast it is at this moment.
+fn told_pace(end: &AttemptEnd) -> Option<u32> {
+    match end {
+        AttemptEnd::Answer(answer) => answer.load?.pace,
+        _ => None,
+    }
+}
+
 impl PartState {
     /// Takes an attempt back out of the counts, if it did not run.
     fn uncount(&mut self, meaning: EndMeaning, runs: u32) {
@@ -138,12 +147,18 @@
                     self.expectations.add(basis, now - state.sent_at);
                 }
                 let alone = work.div_f64(queue_factor(end));
+                if let Some(pace) = told_pace(end) {
+                    server.pace.told(pace, now);
+                }
                 server.answered(alone, state.typical, now);
                 server.judged(false);
                 self.timings[state.timing].add(work);
             }
             EndMeaning::Failure | EndMeaning::NotRun => {
                 server.answered_at = now;
+                if let Some(pace) = told_pace(end) {
+                    server.pace.told(pace, now);
+                }
                 server.judged(true);
             }
             EndMeaning::Broken if state.call.is_none() => {}
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -30,6 +30,8 @@
     pub(super) patience: Duration,
     /// Servers of each part that it may run on.
     pub(super) runs: u32,
+    /// Whether none of the route's attempts is left after it.
+    pub(super) is_last: bool,
     /// What is asked, if the server is another entry.
     pub(super) relay: Option<RelayOrder>,
 }
@@ -97,6 +99,7 @@
             timing,
             patience: self.servers[choice.server.key()].way() + slow,
             runs: 1,
+            is_last: false,
             relay: None,
         };
         self.send_attempt(call, send, now, out);
@@ -140,6 +143,7 @@
                 Duration::MAX
             },
             relay: RelayStanding::Unheard,
+            is_last: send.is_last,
         });
         state.sends += 1;
         let (tag, gathers) = (state.tag, state.gathers);
@@ -162,6 +166,9 @@
             let work = server.work(typical, now);
             server.backlog.sent(work, server.slots, self.entries, now);
         }
+        if self.upstreams[server.upstream].cold_per_s > 0.0 {
+            server.cold.sent(now);
+        }
         server.outstanding.push(OutstandingAttempt {
             attempt,
             sent_at: now,
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -6,21 +6,16 @@
 
 use crate::arena::{SlotKey, UpstreamKey};
 use crate::process::forward::backlog::ServerBacklog;
+use crate::process::forward::cold::{ColdWindow, DOUBT_TIME};
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::expectation::ExpectationBasis;
 use crate::process::forward::home::RegionKey;
 use crate::process::forward::input::LoadReport;
+use crate::process::forward::pace::{PaceEstimate, PaceWay, ServerPace};
 use crate::process::forward::place::PlaceStep;
 
 /// Weight of a new sample in the moving average of failures.
 const SAMPLE_WEIGHT: f64 = 0.15;
-/// Weight of a new sample in the moving average of slowness.
-const SLOWNESS_WEIGHT: f64 = 0.3;
-/// Bounds of a server's slowness.
-const SLOWNESS: (f64, f64) = (0.3, 20.0);
-/// Time without an answer in which half of a server's slowness is forgotten:
-/// a server that is avoided would stay slow for ever.
-const FORGET_TIME: Duration = Duration::from_secs(3);
 /// Time that a server which could not be reached is left alone, at first.
 const FIRST_REST: Duration = Duration::from_millis(250);
 /// Longest such time.
@@ -68,14 +63,16 @@
     pub slots: u32,
     /// When it is warm.
     pub warm_at: Duration,
+    /// Until when it is taken for cold all the same, as it may have become so.
+    pub doubt_until: Duration,
+    /// What this entry sent it in the last second.
+    pub cold: ColdWindow,
     /// Attempts outstanding, oldest first.
     pub outstanding: Vec<OutstandingAttempt>,
     /// Idle connections to it.
     pub idle: u32,
-    /// Logarithm of its time for a request against that of its peers. A moving
-    /// average of logarithms is not carried away by one answer of many times
-    /// the usual.
-    slowness: f64,
+    /// How fast it is against its peers.
+    pub pace: ServerPace,
     /// Fraction of failures among the last answers.
     pub failing: f64,
     /// Until when it is left alone.
@@ -105,9 +102,11 @@
             silent: false,
             slots: 1,
             warm_at: Duration::ZERO,
+            doubt_until: Duration::ZERO,
+            cold: ColdWindow::default(),
             outstanding: Vec::new(),
             idle: 0,
-            slowness: 0.0,
+            pace: ServerPace::new(PaceWay::default()),
             failing: 0.0,
             rest_until: Duration::ZERO,
             answered_at: Duration::ZERO,
@@ -139,24 +138,16 @@
 
     /// Takes note of an answer after `work`, where `typical` was expected.
     pub fn answered(&mut self, work: Duration, typical: Duration, now: Duration) {
-        let known = self.slowness_at(now);
         self.answered_at = now;
         self.rests = 0;
         self.rest_until = Duration::ZERO;
         let ratio = work.as_secs_f64() / typical.as_secs_f64().max(1e-4);
-        let ratio = ratio.clamp(SLOWNESS.0, SLOWNESS.1);
-        self.slowness = known + SLOWNESS_WEIGHT * (ratio.ln() - known);
+        self.pace.answered(ratio, now);
     }
 
     /// Returns its time for a request against that of its peers.
     pub fn slowness(&self, now: Duration) -> f64 {
-        self.slowness_at(now).exp()
-    }
-
-    fn slowness_at(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.answered_at);
-        let halvings = age.as_secs_f64() / FORGET_TIME.as_secs_f64();
-        self.slowness * 0.5f64.powf(halvings)
+        self.pace.slowness(now)
     }
 
     /// Takes note of whether an answer was of use.
@@ -199,6 +190,16 @@
         self.stall(now) > typical.mul_f64(self.slowness(now)) * 2 + self.way
     }
 
+    /// Takes it for cold for a moment, until it would have said so.
+    pub fn doubt_warmth(&mut self, now: Duration) {
+        self.doubt_until = now + DOUBT_TIME;
+    }
+
+    /// Tells whether it is cold, or may be.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.warm_at || now < self.doubt_until
+    }
+
     /// Returns the time that it works on a request which takes `typical` at its
     /// peers.
     pub fn work(&self, typical: Duration, now: Duration) -> Duration {
--- a/crates/core/src/version/route_table.rs
+++ b/crates/core/src/version/route_table.rs
@@ -87,12 +87,16 @@
 }
 
 /// An upstream service as the operator writes it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceRule {
     /// Its name.
     pub name: String,
     /// Connections a server of it accepts from all callers.
     pub connections: u32,
+    /// Requests that a server takes in a second while it is cold; 0 for no
+    /// bound.
+    #[serde(default)]
+    pub cold_per_s: f64,
 }
 
 /// Limits on what a caller may send, and how slowly.
--- a/crates/core/tests/forward/admit.rs
+++ b/crates/core/tests/forward/admit.rs
@@ -19,6 +19,7 @@
         running: 2,
         waiting,
         slots: 2,
+        pace: None,
     })
 }
 
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -49,6 +49,7 @@
     let services = names.into_iter().map(|name| ServiceRule {
         name,
         connections: 100,
+        cold_per_s: 0.0,
     });
     let draft = RouteDraft {
         version,
@@ -255,6 +256,7 @@
         let bundle = BundleAnswer {
             parts: parts.collect(),
             body: Bytes::from_static(body),
+            counts: Vec::new(),
         };
         self.end(send, AttemptEnd::Bundle(bundle));
     }
--- /dev/null
+++ b/crates/core/tests/forward/merged.rs
@@ -0,0 +1,202 @@
+//! Whatever way the parts of an answer came, its records are the greatest ones
+//! of the parts that it names.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use wheelmast_core::process::forward::answer::{AttemptOrder, ForwardAnswer};
+use wheelmast_core::process::forward::far::FarWay;
+use wheelmast_core::process::forward::input::ForwardInput;
+use wheelmast_core::process::forward::input::{AttemptEnd, BundleAnswer, BundleForm, EntryPeer};
+use wheelmast_core::process::forward::machine::ForwardOptions;
+use wheelmast_core::process::forward::place::RegionMap;
+use wheelmast_core::request::records::{PartRecord, RecordMerge};
+use wheelmast_core::version::route_table::RouteRule;
+
+use crate::harness::{answer, route, shards, table, Harness, HOME};
+
+const FAR: &str = "far";
+const BESIDE: &str = "beside";
+const SHARDS: usize = 40;
+const TOP: usize = 5;
+/// Records of a part.
+const RECORDS: usize = 6;
+
+/// The records that a server has: each server others, all drawn by its name.
+fn records(stamp: &str) -> Vec<PartRecord> {
+    let mut state = 0xcbf2_9ce4_8422_2325u64;
+    for byte in stamp.bytes() {
+        state = (state ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    let draw = |number: usize| {
+        let mut value = state
+            .wrapping_add(number as u64)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        value ^= value >> 29;
+        // Few values, so that some records are equal.
+        let mut record = [0; 16];
+        record[0] = (value >> 8) as u8;
+        record
+    };
+    (0..RECORDS).map(draw).collect()
+}
+
+fn greatest<'a>(stamps: impl Iterator<Item = &'a str>) -> Vec<u8> {
+    let mut merge = RecordMerge::new(TOP);
+    for stamp in stamps {
+        merge.take(&records(stamp).concat());
+    }
+    merge.finish()
+}
+
+/// Answers what another entry is asked for, with those of its parts that
+/// `holds` names, from servers of its own domain.
+fn entry_answer(order: &AttemptOrder, holds: impl Fn(usize) -> bool) -> AttemptEnd {
+    let relay = order.relay.as_ref().expect("an entry is asked");
+    let domain = if order.instance.contains(FAR) {
+        FAR
+    } else {
+        &*order.instance
+    };
+    let named: Vec<(Box<str>, Box<str>)> = relay
+        .shards
+        .iter()
+        .enumerate()
+        .filter(|(place, _)| holds(*place))
+        .map(|(_, shard)| ((**shard).into(), format!("{shard}@{domain}").into()))
+        .collect();
+    if named.is_empty() {
+        return AttemptEnd::Broken;
+    }
+    let (body, counts) = match relay.form {
+        BundleForm::Merged => {
+            let stamps = named.iter().map(|(_, stamp)| &**stamp);
+            (greatest(stamps), Vec::new())
+        }
+        BundleForm::Apart { above } => {
+            let parts = named.iter().map(|(_, stamp)| {
+                let mut part = records(stamp);
+                part.sort_by(|a, b| b.cmp(a));
+                part.truncate(TOP);
+                part.retain(|record| above.is_none_or(|above| *record >= above));
+                part
+            });
+            let parts: Vec<Vec<PartRecord>> = parts.collect();
+            let counts = parts.iter().map(Vec::len).collect();
+            (parts.concat().concat(), counts)
+        }
+    };
+    AttemptEnd::Bundle(BundleAnswer {
+        parts: named,
+        body: Bytes::from(body),
+        counts,
+    })
+}
+
+/// Shards with servers here, beside and far, and entries at all three places.
+fn world() -> Harness {
+    let pairs = [(HOME, "west"), (BESIDE, "west"), (FAR, "east")];
+    let pairs = pairs.map(|(domain, region)| (domain.into(), region.into()));
+    let peer = |number: usize, domain: &str| EntryPeer {
+        instance: format!("{domain}{number}").into(),
+        lifetime: 1,
+        domain: domain.into(),
+        address: ([127, 0, 0, 1], 9000 + number as u16).into(),
+    };
+    let mut harness = Harness::with_options(ForwardOptions {
+        domain: HOME.into(),
+        own: peer(0, HOME).id(),
+        regions: RegionMap::new(pairs),
+        far: FarWay::Relayed,
+        ..ForwardOptions::default()
+    });
+    let rule = RouteRule {
+        top: TOP,
+        attempts: 3,
+        least_coverage: 0.3,
+        ..route("q", shards(SHARDS))
+    };
+    harness.obey(table(3, vec![rule]));
+    for shard in 0..SHARDS {
+        let near = if shard < 30 { HOME } else { BESIDE };
+        for domain in [near, FAR] {
+            harness.serve_in(&format!("s{shard}"), domain);
+        }
+    }
+    let mut peers: Vec<EntryPeer> = (0..5).map(|number| peer(number, HOME)).collect();
+    peers.extend((5..8).map(|number| peer(number, BESIDE)));
+    peers.extend((8..11).map(|number| peer(number, FAR)));
+    harness.step(ForwardInput::Peers(peers));
+    harness
+}
+
+/// Ends a send in the way that was drawn; alive entries say so first.
+fn end(harness: &mut Harness, send: usize, kind: u8, mask: u64) {
+    let order = harness.sends[send].clone();
+    if order.relay.is_some() {
+        if kind & 1 == 0 {
+            harness.hear_alive(send);
+        }
+        let holds = |place: usize| mask >> (place % 60) & 1 == 0 || kind % 5 < 3;
+        return match kind % 11 {
+            0 => harness.end(send, AttemptEnd::Unsent),
+            1 => harness.end(send, AttemptEnd::Broken),
+            _ => harness.end(send, entry_answer(&order, holds)),
+        };
+    }
+    if kind.is_multiple_of(7) {
+        return harness.end(send, AttemptEnd::Broken);
+    }
+    let stamp = format!("{}!", order.instance);
+    let mut whole = answer(200, &stamp, b"");
+    whole.body = Bytes::from(records(&stamp).concat());
+    harness.end(send, AttemptEnd::Answer(whole));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn the_records_are_the_greatest_of_the_parts_named(
+        draws in prop::collection::vec((any::<u8>(), any::<u64>(), any::<u8>()), 120),
+    ) {
+        let mut harness = world();
+        // Times are learned before.
+        for _ in 0..6 {
+            let first = harness.sends.len();
+            harness.call("q");
+            harness.pass(6);
+            for send in first..harness.sends.len() {
+                end(&mut harness, send, 2, 0);
+            }
+            harness.pass(200);
+        }
+        let mut open: BTreeMap<usize, ()> = BTreeMap::new();
+        let mut seen = harness.sends.len();
+        let call = harness.call("q");
+        for (kind, mask, pick) in draws {
+            open.extend((seen..harness.sends.len()).map(|send| (send, ())));
+            seen = harness.sends.len();
+            let place = usize::from(pick) % open.len().max(1);
+            if let Some(send) = open.keys().copied().nth(place) {
+                // A server is slow as often as not.
+                if harness.sends[send].relay.is_some() || kind % 2 == 0 {
+                    open.remove(&send);
+                    end(&mut harness, send, kind, mask);
+                }
+            }
+            harness.pass(u64::from(pick % 3));
+        }
+        harness.pass(1200);
+        if let Some(ForwardAnswer::Gathered { stamps, body, missing, .. }) = harness.answer_to(call) {
+            let mut named: Vec<&str> = stamps.iter().map(|stamp| &**stamp).collect();
+            prop_assert_eq!(&body[..], &greatest(named.iter().copied())[..]);
+            prop_assert_eq!(named.len() + missing, SHARDS);
+            let shard = |stamp: &str| stamp.split(['@', '-']).next().unwrap_or_default().to_string();
+            named.sort_by_key(|stamp| shard(stamp));
+            named.dedup_by_key(|stamp| shard(stamp));
+            prop_assert_eq!(named.len() + missing, SHARDS, "a shard twice");
+        }
+    }
+}
--- a/crates/fake/src/model/server.rs
+++ b/crates/fake/src/model/server.rs
@@ -100,6 +100,7 @@
             running: self.running,
             waiting: self.queue.len() as u32,
             slots: self.slots,
+            pace: None,
         }
     }
 }
--- a/crates/fake/src/model/told.rs
+++ b/crates/fake/src/model/told.rs
@@ -24,6 +24,7 @@
 pub(super) fn route_table(spec: &PlaySpec) -> RouteTable {
     let shards: Vec<String> = (0..spec.shards).map(|shard| format!("s{shard}")).collect();
     let services = shards.iter().map(|name| ServiceRule {
+        cold_per_s: 0.0,
         name: name.clone(),
         connections: CONNECTIONS,
     });
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -14,11 +14,14 @@
 use wheelmast_core::process::forward::input::{
     AttemptEnd, BundleAnswer, ForwardInput, LoadReport, ServerAnswer,
 };
+use wheelmast_core::request::records::RECORD_BYTES;
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::connection::exchange::{exchange_in_two, ExchangeFailure, WholeAnswer};
 use crate::process::forward::entry::EntryDuty;
-use crate::process::forward::image::{is_hop, render_grant, RequestImage, SHARDS_HEADER};
+use crate::process::forward::image::{
+    is_hop, render_grant, RequestImage, RECORDS_HEADER, SHARDS_HEADER,
+};
 
 /// Longest time a connection may take to open.
 const CONNECT_TIME: Duration = Duration::from_millis(700);
@@ -39,6 +42,8 @@
 struct IdleLink {
     orders: oneshot::Sender<UpstreamOrder>,
     until: Instant,
+    /// The request that it served last.
+    last: Box<str>,
 }
 
 /// The idle connections to all servers.
@@ -51,15 +56,20 @@
     /// Sends a request on an idle connection, or on a new one.
     pub fn send<D: ForwardDialect>(&self, entry: &Rc<EntryDuty<D>>, order: UpstreamOrder) {
         let now = Instant::now();
-        let mut order = order;
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(order.order.server).or_default();
         links.retain(|link| link.until > now && !link.orders.is_closed());
-        while let Some(link) = links.pop() {
-            match link.orders.send(order) {
-                Ok(()) => return,
-                Err(back) => order = back,
+        // A server may answer once more, late, with the id of what it answered.
+        // A request that comes to it a second time, through another entry, must
+        // not meet that on the same connection: nothing would tell them apart.
+        let is_fit = |link: &IdleLink| link.last != order.image.id;
+        if let Some(place) = links.iter().rposition(is_fit) {
+            let link = links.swap_remove(place);
+            drop(idle);
+            if let Err(back) = link.orders.send(order) {
+                self.send(entry, back);
             }
+            return;
         }
         tokio::task::spawn_local(run_link(entry.clone(), order));
     }
@@ -86,12 +96,19 @@
         });
     }
 
-    fn keep(&self, server: ServerKey, until: Instant) -> oneshot::Receiver<UpstreamOrder> {
+    fn keep(
+        &self,
+        server: ServerKey,
+        until: Instant,
+        last: Box<str>,
+    ) -> oneshot::Receiver<UpstreamOrder> {
         let (orders, receiver) = oneshot::channel();
         let mut idle = self.idle.borrow_mut();
-        idle.entry(server)
-            .or_default()
-            .push(IdleLink { orders, until });
+        idle.entry(server).or_default().push(IdleLink {
+            orders,
+            until,
+            last,
+        });
         receiver
     }
 }
@@ -115,9 +132,13 @@
     let took = opened.elapsed();
     entry.step(ForwardInput::Connected { server, took });
     let mut buffer = BytesMut::new();
-    while let Some(keep) = serve(&entry, &mut stream, &mut buffer, order).await {
+    loop {
+        let last = order.image.id.clone();
+        let Some(keep) = serve(&entry, &mut stream, &mut buffer, order).await else {
+            return;
+        };
         let until = Instant::now() + keep;
-        let orders = entry.pool.keep(server, until);
+        let orders = entry.pool.keep(server, until, last);
         entry.pool.tell_idle(&entry, server);
         tokio::select! {
             biased;
@@ -229,15 +250,25 @@
     let id = find(&answer.headers, D::HEADERS.request);
     let stamps = list(&answer.headers, D::HEADERS.parts);
     let shards = list(&answer.headers, SHARDS_HEADER);
+    let counts = list(&answer.headers, RECORDS_HEADER);
+    let counts: Vec<usize> = counts
+        .iter()
+        .filter_map(|count| count.parse().ok())
+        .collect();
+    let is_whole = counts.is_empty()
+        || (counts.len() == shards.len()
+            && counts.iter().sum::<usize>() * RECORD_BYTES == answer.body.len());
     let is_bundle = answer.status == StatusCode::OK.as_u16()
         && id == Some(image.id.as_bytes())
-        && stamps.len() == shards.len();
+        && stamps.len() == shards.len()
+        && is_whole;
     if !is_bundle {
         return (AttemptEnd::Broken, None);
     }
     let bundle = BundleAnswer {
         parts: shards.into_iter().zip(stamps).collect(),
         body: answer.body,
+        counts,
     };
     (AttemptEnd::Bundle(bundle), answer.keep)
 }
@@ -262,7 +293,8 @@
     !is_hop(&name) && name != "content-length" && name != D::HEADERS.load
 }
 
-/// Reads a load report: running, waiting and slots, separated by commas.
+/// Reads a load report: running, waiting and slots, separated by commas; some
+/// servers add how long their work takes at this moment, in hundredths.
 fn read_load(value: &[u8]) -> Option<LoadReport> {
     let mut numbers = std::str::from_utf8(value)
         .ok()?
@@ -272,5 +304,6 @@
         running: numbers.next()??,
         waiting: numbers.next()??,
         slots: numbers.next()??,
+        pace: numbers.next().flatten(),
     })
 }
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -61,6 +61,9 @@
         regions: settings.regions.clone(),
         own: peer.id(),
         extra: settings.extra,
+        cold: settings.cold,
+        pace: settings.pace,
+        far: settings.far,
         seed: rand::random(),
         ..ForwardOptions::default()
     };
--- a/crates/node/src/settings/role.rs
+++ b/crates/node/src/settings/role.rs
@@ -6,7 +6,10 @@
 
 use jsonc_parser::ast::Object;
 use wheelmast_core::finding::{FindingList, FindingPlace};
+use wheelmast_core::process::forward::cold::ColdBound;
 use wheelmast_core::process::forward::extra::ExtraBound;
+use wheelmast_core::process::forward::far::FarWay;
+use wheelmast_core::process::forward::pace::PaceWay;
 use wheelmast_core::process::forward::place::RegionMap;
 
 use crate::settings::reader::ObjectReader;
@@ -73,6 +76,12 @@
     pub tolerate: usize,
     /// Bound on extra load.
     pub extra: ExtraBound,
+    /// Bound on what cold servers get.
+    pub cold: ColdBound,
+    /// How an entry estimates how fast a server is.
+    pub pace: PaceWay,
+    /// How an entry asks for parts of another region beside a near server.
+    pub far: FarWay,
     /// Time without an announcement after which a server counts as silent.
     pub lease: Duration,
     /// Time for a graceful end.
@@ -128,9 +137,13 @@
     let lease = reader.number("lease_ms", 100, 600_000, findings);
     let grace = reader.number("grace_ms", 100, 600_000, findings);
     let plain_every = reader.number("log_plain_every", 1, 1_000_000, findings);
+    let pace = reader.word("server_pace", &PaceWay::WORDS, findings);
+    let far = reader.word("far_parts", &FarWay::WORDS, findings);
     let log_level = reader.word("log_level", &LOG_LEVELS, findings);
     let extra = reader.object("extra_load", findings);
     let extra = extra.map(|extra| read_extra(extra, findings));
+    let cold = reader.object("cold_load", findings);
+    let cold = cold.map(|cold| read_cold(cold, findings));
     let listen = reader.object("listen", findings);
     let listen = listen.map(|listen| read_listen(listen, findings));
     let listen = listen.unwrap_or_default();
@@ -154,6 +167,9 @@
         data_folder,
         tolerate: tolerate.unwrap_or(0) as usize,
         extra: extra.unwrap_or_default(),
+        cold: cold.unwrap_or_default(),
+        pace: pace.map(PaceWay::of_word).unwrap_or_default(),
+        far: far.map(FarWay::of_word).unwrap_or_default(),
         lease: lease.map_or(Duration::from_secs(5), millis),
         grace: grace.map_or(DEFAULT_GRACE, millis),
         log_level: log_level.unwrap_or("info").to_string(),
@@ -197,6 +213,17 @@
     }
 }
 
+fn read_cold(mut reader: ObjectReader<'_, '_>, findings: &mut FindingList) -> ColdBound {
+    let default = ColdBound::default();
+    let excess = reader.decimal("excess", findings);
+    let slack = reader.decimal("slack", findings);
+    reader.finish(findings);
+    ColdBound {
+        excess: excess.unwrap_or(default.excess),
+        slack: slack.unwrap_or(default.slack),
+    }
+}
+
 fn read_extra(mut reader: ObjectReader<'_, '_>, findings: &mut FindingList) -> ExtraBound {
     let default = ExtraBound::default();
     let ratio = reader.decimal("ratio", findings);
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -3,6 +3,7 @@
 mod harness;
 
 mod evacuate;
+mod extra;
 mod relayed;
 mod serve;
 mod soak;
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -169,6 +169,7 @@
             running: 2,
             waiting: 7,
             slots: 2,
+            pace: None,
         }),
         ..answer
     })
