Take the ways for far parts out again; rest a server after several broken answers

Rest: a server that broke one answer off was left alone for 250 ms. Where all servers lose one answer in twelve that is a third of their time, and their requests go to other regions.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -66,8 +66,6 @@
         missing: usize,
         /// The records.
         body: Vec<u8>,
-        /// How many of them each part has, if another entry wants them apart.
-        counts: Vec<usize>,
     },
     /// No server's answer.
     Failure {
--- a/crates/core/src/process/forward/around.rs
+++ b/crates/core/src/process/forward/around.rs
@@ -17,7 +17,6 @@
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
 use crate::process::forward::bundle::{BundlePlan, DIVIDE_ABOVE};
 use crate::process::forward::call::{CallState, PartState, PartStatus, RelayStanding};
-use crate::process::forward::input::BundleForm;
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::relay::SILENT_REST;
 use crate::process::input::CallTag;
@@ -42,8 +41,6 @@
     pub(super) attempts: u32,
     /// When it should have said that it is at work.
     pub(super) due: Duration,
-    /// Whether none is left after it.
-    pub(super) is_last: bool,
 }
 
 impl ForwardMachine {
@@ -60,12 +57,9 @@
         // away were all taken for silent, and a tenth of the requests was lost.
         let ways = way.map_or(left.mul_f64(UNKNOWN_WAY), |way| way * 2);
         let kept = u32::from(state.rule().idempotent);
-        let own = own_attempts(state, parts);
         RelayLoan {
-            attempts: own.saturating_sub(kept).max(1),
+            attempts: own_attempts(state, parts).saturating_sub(kept).max(1),
             due: now + ways + sign_time,
-            // More may still come from the entry that asked for them.
-            is_last: own <= 1 && state.attempts >= state.rule().attempts,
         }
     }
 
@@ -96,9 +90,7 @@
             return;
         };
         let more = own_attempts(state, &relay.parts);
-        // Also where nothing is left: the connection is only of use again once
-        // the entry has its word. Far parts are asked for with their last attempt.
-        if more == 0 && !relay.is_last {
+        if more == 0 {
             return;
         }
         relay.runs += more;
@@ -261,7 +253,6 @@
             choice,
             parts: parts.collect(),
             divides: true,
-            form: BundleForm::Merged,
         };
         if !plan.parts.is_empty() {
             self.send_bundle(call, plan, now, out);
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -88,11 +88,6 @@
                 Some(order) => order.attempts.min(rule.attempts),
                 None => rule.attempts,
             },
-            form: call
-                .relayed
-                .as_ref()
-                .map(|order| order.form)
-                .unwrap_or_default(),
             homes,
             route,
             timing,
--- a/crates/core/src/process/forward/bundle.rs
+++ b/crates/core/src/process/forward/bundle.rs
@@ -18,7 +18,6 @@
 use crate::process::forward::choose::ServerChoice;
 use crate::process::forward::directory::ServerStanding;
 use crate::process::forward::home::HomeSet;
-use crate::process::forward::input::BundleForm;
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::place::PlaceStep;
 use crate::process::rendezvous::rank;
@@ -43,8 +42,6 @@
     pub(super) parts: Vec<usize>,
     /// Whether the entry may divide them further.
     pub(super) divides: bool,
-    /// How the parts are wanted.
-    pub(super) form: BundleForm,
 }
 
 impl ForwardMachine {
@@ -114,7 +111,6 @@
                 choice,
                 parts,
                 divides: false,
-                form: BundleForm::Merged,
             })
         });
         plans.collect()
@@ -152,7 +148,6 @@
                     choice,
                     parts,
                     divides: true,
-                    form: BundleForm::Merged,
                 };
                 best = Some((rank, plan));
             }
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -10,10 +10,9 @@
 use crate::process::forward::answer::AttemptCause;
 use crate::process::forward::expectation::ExpectationBasis;
 use crate::process::forward::home::HomeSet;
-use crate::process::forward::input::{BundleAnswer, BundleForm, ServerAnswer};
+use crate::process::forward::input::ServerAnswer;
 use crate::process::forward::timing::AnswerPlan;
 use crate::process::input::CallTag;
-use crate::request::records::{PartRecord, RecordMerge, RECORD_BYTES};
 use crate::version::route_table::{RouteRule, RouteTable, RouteTarget};
 
 /// Most attempts outstanding for one shard.
@@ -60,9 +59,6 @@
     pub hedge_at: Duration,
     /// Whether another entry was asked for it.
     pub bundled: bool,
-    /// Whether another entry was told the least record of use with its records
-    /// in mind: it stays as it is.
-    pub anchored: bool,
 }
 
 impl PartState {
@@ -78,7 +74,6 @@
             waits: false,
             hedge_at: Duration::MAX,
             bundled: false,
-            anchored: false,
         }
     }
 
@@ -115,8 +110,6 @@
     pub divides: bool,
     /// Servers of each part that it may run on.
     pub attempts: u32,
-    /// How another entry that asked for it wants its parts.
-    pub form: BundleForm,
     /// Where it may be served.
     pub homes: HomeSet,
     /// Whether it counts for repeats.
@@ -182,11 +175,7 @@
 
     /// Makes way for a bundle of these parts: drops the bundles that have some
     /// of them, if it brings more than would be lost. Returns whether it does.
-    /// Nothing that is anchored makes way.
     pub fn make_way(&mut self, taken: &[usize]) -> bool {
-        if taken.iter().any(|part| self.parts[*part].anchored) {
-            return false;
-        }
         let rivals = taken.iter().filter_map(|part| self.parts[*part].bundle());
         let rivals: Vec<SlotKey> = rivals.collect();
         if rivals.is_empty() {
@@ -200,8 +189,7 @@
         let is_in =
             |part: &&usize| matches!(self.parts[**part].status, PartStatus::Answered { .. });
         let gained = taken.len() - taken.iter().filter(is_in).count();
-        let is_kept = lost.iter().any(|part| self.parts[*part].anchored);
-        if is_kept || gained <= lost.len() {
+        if gained <= lost.len() {
             return false;
         }
         for part in lost {
@@ -212,72 +200,6 @@
         true
     }
 
-    /// Iterates over the stamps of the parts that are in.
-    pub fn stamps(&self) -> impl Iterator<Item = &Box<str>> {
-        self.answers().map(|(stamp, _)| stamp)
-    }
-
-    fn answers(&self) -> impl Iterator<Item = (&Box<str>, &Bytes)> {
-        self.parts.iter().filter_map(|part| match &part.status {
-            PartStatus::Answered { stamp, body, .. } => Some((stamp, body)),
-            PartStatus::Open | PartStatus::Missing => None,
-        })
-    }
-
-    /// Returns the greatest records of all parts that are in.
-    pub fn merged(&self) -> Vec<u8> {
-        let mut merge = RecordMerge::new(self.rule().top);
-        for (_, body) in self.answers() {
-            merge.take(body);
-        }
-        merge.finish()
-    }
-
-    /// Returns the records of each part that are of use where the least of use
-    /// is `above`, and their numbers.
-    pub fn apart(&self, above: Option<PartRecord>) -> (Vec<u8>, Vec<usize>) {
-        let mut bytes = Vec::new();
-        let mut counts = Vec::with_capacity(self.answered);
-        for (_, body) in self.answers() {
-            let mut merge = RecordMerge::new(self.rule().top);
-            merge.take(body);
-            let mut records = merge.finish();
-            if let Some(above) = above {
-                let of_use = records.chunks_exact(RECORD_BYTES);
-                let of_use = of_use.take_while(|record| **record >= above[..]);
-                records.truncate(of_use.count() * RECORD_BYTES);
-            }
-            counts.push(records.len() / RECORD_BYTES);
-            bytes.extend(records);
-        }
-        (bytes, counts)
-    }
-
-    /// Takes parts that came with records of their own, at these places; what
-    /// was answered in the meantime stays.
-    pub fn take_apart(&mut self, places: Vec<(usize, &str)>, bundle: &BundleAnswer) {
-        let mut from = 0;
-        for ((place, stamp), count) in places.into_iter().zip(&bundle.counts) {
-            let to = from + count * RECORD_BYTES;
-            let Some(body) = bundle.body.get(from..to) else {
-                return;
-            };
-            from = to;
-            let part = &mut self.parts[place];
-            match part.status {
-                PartStatus::Answered { .. } => continue,
-                PartStatus::Missing => self.missing -= 1,
-                PartStatus::Open => {}
-            }
-            self.answered += 1;
-            part.status = PartStatus::Answered {
-                stamp: stamp.into(),
-                body: bundle.body.slice_ref(body),
-                bundle: None,
-            };
-        }
-    }
-
     /// Tells whether any attempt ran, or may have.
     pub fn may_have_run(&self) -> bool {
         self.parts.iter().any(|part| part.runs > 0)
@@ -323,7 +245,4 @@
     pub relay: RelayStanding,
     /// Key of the route's timing.
     pub timing: usize,
-    /// Whether another entry was asked with the last of the route's attempts, so
-    /// that nothing is left to grant.
-    pub is_last: bool,
 }
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -10,9 +10,10 @@
     AttemptCause, ForwardAction, ForwardAnswer, ForwardDecision, ForwardFailure,
 };
 use crate::process::forward::call::{CallState, PartStatus};
-use crate::process::forward::input::{BundleForm, ServerAnswer};
+use crate::process::forward::input::ServerAnswer;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::input::CallTag;
+use crate::request::records::RecordMerge;
 
 /// Least time after which a refused caller should come back.
 const LEAST_RETRY: Duration = Duration::from_millis(60);
@@ -83,11 +84,14 @@
         let Some(state) = self.take_call(call, ORPHAN_TIME, now, out) else {
             return;
         };
-        let stamps: Vec<Box<str>> = state.stamps().cloned().collect();
-        let (body, counts) = match state.form {
-            BundleForm::Merged => (state.merged(), Vec::new()),
-            BundleForm::Apart { above } => state.apart(above),
-        };
+        let mut merge = RecordMerge::new(state.rule().top);
+        let mut stamps = Vec::with_capacity(state.answered);
+        for part in &state.parts {
+            if let PartStatus::Answered { stamp, body, .. } = &part.status {
+                merge.take(body);
+                stamps.push(stamp.clone());
+            }
+        }
         let missing = state.parts.len() - stamps.len();
         if missing == 0 {
             self.counters.whole += 1;
@@ -105,8 +109,7 @@
             stamps,
             shards,
             missing,
-            body,
-            counts,
+            body: merge.finish(),
         };
         out.push(ForwardAction::Answer {
             call: state.tag,
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -6,12 +6,14 @@
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
 use crate::process::forward::call::PartState;
 use crate::process::forward::choose::ServerChoice;
-use crate::process::forward::far::FarPart;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::forward::place::PlaceStep;
 
 /// Time between two looks at a part that could not be hedged.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
+/// Shards of a route up to which each is worth a far hedge as soon as it is
+/// slow: what is left out of so few costs a tenth of the answer.
+const DEAR_SHARDS: f64 = 20.0;
 /// Fraction of the last requests without room above which a shard gets no
 /// hedges: they would take the room from requests that were let in.
 const HEDGED_SHORTAGE: f64 = 0.1;
@@ -46,68 +48,61 @@
         };
         let count = state.parts.len();
         self.look_after_relays(call, now, out);
-        let mut far = Vec::new();
         for part in 0..count {
-            far.extend(self.hedge_if_slow(call, part, now, out));
-        }
-        if !far.is_empty() {
-            self.send_far(call, far, now, out);
+            self.hedge_if_slow(call, part, now, out);
         }
         self.plan_sweep(call, now);
         self.check_end(call, now, out);
     }
 
-    /// Sends a part once more if it is slow. Returns it if it is to be asked for
-    /// in another region along with others.
     fn hedge_if_slow(
         &mut self,
         call: SlotKey,
         part: usize,
         now: Duration,
         out: &mut Vec<ForwardAction>,
-    ) -> Option<FarPart> {
-        let state = self.calls.get(call)?;
+    ) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
         let most = state.attempts;
         let part_state = &state.parts[part];
         if !part_state.is_open() || part_state.waits || now < part_state.hedge_at {
-            return None;
+            return;
         }
         let is_spent = part_state.runs >= most || part_state.attempts.is_full();
         if is_spent || self.is_with_relay(&state.parts[part]) {
             if let Some(state) = self.calls.get_mut(call) {
                 state.parts[part].hedge_at = Duration::MAX;
             }
-            return None;
+            return;
         }
         if let Some(state) = self.calls.get_mut(call) {
             state.parts[part].hedge_at = now + LOOK_AGAIN;
         }
-        let choice = self.choose_for(call, part, now).ok()?;
+        let Ok(choice) = self.choose_for(call, part, now) else {
+            return;
+        };
         let due = self.far_hedge_due(call, part, choice, now);
         if now < due {
             if let Some(state) = self.calls.get_mut(call) {
                 state.parts[part].hedge_at = due;
             }
-            return None;
+            return;
         }
         if !self.pays(call, part, choice, now) || !self.afford(call, part, now, out) {
-            return None;
+            return;
         }
-        let state = self.calls.get(call)?;
-        let cause = if state.parts[part].attempts.is_empty() {
+        let is_lost = self
+            .calls
+            .get(call)
+            .is_some_and(|state| state.parts[part].attempts.is_empty());
+        let cause = if is_lost {
             AttemptCause::Retry
         } else {
             AttemptCause::Hedge
         };
-        if self.goes_with_others(state, part, choice) {
-            return Some(FarPart {
-                part,
-                cause,
-                choice,
-            });
-        }
         self.send_to(call, part, cause, choice, now, out);
-        None
     }
 
     /// Keeps a part whose repeat the bound on extra load does not allow yet: the
@@ -152,19 +147,11 @@
         let Some(first) = self.first_sent(&state.parts[part]) else {
             return now;
         };
-        let way = self.far_way(choice);
-        let patience = way.patience(state.gathered().len());
-        let needed = choice.expected.mul_f64(HEDGE_MARGIN) + HEDGE_SPARE + way.hop();
+        let count = state.gathered().len() as f64;
+        let patience = (1.0 - DEAR_SHARDS / count).max(0.0);
+        let needed = choice.expected.mul_f64(HEDGE_MARGIN) + HEDGE_SPARE;
         let latest = state.plan.aim.saturating_sub(needed);
         let slow = first + self.timings[state.timing].slow(state.rule());
-        let answers = first + self.expected_of(&state.parts[part]).mul_f64(HEDGE_MARGIN);
-        // What was known to be slow when it was asked is waited for, unless that
-        // would be too long.
-        let slow = if answers < latest {
-            slow.max(answers)
-        } else {
-            slow
-        };
         slow + latest.saturating_sub(slow).mul_f64(patience)
     }
 
@@ -187,14 +174,6 @@
         choice.expected < (now - sent) * 2
     }
 
-    /// Returns the time that was expected of the oldest of a part's attempts.
-    fn expected_of(&self, part: &PartState) -> Duration {
-        let attempts = part.attempts.iter();
-        let mut oldest = attempts.filter_map(|attempt| self.attempts.get(*attempt));
-        let basis = oldest.next().and_then(|attempt| attempt.basis.as_ref());
-        basis.map_or(Duration::ZERO, |basis| basis.expected)
-    }
-
     /// Returns when the oldest of a part's attempts was sent, if any is
     /// outstanding.
     pub(super) fn first_sent(&self, part: &PartState) -> Option<Duration> {
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -10,7 +10,6 @@
 use crate::arena::{ServerKey, SlotKey};
 use crate::process::forward::directory::ServerNotice;
 use crate::process::input::CallTag;
-use crate::request::records::PartRecord;
 use crate::version::route_table::RouteTable;
 
 /// A caller's request, as far as decisions need it.
@@ -42,35 +41,17 @@
     pub earns: bool,
     /// Whether it may divide them among the entries of its own domain.
     pub divides: bool,
-    /// How the parts are wanted.
-    pub form: BundleForm,
     /// The services that hold the shards.
     pub shards: Vec<Arc<str>>,
 }
 
-/// How another entry answers with the parts that it gathered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum BundleForm {
-    /// Their records merged: the greatest of all.
-    #[default]
-    Merged,
-    /// Each part's records by themselves.
-    Apart {
-        /// The least record that is of use, if that is known.
-        above: Option<PartRecord>,
-    },
-}
-
-/// Parts that another entry has gathered.
+/// Parts that another entry has gathered and merged.
 #[derive(Debug, Clone)]
 pub struct BundleAnswer {
     /// Services and stamps of the parts that are in.
     pub parts: Vec<(Box<str>, Box<str>)>,
-    /// Their records.
+    /// Their merged records.
     pub body: Bytes,
-    /// How many records of the body each part has, one after the other; none
-    /// if they are merged.
-    pub counts: Vec<usize>,
 }
 
 /// Another entry instance.
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -23,7 +23,6 @@
 use crate::process::forward::expectation::ExpectationBook;
 use crate::process::forward::extra::{ExtraBound, ExtraBudget};
 use crate::process::forward::fading::FadingShare;
-use crate::process::forward::far::FarWay;
 use crate::process::forward::input::ForwardInput;
 use crate::process::forward::pace::{PaceWay, ServerPace};
 use crate::process::forward::place::{PlaceStep, RegionMap};
@@ -73,8 +72,6 @@
     pub records: bool,
     /// How it is estimated how fast a server is.
     pub pace: PaceWay,
-    /// How parts of another region are asked for beside a near server.
-    pub far: FarWay,
 }
 
 impl Default for ForwardOptions {
@@ -89,7 +86,6 @@
             seed: 1,
             records: true,
             pace: PaceWay::default(),
-            far: FarWay::default(),
         }
     }
 }
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -19,7 +19,6 @@
 pub mod expectation;
 pub mod extra;
 pub mod fading;
-pub mod far;
 mod hedge;
 pub mod home;
 pub mod input;
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -100,7 +100,6 @@
             choice,
             parts,
             divides,
-            form,
         } = plan;
         let entry = &self.servers[choice.server.key()];
         let way = entry.way();
@@ -118,7 +117,6 @@
             attempts: loan.attempts,
             earns: state.earns && parts.iter().all(|part| state.parts[*part].arrivals == 0),
             divides,
-            form,
             shards: shards.collect(),
         };
         let send = AttemptSend {
@@ -127,7 +125,6 @@
             timing: self.relay_timing,
             patience: loan.due.saturating_sub(now),
             runs: loan.attempts,
-            is_last: loan.is_last,
             relay: Some(relay),
             parts,
         };
@@ -137,8 +134,7 @@
     /// Takes the parts that another entry gathered. Their records are merged
     /// and cannot be taken apart: a part among them that a server answered in
     /// the meantime is taken from the bundle instead. Of two bundles that have
-    /// a part in common, the one that brings more is taken. Parts that come
-    /// apart are taken one by one.
+    /// a part in common, the one that brings more is taken.
     pub(super) fn take_bundle(
         &mut self,
         call: SlotKey,
@@ -155,14 +151,7 @@
                 let upstream = state.parts[*part].upstream;
                 *self.upstreams[upstream].name == **shard
             });
-            places.extend(place.map(|place| (place, &**stamp)));
-        }
-        if places.len() != bundle.parts.len() {
-            // It holds parts that were not asked for.
-            return;
-        }
-        if !bundle.counts.is_empty() {
-            return state.take_apart(places, bundle);
+            places.extend(place.map(|place| (place, stamp)));
         }
         let taken: Vec<usize> = places.iter().map(|(place, _)| *place).collect();
         if !state.make_way(&taken) {
@@ -179,7 +168,7 @@
                 PartStatus::Open => state.answered += 1,
             }
             state.parts[place].status = PartStatus::Answered {
-                stamp: stamp.into(),
+                stamp: stamp.clone(),
                 body: std::mem::take(&mut body),
                 bundle: Some(attempt),
             };
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -20,6 +20,9 @@
 /// Time within which an entry that refuses says so; one that takes longer could
 /// not be reached.
 const REFUSAL_TIME: Duration = Duration::from_millis(300);
+/// Fraction of failures among the last answers above which a server that breaks
+/// off one more is left alone for a while: two or three in a row.
+const FAILS_OFTEN: f64 = 0.3;
 /// How many times the typical time an answer takes that is recorded as slow.
 const SLOW_TIMES: u32 = 3;
 
@@ -168,7 +171,11 @@
             EndMeaning::Unsent => server.rest(now),
             EndMeaning::Broken => {
                 server.judged(true);
-                server.rest(now);
+                // One answer that broke off says little: of servers that lose one
+                // in ten, each would rest for a quarter of the time.
+                if state.cause == AttemptCause::Relay || server.failing > FAILS_OFTEN {
+                    server.rest(now);
+                }
             }
         }
         let AttemptEnd::Answer(answer) = end else {
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -30,8 +30,6 @@
     pub(super) patience: Duration,
     /// Servers of each part that it may run on.
     pub(super) runs: u32,
-    /// Whether none of the route's attempts is left after it.
-    pub(super) is_last: bool,
     /// What is asked, if the server is another entry.
     pub(super) relay: Option<RelayOrder>,
 }
@@ -99,7 +97,6 @@
             timing,
             patience: self.servers[choice.server.key()].way() + slow,
             runs: 1,
-            is_last: false,
             relay: None,
         };
         self.send_attempt(call, send, now, out);
@@ -143,7 +140,6 @@
                 Duration::MAX
             },
             relay: RelayStanding::Unheard,
-            is_last: send.is_last,
         });
         state.sends += 1;
         let (tag, gathers) = (state.tag, state.gathers);
--- a/crates/core/src/request/records.rs
+++ b/crates/core/src/request/records.rs
@@ -47,13 +47,6 @@
         }
     }
 
-    /// Returns the least record that is kept, if there are as many as are
-    /// wanted: one below it changes nothing any more.
-    pub fn least(&self) -> Option<PartRecord> {
-        let least = self.kept.peek().filter(|_| self.kept.len() == self.top);
-        least.map(|record| record.0)
-    }
-
     /// Returns the records, greatest first, one after the other.
     pub fn finish(self) -> Vec<u8> {
         let sorted = self.kept.into_sorted_vec();
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -30,9 +30,7 @@
 };
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
 use crate::process::forward::grant::GrantReader;
-use crate::process::forward::image::{
-    read_order, RequestImage, RECORDS_HEADER, RELAY_HEADER, SHARDS_HEADER,
-};
+use crate::process::forward::image::{read_order, RequestImage, RELAY_HEADER, SHARDS_HEADER};
 
 /// Least size of a connection's buffer that the HTTP library takes.
 const LEAST_BUFFER: usize = 8192;
@@ -206,7 +204,6 @@
             shards,
             missing,
             body,
-            counts,
         } => {
             let mut response = Response::builder()
                 .status(StatusCode::OK)
@@ -216,10 +213,6 @@
             if !shards.is_empty() {
                 response = response.header(SHARDS_HEADER, shards.join(WORD_JOIN));
             }
-            if !counts.is_empty() {
-                let counts: Vec<String> = counts.iter().map(usize::to_string).collect();
-                response = response.header(RECORDS_HEADER, counts.join(","));
-            }
             let response = response.body(Full::new(Bytes::from(body)));
             response.unwrap_or_else(|_| failure_response(ForwardFailure::Failed, None))
         }
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -6,15 +6,13 @@
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
 use hyper::{Method, Uri};
-use wheelmast_core::process::forward::input::{BundleForm, RelayOrder};
+use wheelmast_core::process::forward::input::RelayOrder;
 use wheelmast_wire::dialect::ForwardDialect;
 
 /// Header of a request that another entry passed on.
 pub const RELAY_HEADER: &str = "wheelmast-relayed";
 /// Header of an answer to another entry: the shards that are in.
 pub const SHARDS_HEADER: &str = "wheelmast-shards";
-/// Header of an answer to another entry: how many records each shard has.
-pub const RECORDS_HEADER: &str = "wheelmast-records";
 /// Length of what another entry is granted: a digit.
 pub const GRANT_BYTES: usize = 1;
 /// Most attempts that a grant can tell.
@@ -22,7 +20,7 @@
 /// Value of the header that asks for the word to continue.
 const CONTINUE_WORD: &str = "100-continue";
 /// Fields of what another entry is asked for.
-const ORDER_FIELDS: usize = 7;
+const ORDER_FIELDS: usize = 6;
 /// Headers that concern only one connection.
 const HOP_HEADERS: [&str; 9] = [
     "connection",
@@ -126,46 +124,18 @@
 
 /// Writes what another entry is asked for: version of the table, time for the
 /// answer in milliseconds, servers of each shard that it may run on, whether it
-/// counts for repeats (1) or not, whether it may divide or not, the form of the
-/// answer, and the shards.
+/// counts for repeats (1) or not, whether it may divide or not, and the shards.
 fn render_order(order: &RelayOrder) -> String {
     let millis = order.answer_in.as_millis();
     let attempts = order.attempts;
     let (earns, divides) = (u8::from(order.earns), u8::from(order.divides));
-    let form = render_form(order.form);
     let shards = order.shards.join(",");
     format!(
-        "{};{millis};{attempts};{earns};{divides};{form};{shards}",
+        "{};{millis};{attempts};{earns};{divides};{shards}",
         order.version
     )
 }
 
-/// Writes the form of an answer: `m` for merged, `a` for apart, with the least
-/// record of use in hexadecimal digits if there is one.
-fn render_form(form: BundleForm) -> String {
-    match form {
-        BundleForm::Merged => "m".to_string(),
-        BundleForm::Apart { above } => {
-            let digits = above.map(|record| format!("{:032x}", u128::from_be_bytes(record)));
-            format!("a{}", digits.unwrap_or_default())
-        }
-    }
-}
-
-fn read_form(text: &str) -> Option<BundleForm> {
-    if text == "m" {
-        return Some(BundleForm::Merged);
-    }
-    let digits = text.strip_prefix('a')?;
-    if digits.is_empty() {
-        return Some(BundleForm::Apart { above: None });
-    }
-    let record = u128::from_str_radix(digits, 16).ok()?;
-    Some(BundleForm::Apart {
-        above: Some(record.to_be_bytes()),
-    })
-}
-
 /// Reads what another entry asks for.
 pub fn read_order(text: &str) -> Option<RelayOrder> {
     let mut fields = text.splitn(ORDER_FIELDS, ';');
@@ -174,7 +144,6 @@
     let attempts = fields.next()?.parse().ok()?;
     let earns = fields.next()? == "1";
     let divides = fields.next()? == "1";
-    let form = read_form(fields.next()?)?;
     let shards = fields.next()?.split(',').map(Into::into).collect();
     Some(RelayOrder {
         version,
@@ -182,7 +151,6 @@
         attempts,
         earns,
         divides,
-        form,
         shards,
     })
 }
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -14,14 +14,11 @@
 use wheelmast_core::process::forward::input::{
     AttemptEnd, BundleAnswer, ForwardInput, LoadReport, ServerAnswer,
 };
-use wheelmast_core::request::records::RECORD_BYTES;
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::connection::exchange::{exchange_in_two, ExchangeFailure, WholeAnswer};
 use crate::process::forward::entry::EntryDuty;
-use crate::process::forward::image::{
-    is_hop, render_grant, RequestImage, RECORDS_HEADER, SHARDS_HEADER,
-};
+use crate::process::forward::image::{is_hop, render_grant, RequestImage, SHARDS_HEADER};
 
 /// Longest time a connection may take to open.
 const CONNECT_TIME: Duration = Duration::from_millis(700);
@@ -250,25 +247,15 @@
     let id = find(&answer.headers, D::HEADERS.request);
     let stamps = list(&answer.headers, D::HEADERS.parts);
     let shards = list(&answer.headers, SHARDS_HEADER);
-    let counts = list(&answer.headers, RECORDS_HEADER);
-    let counts: Vec<usize> = counts
-        .iter()
-        .filter_map(|count| count.parse().ok())
-        .collect();
-    let is_whole = counts.is_empty()
-        || (counts.len() == shards.len()
-            && counts.iter().sum::<usize>() * RECORD_BYTES == answer.body.len());
     let is_bundle = answer.status == StatusCode::OK.as_u16()
         && id == Some(image.id.as_bytes())
-        && stamps.len() == shards.len()
-        && is_whole;
+        && stamps.len() == shards.len();
     if !is_bundle {
         return (AttemptEnd::Broken, None);
     }
     let bundle = BundleAnswer {
         parts: shards.into_iter().zip(stamps).collect(),
         body: answer.body,
-        counts,
     };
     (AttemptEnd::Bundle(bundle), answer.keep)
 }
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -63,7 +63,6 @@
         extra: settings.extra,
         cold: settings.cold,
         pace: settings.pace,
-        far: settings.far,
         seed: rand::random(),
         ..ForwardOptions::default()
     };
--- a/crates/node/src/settings/role.rs
+++ b/crates/node/src/settings/role.rs
@@ -8,7 +8,6 @@
 use wheelmast_core::finding::{FindingList, FindingPlace};
 use wheelmast_core::process::forward::cold::ColdBound;
 use wheelmast_core::process::forward::extra::ExtraBound;
-use wheelmast_core::process::forward::far::FarWay;
 use wheelmast_core::process::forward::pace::PaceWay;
 use wheelmast_core::process::forward::place::RegionMap;
 
@@ -80,8 +79,6 @@
     pub cold: ColdBound,
     /// How an entry estimates how fast a server is.
     pub pace: PaceWay,
-    /// How an entry asks for parts of another region beside a near server.
-    pub far: FarWay,
     /// Time without an announcement after which a server counts as silent.
     pub lease: Duration,
     /// Time for a graceful end.
@@ -138,7 +135,6 @@
     let grace = reader.number("grace_ms", 100, 600_000, findings);
     let plain_every = reader.number("log_plain_every", 1, 1_000_000, findings);
     let pace = reader.word("server_pace", &PaceWay::WORDS, findings);
-    let far = reader.word("far_parts", &FarWay::WORDS, findings);
     let log_level = reader.word("log_level", &LOG_LEVELS, findings);
     let extra = reader.object("extra_load", findings);
     let extra = extra.map(|extra| read_extra(extra, findings));
@@ -169,7 +165,6 @@
         extra: extra.unwrap_or_default(),
         cold: cold.unwrap_or_default(),
         pace: pace.map(PaceWay::of_word).unwrap_or_default(),
-        far: far.map(FarWay::of_word).unwrap_or_default(),
         lease: lease.map_or(Duration::from_secs(5), millis),
         grace: grace.map_or(DEFAULT_GRACE, millis),
         log_level: log_level.unwrap_or("info").to_string(),
