Foretell the pauses of servers that pause at an interval

Hypothesis: servers pause for as long as an objective, each at its own time, at one interval; a part that is asked of a server that pauses comes too late or is repeated in another region, and three in five of these repeats come after the near answer.

Change: pause.rs. All late answers vote on the interval; a server's own pauses are foretold once three agree, dropped when two do not come. The wait counts in what is expected of a server. The way that stood, by the age of the oldest request, is named in the settings (server_pauses).

Tests: core/tests/forward/pauses.rs (intervals of 3 and 6 s, none, one that ends), fake/tests/plays/pauses.rs.

Beside it: the bound on extra load takes its pace as an argument in place of two functions, and the plays of the model share what stood in each of them.

--- a/crates/core/src/process/forward/extra.rs
+++ b/crates/core/src/process/forward/extra.rs
@@ -32,6 +32,18 @@
     }
 }
 
+/// How quickly the bound may be spent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SpendPace {
+    /// All of it at once.
+    Any,
+    /// In half a window half of what is earned: the load shifts between entries.
+    /// An entry that had the requests of others while these were restarted must
+    /// not spend at once what they earned, as the others earn by the same
+    /// callers again.
+    Halved,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct StepCount {
     step: u64,
@@ -52,30 +64,32 @@
     }
 
     /// Takes one extra arrival if the bound leaves room, for one of `entries`.
-    pub fn take(&mut self, bound: &ExtraBound, entries: u32, now: Duration) -> bool {
-        if self.room(bound, entries, now) < 1.0 {
+    pub fn take(
+        &mut self,
+        bound: &ExtraBound,
+        entries: u32,
+        pace: SpendPace,
+        now: Duration,
+    ) -> bool {
+        let (allowed, spent) = self.account(bound, entries, now);
+        let has_room = spent + 1.0 <= allowed;
+        let keeps_pace = pace == SpendPace::Any || self.spends_slowly(bound, entries, allowed, now);
+        if !has_room || !keeps_pace {
             return false;
         }
         self.slot(bound, now).extras += 1;
         true
     }
 
-    /// Takes one like [`ExtraBudget::take`], while the load shifts between
-    /// entries: half a window spends half of what is earned. An entry that had
-    /// the requests of others while these were restarted must not spend at once
-    /// what they earned, as the others earn by the same callers again.
-    pub fn take_slowly(&mut self, bound: &ExtraBound, entries: u32, now: Duration) -> bool {
-        let (allowed, spent) = self.account(bound, entries, now);
+    /// Tells whether one more in the newer half of the window is within half of
+    /// what is earned.
+    fn spends_slowly(&self, bound: &ExtraBound, entries: u32, allowed: f64, now: Duration) -> bool {
         let part = bound.slack / f64::from(entries.max(1));
         let newer = step_of(bound, now).saturating_sub(STEPS as u64 / 2);
         let live = self.steps.iter().filter(|count| count.step > newer);
         let recent: u32 = live.map(|count| count.extras).sum();
         let usable = (part + (allowed - part) * HALF_PART).max(1.0);
-        if spent + 1.0 > allowed || f64::from(recent) + 1.0 > usable {
-            return false;
-        }
-        self.slot(bound, now).extras += 1;
-        true
+        f64::from(recent) + 1.0 <= usable
     }
 
     /// Returns how many extra arrivals the bound leaves room for.
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -6,6 +6,7 @@
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
 use crate::process::forward::call::PartState;
 use crate::process::forward::choose::ServerChoice;
+use crate::process::forward::extra::SpendPace;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::forward::place::PlaceStep;
 
@@ -199,12 +200,12 @@
         let (tag, upstream) = (state.tag, state.parts[part].upstream);
         let (bound, entries) = (self.options.extra, self.entries);
         let budget = &mut self.upstreams[upstream].budget;
-        let is_taken = if now < self.shifts_until {
-            budget.take_slowly(&bound, entries, now)
+        let pace = if now < self.shifts_until {
+            SpendPace::Halved
         } else {
-            budget.take(&bound, entries, now)
+            SpendPace::Any
         };
-        if is_taken {
+        if budget.take(&bound, entries, pace, now) {
             return true;
         }
         self.counters.unaffordable += 1;
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -25,6 +25,7 @@
 use crate::process::forward::fading::FadingShare;
 use crate::process::forward::input::ForwardInput;
 use crate::process::forward::pace::{PaceWay, ServerPace};
+use crate::process::forward::pause::{IntervalVote, PauseWay};
 use crate::process::forward::place::{PlaceStep, RegionMap};
 use crate::process::forward::server::ServerState;
 use crate::process::forward::split::SplitCounter;
@@ -72,6 +73,8 @@
     pub records: bool,
     /// How it is estimated how fast a server is.
     pub pace: PaceWay,
+    /// How pauses of servers are met.
+    pub pauses: PauseWay,
 }
 
 impl Default for ForwardOptions {
@@ -86,6 +89,7 @@
             seed: 1,
             records: true,
             pace: PaceWay::default(),
+            pauses: PauseWay::default(),
         }
     }
 }
@@ -143,6 +147,8 @@
     pub(super) timers: TimerHeap<ForwardTimer>,
     pub(super) counters: ForwardCounters,
     pub(super) expectations: ExpectationBook,
+    /// What the servers say of the interval of their pauses.
+    pub(super) pause_vote: IntervalVote,
     /// When a request may be let in again that depends on doubtful shards.
     pub(super) probe_at: Duration,
     /// Until when the load is taken to shift between entries.
@@ -178,6 +184,7 @@
             timers: TimerHeap::default(),
             counters: ForwardCounters::default(),
             expectations: ExpectationBook::default(),
+            pause_vote: IntervalVote::default(),
             probe_at: Duration::ZERO,
             shifts_until: Duration::ZERO,
             clock: Duration::ZERO,
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -24,6 +24,7 @@
 pub mod input;
 pub mod machine;
 pub mod pace;
+pub mod pause;
 pub mod place;
 mod relay;
 mod reply;
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -10,7 +10,9 @@
 use crate::process::forward::input::{AttemptEnd, ServerAnswer};
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::pace::PaceEstimate;
+use crate::process::forward::pause::{IntervalVote, PauseWay, LATE_BY};
 use crate::process::forward::relay::SILENT_REST;
+use crate::process::forward::server::ServerState;
 use crate::process::input::CallTag;
 
 /// Status of a server that is not the one that was meant.
@@ -94,6 +96,28 @@
     }
 }
 
+/// Takes note of when a server paused, or did not, by the time of an answer.
+/// One that waited behind others says nothing of that.
+fn learn_pause(
+    server: &mut ServerState,
+    state: &ForwardAttempt,
+    end: &AttemptEnd,
+    vote: &mut IntervalVote,
+    now: Duration,
+) {
+    if queue_factor(end) > 1.0 {
+        return;
+    }
+    let came = state.sent_at + server.way() / 2;
+    let work = server.work(state.typical, now);
+    let begun = now.saturating_sub(server.way() / 2 + work).max(came);
+    if begun < came + LATE_BY + work * 2 {
+        server.pauses.prompt(begun, vote.interval());
+    } else {
+        server.pauses.late(came, begun, vote);
+    }
+}
+
 impl PartState {
     /// Takes an attempt back out of the counts, if it did not run.
     fn uncount(&mut self, meaning: EndMeaning, runs: u32) {
@@ -153,6 +177,9 @@
                 if let Some(pace) = told_pace(end) {
                     server.pace.told(pace, now);
                 }
+                if state.basis.is_some() && self.options.pauses == PauseWay::Foretold {
+                    learn_pause(server, state, end, &mut self.pause_vote, now);
+                }
                 server.answered(alone, state.typical, now);
                 server.judged(false);
                 self.timings[state.timing].add(work);
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -12,6 +12,7 @@
 use crate::process::forward::home::RegionKey;
 use crate::process::forward::input::LoadReport;
 use crate::process::forward::pace::{PaceEstimate, PaceWay, ServerPace};
+use crate::process::forward::pause::PauseBook;
 use crate::process::forward::place::PlaceStep;
 
 /// Weight of a new sample in the moving average of failures.
@@ -73,6 +74,8 @@
     pub idle: u32,
     /// How fast it is against its peers.
     pub pace: ServerPace,
+    /// When it pauses.
+    pub pauses: PauseBook,
     /// Fraction of failures among the last answers.
     pub failing: f64,
     /// Until when it is left alone.
@@ -107,6 +110,7 @@
             outstanding: Vec::new(),
             idle: 0,
             pace: ServerPace::new(PaceWay::default()),
+            pauses: PauseBook::default(),
             failing: 0.0,
             rest_until: Duration::ZERO,
             answered_at: Duration::ZERO,
@@ -217,8 +221,8 @@
     }
 
     /// Returns the time to expect for a request that takes `typical` at an
-    /// idle server of the service.
-    pub fn expect(&self, typical: Duration, now: Duration) -> Duration {
+    /// idle server of the service, where servers pause at `interval`.
+    pub fn expect(&self, typical: Duration, interval: Option<Duration>, now: Duration) -> Duration {
         let work = self.work(typical, now);
         let slots = f64::from(self.slots.max(1));
         let ahead = self.ahead(now);
@@ -232,7 +236,8 @@
         } else {
             Duration::ZERO
         };
-        self.way + work + work.mul_f64(queue) + pause
+        let foretold = self.pauses.wait(now + self.way / 2, work, interval);
+        self.way + work + work.mul_f64(queue) + pause.max(foretold)
     }
 
     /// Returns what the expectation of a request sent now is made of.
--- a/crates/core/tests/forward/chance.rs
+++ b/crates/core/tests/forward/chance.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use wheelmast_core::process::forward::answer::ForwardAnswer;
 use wheelmast_core::process::forward::directory::{ServerDirectory, ServerNotice, ServerStanding};
-use wheelmast_core::process::forward::extra::{ExtraBound, ExtraBudget};
+use wheelmast_core::process::forward::extra::{ExtraBound, ExtraBudget, SpendPace};
 use wheelmast_core::process::forward::input::{AttemptEnd, ForwardInput, ServerAnswer};
 use wheelmast_core::process::forward::split::SplitCounter;
 use wheelmast_core::process::input::CallTag;
@@ -174,7 +174,7 @@
             now += Duration::from_millis(gap);
             entries[entry].request(&bound, now);
             requests.push(now);
-            if wants && entries[entry].take(&bound, 5, now) {
+            if wants && entries[entry].take(&bound, 5, SpendPace::Any, now) {
                 extras.push(now);
             }
             let begin = now - bound.window;
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -14,6 +14,7 @@
 mod homes;
 mod merged;
 mod parts;
+mod pauses;
 mod places;
 mod reborn;
 mod remember;
--- a/crates/fake/src/model/entry.rs
+++ b/crates/fake/src/model/entry.rs
@@ -39,6 +39,7 @@
             own: peer.id(),
             extra: spec.extra,
             seed,
+            pauses: spec.pause_way,
             records: false,
             ..ForwardOptions::default()
         };
--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -81,11 +81,17 @@
 
 impl<'a> PlayState<'a> {
     fn new(spec: &'a PlaySpec, seed: u64) -> PlayState<'a> {
+        // Drawn apart from the rest: a play without pauses stays as it was.
+        let mut phases = SmallRng::seed_from_u64(seed);
         let mut servers = Vec::new();
         for shard in 0..spec.shards {
             for domain in 0..DOMAINS.len() {
                 let id = format!("s{shard}-{domain}");
                 let mut server = ModelServer::new(id, domain, spec.slots, spec.queue);
+                server.pauses = spec.pauses.map(|pauses| {
+                    let first = pauses.every.mul_f64(phases.random());
+                    (pauses, first)
+                });
                 let hits = spec
                     .faults
                     .iter()
--- a/crates/fake/src/model/server.rs
+++ b/crates/fake/src/model/server.rs
@@ -7,7 +7,7 @@
 use wheelmast_core::process::forward::input::LoadReport;
 use wheelmast_core::process::input::CallTag;
 
-use crate::model::spec::ServerEffect;
+use crate::model::spec::{PauseSpec, ServerEffect};
 
 /// Place of a job among all of a play.
 pub(super) type JobKey = usize;
@@ -38,6 +38,8 @@
     /// Place of its failure domain.
     pub(super) domain: usize,
     pub(super) faults: Vec<(Duration, Duration, ServerEffect)>,
+    /// Its pauses, with the time of the first one.
+    pub(super) pauses: Option<(PauseSpec, Duration)>,
     slots: u32,
     room: usize,
     pub(super) running: u32,
@@ -50,6 +52,7 @@
             id,
             domain,
             faults: Vec::new(),
+            pauses: None,
             slots,
             room,
             running: 0,
@@ -87,6 +90,22 @@
         parts.fold(1.0, f64::max)
     }
 
+    /// Returns how long work of this length takes that begins now, with the
+    /// pauses that come in it.
+    pub(super) fn with_pauses(&self, work: Duration, now: Duration) -> Duration {
+        let Some((spec, first)) = self.pauses else {
+            return work;
+        };
+        let every = spec.every.as_secs_f64();
+        let since = (now.as_secs_f64() - first.as_secs_f64()).rem_euclid(every);
+        let since = Duration::from_secs_f64(since);
+        let left = spec.length.saturating_sub(since);
+        if left.is_zero() && since + work > spec.every {
+            return work + spec.length;
+        }
+        work + left
+    }
+
     pub(super) fn has_slot(&self) -> bool {
         self.running < self.slots
     }
--- a/crates/fake/src/model/spec.rs
+++ b/crates/fake/src/model/spec.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use wheelmast_core::process::forward::extra::ExtraBound;
+use wheelmast_core::process::forward::pause::PauseWay;
 
 /// A kind of request; all are gathered over the same shards.
 #[derive(Debug, Clone)]
@@ -54,6 +55,16 @@
     pub effect: ServerEffect,
 }
 
+/// Pauses of the servers: each stands still at an interval, from a time of its
+/// own on.
+#[derive(Debug, Clone, Copy)]
+pub struct PauseSpec {
+    /// Time from one pause to the next.
+    pub every: Duration,
+    /// How long one lasts.
+    pub length: Duration,
+}
+
 /// Entries that are cut off from everything for some time. The balancer sends
 /// no callers there meanwhile.
 #[derive(Debug, Clone)]
@@ -75,6 +86,10 @@
     pub faults: Vec<FaultSpec>,
     /// Entries that are cut off.
     pub cuts: Vec<CutSpec>,
+    /// Pauses of the servers, if they pause.
+    pub pauses: Option<PauseSpec>,
+    /// How the entries meet them.
+    pub pause_way: PauseWay,
     /// Entries in each of the two failure domains.
     pub entries: usize,
     /// Entries in a third failure domain, which has no servers.
@@ -130,6 +145,8 @@
             kinds: vec![sweep, lookup],
             faults: Vec::new(),
             cuts: Vec::new(),
+            pauses: None,
+            pause_way: PauseWay::default(),
             entries: 4,
             outlying: 0,
             shards: 20,
--- a/crates/fake/src/model/work.rs
+++ b/crates/fake/src/model/work.rs
@@ -58,7 +58,8 @@
         // The mean of the distribution is one.
         let factor = LogNormal::new(-spread * spread / 2.0, spread)
             .map_or(1.0, |factor| factor.sample(&mut self.rng));
-        let takes = Duration::from_secs_f64(mean * slowness * factor);
+        let work = Duration::from_secs_f64(mean * slowness * factor);
+        let takes = self.servers[self.jobs[job].server].with_pauses(work, self.now);
         self.events
             .push(self.now + takes, PlayEvent::Finish { job });
     }
--- a/crates/fake/tests/load.rs
+++ b/crates/fake/tests/plays/load.rs
@@ -6,8 +6,8 @@
 use wheelmast_fake::model::spec::{CutSpec, FaultSpec, PlaySpec, ServerEffect};
 use wheelmast_fake::model::tally::PlayTally;
 
-/// Plays of each case.
-const SEEDS: std::ops::Range<u64> = 0..4;
+use crate::support::{play_all, shares, SEEDS};
+
 /// Number of shards of the deployment.
 const SHARDS: usize = 20;
 
@@ -90,27 +90,17 @@
     },
 ];
 
-fn play_all(case: &LoadCase) -> Vec<PlayTally> {
-    let spec = PlaySpec {
+fn play_case(case: &LoadCase) -> Vec<PlayTally> {
+    play_all(&PlaySpec {
         faults: (case.faults)(),
         ..PlaySpec::of_today()
-    };
-    SEEDS.map(|seed| play(&spec, seed)).collect()
-}
-
-fn mean(tallies: &[PlayTally], of: impl Fn(&PlayTally) -> f64) -> f64 {
-    tallies.iter().map(of).sum::<f64>() / tallies.len() as f64
+    })
 }
 
 #[test]
 fn callers_get_what_the_servers_can_give() {
     for case in CASES {
-        let tallies = play_all(case);
-        let shares = [
-            mean(&tallies, PlayTally::share),
-            mean(&tallies, |tally| tally.kinds[0].share()),
-            mean(&tallies, |tally| tally.kinds[1].share()),
-        ];
+        let shares = shares(&play_case(case));
         println!("{}: {shares:.3?}, before {:?}", case.name, case.before);
         for (share, least) in shares.iter().zip(case.least) {
             assert!(*share >= least, "{}: {shares:?}", case.name);
@@ -122,7 +112,7 @@
 fn promises_hold_under_every_load() {
     for case in CASES {
         let spec = PlaySpec::of_today();
-        for tally in play_all(case) {
+        for tally in play_case(case) {
             assert_eq!(tally.false_refusals, 0, "{}", case.name);
             assert_eq!(tally.left, 0, "{}: every request ends", case.name);
             for kind in &tally.kinds {
--- /dev/null
+++ b/crates/fake/tests/plays/main.rs
@@ -0,0 +1,7 @@
+//! Plays of the core in virtual time, without a network: what callers get.
+
+mod support;
+
+mod load;
+mod pauses;
+mod silent;
--- a/crates/fake/tests/silent.rs
+++ b/crates/fake/tests/plays/silent.rs
@@ -3,12 +3,11 @@
 
 use std::time::Duration;
 
-use wheelmast_fake::model::play;
 use wheelmast_fake::model::spec::{CutSpec, PlaySpec};
 use wheelmast_fake::model::tally::PlayTally;
 
-/// Plays of each case.
-const SEEDS: std::ops::Range<u64> = 0..4;
+use crate::support::{play_all, shares};
+
 /// Entries of the deployment that ask servers; those after them have none near.
 const INNER: usize = 48;
 /// All entries.
@@ -58,7 +57,7 @@
     (0..count).map(cut).collect()
 }
 
-fn play_all(case: &SilentCase) -> Vec<PlayTally> {
+fn play_case(case: &SilentCase) -> Vec<PlayTally> {
     let spec = PlaySpec {
         cuts: cuts(case.cut),
         length: Duration::from_secs(6),
@@ -66,22 +65,13 @@
     };
     assert_eq!(spec.entries * 2 + spec.outlying, ENTRIES);
     assert_eq!(spec.entries * 2, INNER);
-    SEEDS.map(|seed| play(&spec, seed)).collect()
-}
-
-fn mean(tallies: &[PlayTally], of: impl Fn(&PlayTally) -> f64) -> f64 {
-    tallies.iter().map(of).sum::<f64>() / tallies.len() as f64
+    play_all(&spec)
 }
 
 #[test]
 fn callers_of_other_entries_are_served_in_time() {
     for case in CASES {
-        let tallies = play_all(case);
-        let shares = [
-            mean(&tallies, PlayTally::share),
-            mean(&tallies, |tally| tally.kinds[0].share()),
-            mean(&tallies, |tally| tally.kinds[1].share()),
-        ];
+        let shares = shares(&play_case(case));
         println!("{}: {shares:.3?}, before {:?}", case.name, case.before);
         for (share, least) in shares.iter().zip(case.least) {
             assert!(*share >= least, "{}: {shares:?}", case.name);
@@ -92,7 +82,7 @@
 #[test]
 fn a_part_runs_no_more_often_than_its_route_allows() {
     for case in CASES {
-        for tally in play_all(case) {
+        for tally in play_case(case) {
             assert_eq!(tally.over_attempts, 0, "{}", case.name);
             assert_eq!(tally.false_refusals, 0, "{}", case.name);
             assert_eq!(tally.left, 0, "{}: every request ends", case.name);
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -61,7 +61,7 @@
         // not meet that on the same connection: nothing would tell them apart.
         let is_fit = |link: &IdleLink| link.last != order.image.id;
         if let Some(place) = links.iter().rposition(is_fit) {
-            let link = links.swap_remove(place);
+            let link = links.remove(place);
             drop(idle);
             if let Err(back) = link.orders.send(order) {
                 self.send(entry, back);
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -63,6 +63,7 @@
         extra: settings.extra,
         cold: settings.cold,
         pace: settings.pace,
+        pauses: settings.pauses,
         seed: rand::random(),
         ..ForwardOptions::default()
     };
--- a/crates/node/src/settings/role.rs
+++ b/crates/node/src/settings/role.rs
@@ -9,6 +9,7 @@
 use wheelmast_core::process::forward::cold::ColdBound;
 use wheelmast_core::process::forward::extra::ExtraBound;
 use wheelmast_core::process::forward::pace::PaceWay;
+use wheelmast_core::process::forward::pause::PauseWay;
 use wheelmast_core::process::forward::place::RegionMap;
 
 use crate::settings::reader::ObjectReader;
@@ -79,6 +80,8 @@
     pub cold: ColdBound,
     /// How an entry estimates how fast a server is.
     pub pace: PaceWay,
+    /// How an entry meets pauses of servers.
+    pub pauses: PauseWay,
     /// Time without an announcement after which a server counts as silent.
     pub lease: Duration,
     /// Time for a graceful end.
@@ -135,6 +138,7 @@
     let grace = reader.number("grace_ms", 100, 600_000, findings);
     let plain_every = reader.number("log_plain_every", 1, 1_000_000, findings);
     let pace = reader.word("server_pace", &PaceWay::WORDS, findings);
+    let pauses = reader.word("server_pauses", &PauseWay::WORDS, findings);
     let log_level = reader.word("log_level", &LOG_LEVELS, findings);
     let extra = reader.object("extra_load", findings);
     let extra = extra.map(|extra| read_extra(extra, findings));
@@ -165,6 +169,7 @@
         extra: extra.unwrap_or_default(),
         cold: cold.unwrap_or_default(),
         pace: pace.map(PaceWay::of_word).unwrap_or_default(),
+        pauses: pauses.map(PauseWay::of_word).unwrap_or_default(),
         lease: lease.map_or(Duration::from_secs(5), millis),
         grace: grace.map_or(DEFAULT_GRACE, millis),
         log_level: log_level.unwrap_or("info").to_string(),
