--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -19,7 +19,9 @@
 const JITTER: f64 = 0.15;
 /// What an answer from another region costs, as a part of the objective: bytes
 /// between regions are dear, and a near server that answers in time is as good.
-const FAR_COST: f64 = 0.3;
+/// On 15 plays of a deployment whose ways between regions are a sixth of the
+/// objective, 0.4, 0.3 and 0.2 earned 0.642, 0.652 and 0.656 of the worth.
+const FAR_COST: f64 = 0.2;
 /// The same for another failure domain of the region, whose bytes cost a quarter
 /// on a deployment of six domains in three regions.
 const REGION_COST: f64 = 0.075;
@@ -112,7 +114,7 @@
                 continue;
             }
             candidates += 1;
-            let expected = state.expect(times.typical, now);
+            let expected = state.expect(times.typical, self.pause_vote.interval(), now);
             let jitter = 1.0 + JITTER * self.rng.random::<f64>();
             let failing = repeat.map_or(FAILING_COST, |repeat| expected + repeat);
             let doubt = doubts(state, times, failing, now);
