Tell the account of the shifted work; document the route table

A page on the route table with an example that a test reads, the decisions with their figures, the wait for what is played before a landing. The plays of the model check their shares in one place. No decision changed; not measured.

--- a/crates/fake/tests/plays/load.rs
+++ b/crates/fake/tests/plays/load.rs
@@ -6,7 +6,7 @@
 use wheelmast_fake::model::spec::{CutSpec, FaultSpec, PlaySpec, ServerEffect};
 use wheelmast_fake::model::tally::PlayTally;
 
-use crate::support::{play_all, shares, SEEDS};
+use crate::support::{check_shares, play_all, shares, SEEDS};
 
 /// Number of shards of the deployment.
 const SHARDS: usize = 20;
@@ -102,9 +102,7 @@
     for case in CASES {
         let shares = shares(&play_case(case));
         println!("{}: {shares:.3?}, before {:?}", case.name, case.before);
-        for (share, least) in shares.iter().zip(case.least) {
-            assert!(*share >= least, "{}: {shares:?}", case.name);
-        }
+        check_shares(case.name, shares, case.least);
     }
 }
 
--- a/crates/fake/tests/plays/silent.rs
+++ b/crates/fake/tests/plays/silent.rs
@@ -6,7 +6,7 @@
 use wheelmast_fake::model::spec::{CutSpec, PlaySpec};
 use wheelmast_fake::model::tally::PlayTally;
 
-use crate::support::{play_all, shares};
+use crate::support::{check_shares, play_all, shares};
 
 /// Entries of the deployment that ask servers; those after them have none near.
 const INNER: usize = 48;
@@ -73,9 +73,7 @@
     for case in CASES {
         let shares = shares(&play_case(case));
         println!("{}: {shares:.3?}, before {:?}", case.name, case.before);
-        for (share, least) in shares.iter().zip(case.least) {
-            assert!(*share >= least, "{}: {shares:?}", case.name);
-        }
+        check_shares(case.name, shares, case.least);
     }
 }
 
--- a/crates/fake/tests/plays/support.rs
+++ b/crates/fake/tests/plays/support.rs
@@ -26,3 +26,10 @@
         mean(tallies, |tally| tally.kinds[1].share()),
     ]
 }
+
+/// Checks that each part is as great as it must be.
+pub(crate) fn check_shares(name: &str, shares: [f64; 3], least: [f64; 3]) {
+    for (share, least) in shares.iter().zip(least) {
+        assert!(*share >= least, "{name}: {shares:?}");
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/routes_page.rs
@@ -0,0 +1,24 @@
+//! The page on the route table shows one that is read and checked.
+
+use wheelmast_core::version::route_table::{RouteTable, RouteTarget};
+use wheelmast_wire::dialect::ForwardDialect;
+use wheelmast_wire::native::NativeDialect;
+
+const PAGE: &str = include_str!("../../../docs/ROUTES.md");
+
+#[test]
+fn the_example_of_the_page_is_a_route_table() {
+    let (_, rest) = PAGE.split_once("```json\n").expect("an example");
+    let (text, _) = rest.split_once("```").expect("its end");
+    let draft = NativeDialect::read_table(text.as_bytes()).expect("it is read");
+    let table = RouteTable::check(draft).expect("it has no findings");
+    let route = &table.routes()[0];
+    assert_eq!(route.homes, ["north"]);
+    assert!(matches!(&route.target, RouteTarget::Gather(names) if names.len() == 2));
+    let cold: Vec<f64> = table
+        .services()
+        .iter()
+        .map(|service| service.cold_per_s)
+        .collect();
+    assert_eq!(cold, [10.0, 0.0]);
+}
