--- a/crates/core/src/process/forward/home.rs
+++ b/crates/core/src/process/forward/home.rs
@@ -5,7 +5,7 @@
 //! domain out of use. Both bind each send, whatever its cause: first sends,
 //! repeats, hedges, parts passed on to other entries.
 //!
-//! A send needs a [`PermittedServer`], and only [`HomeSet::permit`] makes one.
+//! A send needs a `PermittedServer`, and only the set of a route's homes makes one.
 //! So a new cause of sends cannot forget to ask.
 
 use crate::arena::ServerKey;
