Let an order that finds what it asks for count against older ones

Cause, found while orders on failure domains were put into the soak: an order that changed nothing left no trace in the log. An instance that was cut off could hold up the beginning of an evacuation; its operator then took the domain back, which was in use and acknowledged as such; the beginning came later, on the same revision, and stood.

Change: each order that stands takes a new revision, also one that finds what it asks for; what was based on an older one is a conflict, and whoever passed it on tries again while its operator waits. Ruled out: a time on each order (clocks differ).

--- a/crates/core/src/process/control/evacuation.rs
+++ b/crates/core/src/process/control/evacuation.rs
@@ -1,10 +1,11 @@
 //! Failure domains that operators took out of use, as the log keeps them.
 //!
 //! An order may be sent more than once and come late: an instance that was cut
-//! off passes on what it held long after the operator gave up. So each change
-//! names the last change of its failure domain that it knows. One that knows an
-//! older one changes nothing, and whoever passed it on tries again while its
-//! operator still waits.
+//! off passes on what it held long after the operator gave up. So each order
+//! names the last one on its failure domain that is known. One that knows an older
+//! one changes nothing, and whoever passed it on tries again while its operator
+//! still waits. An order that finds what it asks for counts as well: what was held
+//! up before it must not undo it once it was acknowledged.
 
 use std::collections::BTreeMap;
 
@@ -14,14 +15,14 @@
 /// keeps an operator's slip in a script from filling the disk.
 pub const MOST_DOMAINS: usize = 1024;
 
-/// A change of whether a failure domain is in use.
+/// An order on whether a failure domain is in use.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationChange {
     /// The failure domain.
     pub domain: Box<str>,
     /// Whether it is to be out of use.
     pub evacuated: bool,
-    /// Revision of its last change that is known; 0 for none.
+    /// Revision of the last order on it that is known; 0 for none.
     pub base: u64,
 }
 
@@ -30,7 +31,7 @@
 pub enum EvacuationOutcome {
     /// It is so, since this revision.
     Stands(u64),
-    /// It was based on another revision than this, the last of its domain.
+    /// It was based on another order than this, the last on its domain.
     Conflict(u64),
     /// Too many failure domains are remembered.
     Full,
@@ -42,29 +43,22 @@
     evacuated: bool,
 }
 
-/// All failure domains that were ever out of use.
+/// All failure domains that there was ever an order on.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuationBook {
-    /// Grows with each change.
+    /// Grows with each order.
     revision: u64,
     domains: BTreeMap<Box<str>, DomainRecord>,
 }
 
 impl EvacuationBook {
-    /// Makes a change.
+    /// Takes an order.
     pub fn apply(&mut self, change: &EvacuationChange) -> EvacuationOutcome {
-        let known = self.domains.get(&change.domain).copied();
-        let known = known.unwrap_or(DomainRecord {
-            revision: 0,
-            evacuated: false,
-        });
-        if known.evacuated == change.evacuated {
-            return EvacuationOutcome::Stands(known.revision);
+        let known = self.revision_of(&change.domain);
+        if known != change.base {
+            return EvacuationOutcome::Conflict(known);
         }
-        if known.revision != change.base {
-            return EvacuationOutcome::Conflict(known.revision);
-        }
-        if known.revision == 0 && self.domains.len() >= MOST_DOMAINS {
+        if known == 0 && self.domains.len() >= MOST_DOMAINS {
             return EvacuationOutcome::Full;
         }
         self.revision += 1;
@@ -76,13 +70,13 @@
         EvacuationOutcome::Stands(self.revision)
     }
 
-    /// Returns the revision of the last change; 0 before the first.
+    /// Returns the revision of the last order; 0 before the first.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
-    /// Returns the revision of a failure domain's last change; 0 if it was
-    /// never changed.
+    /// Returns the revision of the last order on a failure domain; 0 if there
+    /// was none.
     pub fn revision_of(&self, domain: &str) -> u64 {
         let record = self.domains.get(domain);
         record.map_or(0, |record| record.revision)
--- a/crates/node/tests/forward/soak.rs
+++ b/crates/node/tests/forward/soak.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use wheelmast_fake::shard::FakeShard;
 
-use crate::harness::{route_table, until, Deployment, Reply};
+use crate::harness::{ask, route_table, until, Deployment, Reply};
 
 /// Variable that names another seed and number of steps.
 const PLAN_VARIABLE: &str = "WHEELMAST_SOAK";
@@ -23,6 +23,8 @@
 const CONTROLS: usize = 3;
 /// All instances.
 const INSTANCES: usize = 5;
+/// Path of the orders on failure domains.
+const EVACUATIONS: &str = "/v1/evacuations";
 /// Letters of the shards.
 const LETTERS: &[u8] = b"abcd";
 
@@ -99,6 +101,10 @@
     ledger: Ledger,
     version: u64,
     requests: u64,
+    /// Draws the orders on failure domains, apart from the rest.
+    orders: SmallRng,
+    /// Whether the other domain is out of use, if that is known for sure.
+    evacuated: Option<bool>,
 }
 
 impl Soak {
@@ -121,6 +127,8 @@
             ledger: Ledger::default(),
             version: 0,
             requests: 0,
+            orders: SmallRng::seed_from_u64(seed),
+            evacuated: Some(false),
         }
     }
 
@@ -156,6 +164,28 @@
         }
     }
 
+    /// An operator takes the other domain out of use or back, at any instance,
+    /// and reads what is so at another.
+    fn order(&mut self) {
+        let evacuated = self.orders.random_bool(0.5);
+        let to = self.orders.random_range(0..CONTROLS);
+        let method = if evacuated { "POST" } else { "DELETE" };
+        let path = format!("{EVACUATIONS}/there");
+        let reply = ask(self.deployment.front(to), method, &path, "", "");
+        let is_taken = reply.is_some_and(|reply| reply.status == 200);
+        self.evacuated = is_taken.then_some(evacuated);
+        let from = (to + 1) % CONTROLS;
+        let reply = ask(self.deployment.front(from), "GET", EVACUATIONS, "", "");
+        let Some(reply) = reply.filter(|reply| reply.status == 200) else {
+            return;
+        };
+        let is_out = String::from_utf8_lossy(&reply.body).contains("there");
+        if self.evacuated.is_some_and(|evacuated| evacuated != is_out) {
+            let finding = format!("{method} was taken, and n{from} says out of use: {is_out}");
+            self.ledger.broken.push(finding);
+        }
+    }
+
     /// Announces all servers, each where it finds somebody.
     fn announce(&mut self) {
         for shard in &self.shards {
@@ -267,6 +297,7 @@
             self.ask();
             self.change();
             self.read();
+            self.order();
         }
     }
 
@@ -285,6 +316,12 @@
             );
         }
         self.announce();
+        let path = format!("{EVACUATIONS}/there");
+        until(
+            "all are in use",
+            || ask(self.deployment.front(0), "DELETE", &path, "", ""),
+            |reply| reply.status == 200,
+        );
         for entry in CONTROLS..INSTANCES {
             until(
                 "an entry is back",
