--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -109,15 +109,12 @@
     ) {
         let mut book = EvacuationBook::default();
         let mut sent: Vec<EvacuationChange> = Vec::new();
-        let mut acknowledged = None;
         for (place, (evacuated, is_held_up)) in orders.iter().enumerate() {
             let order = change("a", *evacuated, book.revision_of("a"));
             sent.push(order.clone());
-            if *is_held_up {
-                acknowledged = None;
-            } else {
+            let acknowledged = (!is_held_up).then_some(*evacuated);
+            if acknowledged.is_some() {
                 prop_assert!(matches!(book.apply(&order), EvacuationOutcome::Stands(_)));
-                acknowledged = Some(*evacuated);
             }
             for (_, copy) in copies.iter().filter(|(after, _)| *after == place) {
                 if let Some(copy) = sent.get(*copy) {
