Refuse at once what cold servers have no room for

Cause: a request whose only servers are cold and have their share was kept waiting for one with room, and nothing woke it when a second had passed: it was told at its limit that it has not run. A test failed first (30 entries, all servers cold).

--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -101,8 +101,9 @@
             let Some(permitted) = times.homes.permit(*server, state) else {
                 continue;
             };
+            // It is not waited for: nothing says when it has room, and the caller
+            // can come back.
             if !self.cold_has_room(*server, now) {
-                is_full = true;
                 continue;
             }
             let would_open = state.idle == 0;
--- a/crates/core/src/process/forward/cold.rs
+++ b/crates/core/src/process/forward/cold.rs
@@ -87,10 +87,10 @@
     }
 }
 
-/// Equal parts while each entry has a whole request, else all for one. A third
-/// of the servers cold, 30 entries, 20 a second: 10 a second and server are
-/// used where equal parts use none; with 5 entries, which all use what is
-/// theirs, 10 where one holder has only a fifth of the callers.
+/// Equal parts while each entry has a whole request, else all for one. Of 20
+/// requests a second, 30 entries could send none in equal parts, where the one
+/// holder sends 10; 5 entries can send 2 each, where one holder would have 10
+/// for a fifth of the callers.
 #[derive(Debug, Clone, Copy)]
 pub struct FittingShare;
 
--- a/crates/core/tests/forward/cold.rs
+++ b/crates/core/tests/forward/cold.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use wheelmast_core::process::forward::answer::ForwardFailure;
 use wheelmast_core::process::forward::cold::{
     ColdBound, ColdShare, ColdView, EqualShare, FittingShare, HolderShare,
 };
@@ -237,3 +238,20 @@
         assert!(asked <= BOUND.most(PER_S) as usize / 2, "{asked}");
     }
 }
+
+#[test]
+fn what_cold_servers_have_no_room_for_is_refused_at_once() {
+    let mut refused = 0;
+    for number in 0..30 {
+        let mut harness = all_cold(number, 30);
+        let call = harness.call("q");
+        match harness.failure_of(call) {
+            Some(failure) => {
+                assert_eq!(failure, ForwardFailure::NoServer);
+                refused += 1;
+            }
+            None => assert_eq!(harness.sends.len(), 1),
+        }
+    }
+    assert!(refused >= 30 - SERVERS, "only holders send: {refused}");
+}
