--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -23,6 +23,7 @@
 pub mod home;
 pub mod input;
 pub mod machine;
+mod notices;
 pub mod pace;
 pub mod pause;
 pub mod place;
