Say which request a server broke off under: a mark that is the same whenever it comes again

Change: a mark of method, host, path with query, body and caller; it is told at admission, passed on to entries that are asked for shards, and in a line of its own, 40 a second, for each attempt that a server breaks off; a metric counts these. No decision changed. Before: no line named the request. After: the stories' test shows the line.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -8,6 +8,7 @@
 use crate::process::forward::input::{LoadReport, RelayOrder, ServerAnswer};
 use crate::process::forward::place::PlaceStep;
 use crate::process::input::CallTag;
+use crate::request::mark::RequestMark;
 
 /// Why a request got no server's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -132,6 +133,8 @@
         version: u64,
         /// Time it has.
         time_left: Duration,
+        /// What it asks for, and who asks.
+        mark: RequestMark,
         /// Whether another entry asked for it.
         relayed: bool,
     },
@@ -163,6 +166,19 @@
         /// Time since its sending.
         after: Duration,
     },
+    /// A server broke off while it had the request: it may have ended.
+    BrokenOff {
+        /// What the request asks for, and who asks.
+        mark: RequestMark,
+        /// The service.
+        service: Arc<str>,
+        /// The server.
+        instance: Arc<str>,
+        /// Time since the sending.
+        after: Duration,
+        /// Own requests that the server had besides.
+        beside: usize,
+    },
     /// A server answered, and took longer than most do.
     Slow {
         /// The service.
--- a/crates/core/src/process/forward/around.rs
+++ b/crates/core/src/process/forward/around.rs
@@ -14,9 +14,11 @@
 use std::time::Duration;
 
 use crate::arena::{ServerKey, SlotKey};
-use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
+use crate::process::forward::answer::{ForwardAction, ForwardDecision};
 use crate::process::forward::bundle::{BundlePlan, DIVIDE_ABOVE};
-use crate::process::forward::call::{CallState, PartState, PartStatus, RelayStanding};
+use crate::process::forward::call::{
+    CallState, ForwardAttempt, PartState, PartStatus, RelayStanding,
+};
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::relay::SILENT_REST;
 use crate::process::input::CallTag;
@@ -171,9 +173,7 @@
     pub(super) fn is_with_relay(&self, part: &PartState) -> bool {
         let attempts = part.attempts.iter();
         let mut attempts = attempts.filter_map(|attempt| self.attempts.get(*attempt));
-        attempts.any(|attempt| {
-            attempt.cause == AttemptCause::Relay && attempt.relay != RelayStanding::Late
-        })
+        attempts.any(|attempt| attempt.is_relay() && attempt.relay != RelayStanding::Late)
     }
 
     /// Tells whether nobody but entries that are late was asked for a part: it
@@ -186,7 +186,7 @@
 
     fn is_relay(&self, attempt: SlotKey) -> bool {
         let attempt = self.attempts.get(attempt);
-        attempt.is_some_and(|attempt| attempt.cause == AttemptCause::Relay)
+        attempt.is_some_and(ForwardAttempt::is_relay)
     }
 
     /// Returns the attempts of a request that other entries have.
@@ -272,6 +272,7 @@
             return;
         };
         late.call = None;
+        late.cancelled = true;
         let (server, sent_at, parts) = (late.server, late.sent_at, late.parts.clone());
         self.servers[server].rest_at_least(SILENT_REST, now);
         let Some(state) = self.calls.get_mut(call) else {
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -41,6 +41,7 @@
             route: name,
             version,
             time_left: plan.given_up - now,
+            mark: call.mark,
             relayed: call.relayed.is_some(),
         });
         let key = self.calls.insert(state);
@@ -80,6 +81,7 @@
         };
         CallState {
             tag: call.tag,
+            mark: call.mark,
             gathers: matches!(rule.target, RouteTarget::Gather(_)),
             relayed: call.relayed.is_some(),
             divides: call.relayed.as_ref().is_none_or(|order| order.divides),
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -13,6 +13,7 @@
 use crate::process::forward::input::ServerAnswer;
 use crate::process::forward::timing::AnswerPlan;
 use crate::process::input::CallTag;
+use crate::request::mark::RequestMark;
 use crate::version::route_table::{RouteRule, RouteTable, RouteTarget};
 
 /// Most attempts outstanding for one shard.
@@ -96,6 +97,8 @@
 pub struct CallState {
     /// The driver's name for it.
     pub tag: CallTag,
+    /// What it asks for, and who asks.
+    pub mark: RequestMark,
     /// The table it began with; it ends with it.
     pub table: Arc<RouteTable>,
     /// Place of its route in the table.
@@ -222,6 +225,8 @@
 pub struct ForwardAttempt {
     /// The request; `None` once nobody waits for it.
     pub call: Option<SlotKey>,
+    /// What the request asks for, and who asks.
+    pub mark: RequestMark,
     /// Places of the parts in the request.
     pub parts: Vec<usize>,
     /// The server asked.
@@ -243,6 +248,15 @@
     pub due: Duration,
     /// How another entry stands.
     pub relay: RelayStanding,
+    /// Whether this entry closes its connection.
+    pub cancelled: bool,
     /// Key of the route's timing.
     pub timing: usize,
 }
+
+impl ForwardAttempt {
+    /// Tells whether another entry was asked, not a server.
+    pub fn is_relay(&self) -> bool {
+        self.cause == AttemptCause::Relay
+    }
+}
--- a/crates/core/src/process/forward/counts.rs
+++ b/crates/core/src/process/forward/counts.rs
@@ -39,4 +39,6 @@
     pub unaffordable: u64,
     /// Attempts whose connection was closed.
     pub cancels: u64,
+    /// Attempts that a server broke off.
+    pub broken: u64,
 }
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -275,12 +275,13 @@
     }
 
     pub(super) fn orphan_due(&mut self, attempt: SlotKey, out: &mut Vec<ForwardAction>) {
-        let Some(state) = self.attempts.get(attempt) else {
+        let Some(state) = self.attempts.get_mut(attempt) else {
             return;
         };
         if state.call.is_some() {
             return;
         }
+        state.cancelled = true;
         let (server, sent_at) = (state.server, state.sent_at);
         self.counters.cancels += 1;
         out.push(ForwardAction::Cancel(attempt));
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -10,6 +10,7 @@
 use crate::arena::{ServerKey, SlotKey};
 use crate::process::forward::directory::ServerNotice;
 use crate::process::input::CallTag;
+use crate::request::mark::RequestMark;
 use crate::version::route_table::RouteTable;
 
 /// A caller's request, as far as decisions need it.
@@ -21,6 +22,8 @@
     pub host: Box<str>,
     /// Path it asks for, without the query.
     pub path: Box<str>,
+    /// What it asks for, and who asks.
+    pub mark: RequestMark,
     /// Time the caller will wait, if it says so.
     pub time_left: Option<Duration>,
     /// What another entry asks for, if one passed it on.
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -15,6 +15,8 @@
 use crate::process::forward::server::ServerState;
 use crate::process::input::CallTag;
 
+/// Name of the request of an attempt that nobody waits for any more.
+const NO_CALL: CallTag = CallTag(u64::MAX);
 /// Status of a server that is not the one that was meant.
 const MISDIRECTED: u16 = 421;
 /// First status of a server's failure.
@@ -147,11 +149,34 @@
         if state.cause == AttemptCause::Relay {
             meaning = EndMeaning::of_relay(&end);
         }
+        if meaning == EndMeaning::Broken && !state.is_relay() && !state.cancelled {
+            self.broken_off(&state, now, out);
+        }
         self.learn(attempt, &state, &end, meaning, now, out);
         self.settle(attempt, &state, end, meaning, now, out);
         self.serve_waiting(state.upstream, now, out);
     }
 
+    /// Takes note that a server broke off while it had a request.
+    fn broken_off(&mut self, state: &ForwardAttempt, now: Duration, out: &mut Vec<ForwardAction>) {
+        self.counters.broken += 1;
+        let call = state.call.and_then(|call| self.calls.get(call));
+        let tag = call.map_or(NO_CALL, |call| call.tag);
+        self.decide(tag, out, || {
+            let (service, instance) = self.names(state.server);
+            ForwardDecision::BrokenOff {
+                mark: state.mark,
+                service,
+                instance,
+                after: now - state.sent_at,
+                beside: self.servers[state.server]
+                    .outstanding
+                    .len()
+                    .saturating_sub(1),
+            }
+        });
+    }
+
     /// Takes note of what an end says about the server.
     fn learn(
         &mut self,
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -122,6 +122,7 @@
         let server = &mut self.servers[key];
         let attempt = self.attempts.insert(ForwardAttempt {
             call: Some(call),
+            mark: state.mark,
             parts: send.parts.clone(),
             server: key,
             upstream: server.upstream,
@@ -140,6 +141,7 @@
                 Duration::MAX
             },
             relay: RelayStanding::Unheard,
+            cancelled: false,
         });
         state.sends += 1;
         let (tag, gathers) = (state.tag, state.gathers);
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -15,6 +15,7 @@
 };
 use wheelmast_core::process::forward::machine::{ForwardMachine, ForwardOptions};
 use wheelmast_core::process::input::CallTag;
+use wheelmast_core::request::mark::{CallerMark, ContentMark, RequestMark};
 use wheelmast_core::version::route_table::{
     CallerLimits, RouteDraft, RouteRule, RouteTable, RouteTarget, ServiceRule,
 };
@@ -217,6 +218,19 @@
         route: &str,
         time_left: Option<Duration>,
         relayed: Option<RelayOrder>,
+    ) -> CallTag {
+        // A request of its own, unlike all others.
+        let mark = mark_of(&format!("/{route}/{}", self.tags));
+        self.call_marked(route, mark, time_left, relayed)
+    }
+
+    /// Makes a request that is known by its mark.
+    pub(crate) fn call_marked(
+        &mut self,
+        route: &str,
+        mark: RequestMark,
+        time_left: Option<Duration>,
+        relayed: Option<RelayOrder>,
     ) -> CallTag {
         self.tags += 1;
         let tag = CallTag(self.tags);
@@ -224,6 +238,7 @@
             tag,
             host: HOST.into(),
             path: format!("/{route}/x").into(),
+            mark,
             time_left,
             relayed,
         }));
@@ -298,6 +313,14 @@
     }
 }
 
+/// Returns the mark of a request for a path, always by the same caller.
+pub(crate) fn mark_of(target: &str) -> RequestMark {
+    RequestMark {
+        content: ContentMark::of("GET", HOST, target, &[]),
+        caller: CallerMark::of(b"caller"),
+    }
+}
+
 fn home_peer(number: u16) -> EntryPeer {
     EntryPeer {
         instance: format!("home-{number}").into(),
--- a/crates/fake/src/model/caller.rs
+++ b/crates/fake/src/model/caller.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use wheelmast_core::request::mark::RequestMark;
+
 /// Time between a caller's failure and its next try, if it is not told when to
 /// come back.
 pub(super) const PRESS_TIME: Duration = Duration::from_millis(2);
@@ -12,6 +14,8 @@
 #[derive(Debug)]
 pub(super) struct ModelCaller {
     pub(super) kind: usize,
+    /// What it asks for, and who asks.
+    pub(super) mark: RequestMark,
     /// When it first came.
     pub(super) came: Duration,
     /// Until when it waits.
@@ -23,9 +27,15 @@
 }
 
 impl ModelCaller {
-    pub(super) fn new(kind: usize, now: Duration, limit: Duration) -> ModelCaller {
+    pub(super) fn new(
+        kind: usize,
+        mark: RequestMark,
+        now: Duration,
+        limit: Duration,
+    ) -> ModelCaller {
         ModelCaller {
             kind,
+            mark,
             came: now,
             until: now + limit,
             tries_left: 2,
--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -21,7 +21,9 @@
 use crate::model::server::{JobKey, ModelServer, ServerJob};
 use crate::model::spec::PlaySpec;
 use crate::model::tally::{CallerEnd, KindTally, PlayTally};
-use crate::model::told::{domain_of, notice_of, peers_of, route_table, ATTEMPTS, DOMAINS, HOST};
+use crate::model::told::{
+    domain_of, mark_of, notice_of, peers_of, route_table, ATTEMPTS, DOMAINS, HOST,
+};
 
 /// What the seed of the arrivals differs by from that of the rest.
 const ARRIVAL_SEED: u64 = 0x5eed;
@@ -190,8 +192,9 @@
         let spec = &self.spec.kinds[kind];
         self.tally.kinds[kind].asked += 1;
         self.tally.kinds[kind].owed += spec.worth;
+        let mark = mark_of(self.callers.len());
         self.callers
-            .push(ModelCaller::new(kind, self.now, spec.limit));
+            .push(ModelCaller::new(kind, mark, self.now, spec.limit));
         self.make_try(self.callers.len() - 1);
     }
 
@@ -203,12 +206,13 @@
         state.tries_left -= 1;
         self.bound.request(self.now);
         let left = state.until.saturating_sub(self.now);
-        let name = self.spec.kinds[state.kind].name;
+        let (name, mark) = (self.spec.kinds[state.kind].name, state.mark);
         self.tries.insert(tag, (caller, false));
         let call = ForwardCall {
             tag,
             host: HOST.into(),
             path: format!("/{name}/x").into(),
+            mark,
             time_left: Some(left),
             relayed: None,
         };
--- a/crates/fake/src/model/relay.rs
+++ b/crates/fake/src/model/relay.rs
@@ -87,7 +87,8 @@
         let Some((caller, _)) = self.tries.get(&call.root) else {
             return;
         };
-        let name = self.spec.kinds[self.callers[*caller].kind].name;
+        let caller = &self.callers[*caller];
+        let (name, mark) = (self.spec.kinds[caller.kind].name, caller.mark);
         let (asked, order) = (call.asked, call.order.clone());
         let sign = PlayEvent::RelaySign { tag };
         self.events.push(self.now + call.way, sign);
@@ -95,6 +96,7 @@
             tag,
             host: HOST.into(),
             path: format!("/{name}/x").into(),
+            mark,
             time_left: None,
             relayed: Some(order),
         };
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -1,7 +1,7 @@
 //! The callers' side: requests in, answers out.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +21,7 @@
     ForwardCall, ForwardInput, RelayOrder, ServerAnswer,
 };
 use wheelmast_core::process::input::CallTag;
+use wheelmast_core::request::mark::{CallerMark, ContentMark, RequestMark};
 use wheelmast_core::version::route_table::CallerLimits;
 use wheelmast_wire::dialect::ForwardDialect;
 
@@ -30,7 +31,9 @@
 };
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
 use crate::process::forward::grant::GrantReader;
-use crate::process::forward::image::{read_order, RequestImage, RELAY_HEADER, SHARDS_HEADER};
+use crate::process::forward::image::{
+    read_mark, read_order, RequestImage, RELAY_HEADER, SHARDS_HEADER,
+};
 
 /// Least size of a connection's buffer that the HTTP library takes.
 const LEAST_BUFFER: usize = 8192;
@@ -64,9 +67,10 @@
     let limits = entry.look(|machine| machine.table().map(|table| table.limits()));
     let limits = limits.unwrap_or_default();
     let handler = entry.clone();
+    let caller = caller_of(&stream);
     let service = service_fn(move |request| {
         let entry = handler.clone();
-        async move { Ok::<_, Infallible>(handle(entry, request, limits).await) }
+        async move { Ok::<_, Infallible>(handle(entry, request, caller, limits).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -83,6 +87,15 @@
     let _ = connection.await;
 }
 
+/// Returns who calls: the same for all connections from one address.
+fn caller_of(stream: &TcpStream) -> CallerMark {
+    match stream.peer_addr().map(|address| address.ip()) {
+        Ok(IpAddr::V4(address)) => CallerMark::of(&address.octets()),
+        Ok(IpAddr::V6(address)) => CallerMark::of(&address.octets()),
+        Err(_) => CallerMark::of(&[]),
+    }
+}
+
 /// Tells the machine when a caller leaves before its answer.
 struct CallGuard<D: ForwardDialect> {
     entry: Rc<EntryDuty<D>>,
@@ -98,9 +111,10 @@
 async fn handle<D: ForwardDialect>(
     entry: Rc<EntryDuty<D>>,
     request: Request<Incoming>,
+    caller: CallerMark,
     limits: CallerLimits,
 ) -> FullResponse {
-    let mut response = answer(&entry, request, limits).await;
+    let mut response = answer(&entry, request, caller, limits).await;
     if entry.phase() == EntryPhase::Leaving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -111,6 +125,7 @@
 async fn answer<D: ForwardDialect>(
     entry: &Rc<EntryDuty<D>>,
     request: Request<Incoming>,
+    caller: CallerMark,
     limits: CallerLimits,
 ) -> FullResponse {
     if entry.phase() == EntryPhase::Learning {
@@ -149,10 +164,20 @@
         // It was that of the grant.
         parts.headers.remove(CONTENT_LENGTH);
     }
+    let passed = relayed.is_some().then_some(&parts.headers);
+    let mark = passed.and_then(read_mark).unwrap_or_else(|| {
+        let target = parts.uri.path_and_query();
+        let target = target.map_or("/", |target| target.as_str());
+        RequestMark {
+            content: ContentMark::of(parts.method.as_str(), &host, target, &body),
+            caller,
+        }
+    });
     let call = ForwardCall {
         tag: CallTag(0),
         host,
         path: parts.uri.path().into(),
+        mark,
         time_left,
         relayed,
     };
@@ -160,6 +185,7 @@
     let id = id.and_then(|id| id.to_str().ok()).map(str::to_string);
     let id = id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
     let image = RequestImage::new::<D>(&parts.method, &parts.uri, &parts.headers, &id, body);
+    let image = image.with_mark(mark);
     let (tag, receiver) = entry.admit(image);
     let guard = CallGuard {
         entry: entry.clone(),
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -7,10 +7,14 @@
 use hyper::header::{HeaderMap, HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
 use hyper::{Method, Uri};
 use wheelmast_core::process::forward::input::RelayOrder;
+use wheelmast_core::request::mark::RequestMark;
 use wheelmast_wire::dialect::ForwardDialect;
 
 /// Header of a request that another entry passed on.
 pub const RELAY_HEADER: &str = "wheelmast-relayed";
+/// Header of a request that another entry passed on: what it asks for, and who
+/// asks.
+pub const MARK_HEADER: &str = "wheelmast-mark";
 /// Header of an answer to another entry: the shards that are in.
 pub const SHARDS_HEADER: &str = "wheelmast-shards";
 /// Length of what another entry is granted: a digit.
@@ -46,6 +50,8 @@
     pub id: Box<str>,
     head: Vec<u8>,
     body: Bytes,
+    /// What it asks for, and who asks.
+    mark: Option<RequestMark>,
     /// Whether its length is told although it may be empty.
     tells_length: bool,
 }
@@ -78,10 +84,19 @@
             id: id.into(),
             head,
             body,
+            mark: None,
             tells_length: has_body || *method == Method::POST || *method == Method::PUT,
         }
     }
 
+    /// Returns the image with the mark that other entries are told.
+    pub fn with_mark(self, mark: RequestMark) -> RequestImage {
+        RequestImage {
+            mark: Some(mark),
+            ..self
+        }
+    }
+
     /// Returns the request as it is written to one server.
     pub fn render<D: ForwardDialect>(
         &self,
@@ -98,6 +113,9 @@
         let length = self.body.len();
         if let Some(order) = relay {
             push_line(&mut bytes, RELAY_HEADER, render_order(order).as_bytes());
+            if let Some(mark) = self.mark {
+                push_line(&mut bytes, MARK_HEADER, mark.to_string().as_bytes());
+            }
             // The other entry says by its word to continue that it is at work;
             // what it is granted then follows the body.
             let _ = write!(bytes, "{EXPECT}: {CONTINUE_WORD}\r\n");
@@ -136,6 +154,12 @@
     )
 }
 
+/// Reads the mark of a request that another entry passed on: that entry knows
+/// who asks.
+pub fn read_mark(headers: &HeaderMap) -> Option<RequestMark> {
+    RequestMark::read(headers.get(MARK_HEADER)?.to_str().ok()?)
+}
+
 /// Reads what another entry asks for.
 pub fn read_order(text: &str) -> Option<RelayOrder> {
     let mut fields = text.splitn(ORDER_FIELDS, ';');
@@ -161,6 +185,7 @@
         D::HEADERS.time_left,
         D::HEADERS.expect,
         RELAY_HEADER,
+        MARK_HEADER,
     ];
     let text = name.as_str();
     let is_named = named
--- a/crates/node/src/process/forward/measure.rs
+++ b/crates/node/src/process/forward/measure.rs
@@ -84,6 +84,7 @@
         ("wheelmast_forward_asked_around_total", counts.asked_around),
         ("wheelmast_forward_unaffordable_total", counts.unaffordable),
         ("wheelmast_forward_cancels_total", counts.cancels),
+        ("wheelmast_forward_broken_total", counts.broken),
         ("wheelmast_log_lines_dropped_total", lines_dropped),
     ];
     for (name, total) in totals {
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -19,6 +19,9 @@
 const KEPT_LINES: usize = 160;
 /// Lines told in a second, at most.
 const LINES_PER_SECOND: f64 = 400.0;
+/// Lines on servers that broke off, in a second, at most: apart from the
+/// others, which are most when servers end.
+const BROKEN_PER_SECOND: f64 = 40.0;
 
 #[derive(Debug, Default)]
 struct RequestStory {
@@ -108,9 +111,8 @@
     plain_every: u32,
     plain: u64,
     partial: u64,
-    tokens: f64,
-    /// Time of the last story that was told or dropped.
-    at: Duration,
+    stories_left: LineAllowance,
+    broken_left: LineAllowance,
     dropped: u64,
     dropped_ever: u64,
 }
@@ -124,8 +126,8 @@
             plain_every: plain_every.max(1),
             plain: 0,
             partial: 0,
-            tokens: LINES_PER_SECOND,
-            at: Duration::ZERO,
+            stories_left: LineAllowance::new(LINES_PER_SECOND),
+            broken_left: LineAllowance::new(BROKEN_PER_SECOND),
             dropped: 0,
             dropped_ever: 0,
         }
@@ -143,6 +145,9 @@
 
     /// Takes a decision.
     pub fn take(&mut self, event: ForwardEvent) {
+        if matches!(event.decision, ForwardDecision::BrokenOff { .. }) {
+            return self.tell_broken(&event);
+        }
         let Some(story) = self.stories.get_mut(&event.call) else {
             return;
         };
@@ -192,7 +197,7 @@
                 story.keep_end();
             }
         }
-        if !self.has_room(story.decisions.len(), now) {
+        if !self.stories_left.take(story.decisions.len(), now) {
             self.dropped += story.decisions.len() as u64;
             self.dropped_ever += story.decisions.len() as u64;
             return;
@@ -215,14 +220,46 @@
         }
     }
 
-    fn has_room(&mut self, lines: usize, now: Duration) -> bool {
+    /// Tells at once that a server broke off: the story may be told late, or not
+    /// at all.
+    fn tell_broken(&mut self, event: &ForwardEvent) {
+        if !self.broken_left.take(1, event.at) {
+            self.dropped += 1;
+            self.dropped_ever += 1;
+            return;
+        }
+        let story = self.stories.get(&event.call);
+        tell(story.map_or("", |story| &story.id), 0.0, &event.decision);
+    }
+}
+
+/// Lines that may be told: as many as come in a second, and no more at once.
+#[derive(Debug)]
+struct LineAllowance {
+    per_second: f64,
+    left: f64,
+    /// When it was last asked.
+    at: Duration,
+}
+
+impl LineAllowance {
+    fn new(per_second: f64) -> LineAllowance {
+        LineAllowance {
+            per_second,
+            left: per_second,
+            at: Duration::ZERO,
+        }
+    }
+
+    /// Takes so many lines out, if they are there.
+    fn take(&mut self, lines: usize, now: Duration) -> bool {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.at = now;
-        self.tokens = (self.tokens + elapsed * LINES_PER_SECOND).min(LINES_PER_SECOND);
-        if self.tokens < lines as f64 {
+        self.left = (self.left + elapsed * self.per_second).min(self.per_second);
+        if self.left < lines as f64 {
             return false;
         }
-        self.tokens -= lines as f64;
+        self.left -= lines as f64;
         true
     }
 }
@@ -236,6 +273,7 @@
         }
         ForwardDecision::Slow { .. } | ForwardDecision::Abandon { .. } => true,
         ForwardDecision::Lost { .. }
+        | ForwardDecision::BrokenOff { .. }
         | ForwardDecision::LeaveOut { .. }
         | ForwardDecision::AskAround { .. }
         | ForwardDecision::NoServer { .. }
@@ -249,10 +287,11 @@
             route,
             version,
             time_left,
+            mark,
             relayed,
         } => {
             let time_left_ms = millis(*time_left);
-            tracing::info!(target: "entry", request, at_ms, %route, table_version = version, time_left_ms, relayed, "route: admitted");
+            tracing::info!(target: "entry", request, at_ms, %route, table_version = version, time_left_ms, %mark, relayed, "route: admitted");
         }
         ForwardDecision::Send {
             service,
@@ -276,6 +315,16 @@
             let after_ms = millis(*after);
             tracing::info!(target: "entry", request, at_ms, %service, server = %instance, reason, after_ms, "route: attempt lost");
         }
+        ForwardDecision::BrokenOff {
+            mark,
+            service,
+            instance,
+            after,
+            beside,
+        } => {
+            let after_ms = millis(*after);
+            tracing::warn!(target: "entry", request, %mark, %service, server = %instance, after_ms, beside, "route: server broke off");
+        }
         ForwardDecision::LeaveOut { services } => {
             let services = services.join(", ");
             tracing::info!(target: "entry", request, at_ms, services, "route: shards not asked");
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -15,6 +15,7 @@
 };
 use wheelmast_core::process::forward::machine::{ForwardMachine, ForwardOptions};
 use wheelmast_core::process::input::CallTag;
+use wheelmast_core::request::mark::{CallerMark, ContentMark, RequestMark};
 use wheelmast_core::version::route_table::{RouteDraft, RouteTable};
 use wheelmast_node::process::forward::story::StoryBook;
 
@@ -128,6 +129,10 @@
             tag,
             host: "h".into(),
             path: path.into(),
+            mark: RequestMark {
+                content: ContentMark::of("GET", "h", path, &[]),
+                caller: CallerMark::of(b"caller"),
+            },
             time_left: Some(Duration::from_millis(900)),
             relayed: None,
         }));
@@ -240,7 +245,11 @@
                 teller.pass(20);
                 teller.end(0, AttemptEnd::Broken);
             },
-            says: &["\"reason\":\"broken\"", "\"outcome\":\"failed\""],
+            says: &[
+                "route: server broke off",
+                "\"reason\":\"broken\"",
+                "\"outcome\":\"failed\"",
+            ],
         },
     ];
     for case in cases {
