Time leases, windows and limits by a clock that counts suspensions

Cause: everything was timed by the steady clock, which stands still while a machine is suspended. Ruled out as broken: reads of the table and elections (a quorum's round confirms them), acknowledgements (they wait for others' words), claims (time of day). The test of the shares takes times since a start in place of instants; it checks the same. Left on the steady clock: time-outs under 3 s of single reads and writes, the grace of an entry that ends, ways that are measured. They last longer by a suspension, and nothing is promised by them.

--- a/crates/cli/src/measure/control.rs
+++ b/crates/cli/src/measure/control.rs
@@ -15,6 +15,7 @@
 use wheelmast_node::prelude::{
     ClusterSettings, InstanceHandle, InstanceSettings, InstanceSetup, KeySource, PeerSettings,
 };
+use wheelmast_node::process::clock::ProcessClock;
 use wheelmast_node::process::member::{initialize, open_replica};
 use wheelmast_wire::prelude::{ApplyBody, TableChange, TableStatus};
 
@@ -257,7 +258,7 @@
         ..cluster_of(&folder, 0)
     };
     initialize(&cluster, "m0")?;
-    let opened = open_replica(&cluster, "m0", Instant::now())?;
+    let opened = open_replica(&cluster, "m0", ProcessClock::start())?;
     let mut duty = opened.context("could not open the folder")?;
     for index in 1..=changes {
         let entry = LogEntry {
@@ -276,7 +277,7 @@
     duty.store.sync()?;
     drop(duty);
     let begin = Instant::now();
-    let opened = open_replica(&cluster, "m0", begin)?;
+    let opened = open_replica(&cluster, "m0", ProcessClock::start())?;
     let took = begin.elapsed().as_secs_f64() * 1e3;
     let version = opened.map(|duty| duty.machine.state().version());
     std::fs::remove_dir_all(&folder)?;
--- a/crates/node/src/process/control.rs
+++ b/crates/node/src/process/control.rs
@@ -2,7 +2,7 @@
 //! spreading of the table.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use rand::seq::IndexedRandom;
 use tokio::sync::oneshot;
@@ -16,6 +16,7 @@
 use wheelmast_wire::peer::{CommandReply, PeerReply, PeerRequest};
 
 use crate::connection::peer::PeerLink;
+use crate::process::clock::ProcessClock;
 use crate::process::entry::EntryMessage;
 use crate::process::store::replica_store::ReplicaStore;
 use crate::ring::{RingReceiver, RingSender};
@@ -64,7 +65,7 @@
     /// The entry thread.
     pub entry: RingSender<EntryMessage>,
     /// When the process started.
-    pub started: Instant,
+    pub started: ProcessClock,
     /// Proposals that wait for their end.
     pub waiting: HashMap<u64, oneshot::Sender<PeerReply>>,
     /// Counts the proposals.
@@ -97,7 +98,7 @@
             return ASK_INTERVAL;
         };
         let wake = replica.machine.next_wake();
-        wake.saturating_sub(self.started.elapsed())
+        self.started.sleep_until(wake)
     }
 
     /// Puts what was in force before a restart in force again.
--- a/crates/node/src/process/entry.rs
+++ b/crates/node/src/process/entry.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 use wheelmast_core::prelude::{
@@ -12,6 +12,7 @@
 };
 use wheelmast_wire::prelude::InstanceStatus;
 
+use crate::process::clock::ProcessClock;
 use crate::process::journal::JournalSender;
 use crate::process::status::{describe, EntryReport};
 use crate::process::upstreams::UpstreamCommand;
@@ -52,7 +53,7 @@
     /// Decisions to the journal thread.
     pub journal: JournalSender,
     /// When the process started.
-    pub started: Instant,
+    pub started: ProcessClock,
     /// Told once the last request has ended after a leave.
     pub left: Option<oneshot::Sender<()>>,
     /// Set once the instance knows enough to serve.
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::marker::PhantomData;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::{oneshot, Notify};
 use wheelmast_core::arena::SlotKey;
@@ -15,6 +15,7 @@
 use wheelmast_core::process::input::CallTag;
 use wheelmast_wire::dialect::ForwardDialect;
 
+use crate::process::clock::ProcessClock;
 use crate::process::forward::image::RequestImage;
 use crate::process::forward::pool::{ServerPool, UpstreamOrder};
 use crate::process::forward::story::StoryBook;
@@ -53,7 +54,8 @@
     spare: RefCell<Vec<ForwardAction>>,
     tags: Cell<u64>,
     phase: Cell<EntryPhase>,
-    started: Instant,
+    /// The time since the process started.
+    pub clock: ProcessClock,
     armed: Cell<Duration>,
     wake: Notify,
     /// What the control group is to be told of requests under which servers
@@ -68,6 +70,15 @@
     ///
     /// Of plain successes, the log tells one in `plain_every` in full.
     pub fn new(options: ForwardOptions, plain_every: u32) -> EntryDuty<D> {
+        EntryDuty::with_clock(options, plain_every, ProcessClock::start())
+    }
+
+    /// Returns an entry as [`EntryDuty::new`] does, with another clock.
+    pub fn with_clock(
+        options: ForwardOptions,
+        plain_every: u32,
+        clock: ProcessClock,
+    ) -> EntryDuty<D> {
         EntryDuty {
             machine: RefCell::new(ForwardMachine::new(options)),
             pool: ServerPool::default(),
@@ -78,7 +89,7 @@
             spare: RefCell::default(),
             tags: Cell::new(0),
             phase: Cell::new(EntryPhase::Learning),
-            started: Instant::now(),
+            clock,
             armed: Cell::new(Duration::MAX),
             wake: Notify::new(),
             suspects: RefCell::default(),
@@ -107,7 +118,7 @@
 
     /// Steps the machine and does what it asks.
     pub fn step(self: &Rc<Self>, input: ForwardInput) {
-        let now = self.started.elapsed();
+        let now = self.clock.elapsed();
         let mut out = self.spare.take();
         let next = {
             let mut machine = self.machine.borrow_mut();
@@ -194,7 +205,7 @@
         let dropped = stories.lines_dropped() + lines_unwritten();
         stories
             .measures
-            .render(&machine, self.started.elapsed(), dropped)
+            .render(&machine, self.clock.elapsed(), dropped)
     }
 
     /// Takes a request in and returns where its answer comes.
@@ -227,9 +238,9 @@
             self.armed.set(next.unwrap_or(Duration::MAX));
             match next {
                 Some(next) => {
-                    let at = tokio::time::Instant::from_std(self.started + next);
+                    let wait = self.clock.sleep_until(next);
                     tokio::select! {
-                        () = tokio::time::sleep_until(at) => self.step(ForwardInput::Wake),
+                        () = tokio::time::sleep(wait) => self.step(ForwardInput::Wake),
                         () = self.wake.notified() => {}
                     }
                 }
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -73,17 +73,17 @@
     /// Returns a feed for an entry that the others know as `peer`.
     pub fn new(entry: Rc<EntryDuty<D>>, peer: EntryPeer) -> GroupFeed<D> {
         GroupFeed {
-            entry,
             peer,
             leaving: Notify::new(),
             known: RefCell::default(),
-            lines: RefCell::default(),
+            lines: RefCell::new(LineBook::new(entry.clock)),
             peers: RefCell::default(),
             choosing: Cell::new(false),
             fetching: Cell::new(0),
             newest: RefCell::default(),
             evacuations: Cell::new(0),
             confirmed: Cell::new(None),
+            entry,
         }
     }
 
@@ -136,12 +136,13 @@
         let mut reader = FrameReader::new(reader);
         let mut ping = tokio::time::interval(PING_INTERVAL);
         ping.tick().await;
-        let mut last = tokio::time::Instant::now();
+        let clock = self.entry.clock;
+        let mut last = clock.elapsed();
         loop {
             tokio::select! {
                 message = reader.next() => {
                     let message = message?;
-                    last = tokio::time::Instant::now();
+                    last = clock.elapsed();
                     *heard = true;
                     self.take(address, message);
                 }
@@ -151,10 +152,10 @@
                 },
                 () = self.leaving.notified() => send(&mut writer, &GroupMessage::Leaving).await?,
                 _ = ping.tick() => {
-                    if last.elapsed() > SILENT_TIME {
+                    if clock.elapsed() > last + SILENT_TIME {
                         bail!("silent");
                     }
-                    if last.elapsed() > QUIET_TIME && self.is_source(address) {
+                    if clock.elapsed() > last + QUIET_TIME && self.is_source(address) {
                         self.reconsider();
                     }
                     send(&mut writer, &GroupMessage::Ping).await?;
--- a/crates/node/src/process/forward/lines.rs
+++ b/crates/node/src/process/forward/lines.rs
@@ -4,11 +4,12 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use wheelmast_core::process::forward::source::{choose_source, ControlPeer};
 use wheelmast_wire::group::GroupMessage;
 
+use crate::process::clock::ProcessClock;
 use crate::ring::{bounded_ring, RingReceiver, RingSender};
 
 /// Time without a message after which an instance is no good source: it says
@@ -37,7 +38,8 @@
 struct FeedLine {
     peer: ControlPeer,
     version: u64,
-    heard: Instant,
+    /// When it was last heard.
+    heard: Duration,
     wishes: RingSender<GroupMessage>,
 }
 
@@ -46,20 +48,19 @@
 pub struct LineBook {
     lines: HashMap<SocketAddr, FeedLine>,
     source: Option<SocketAddr>,
-    started: Instant,
+    clock: ProcessClock,
 }
 
-impl Default for LineBook {
-    fn default() -> Self {
+impl LineBook {
+    /// Returns a book without connections, by the clock of an entry.
+    pub fn new(clock: ProcessClock) -> LineBook {
         LineBook {
             lines: HashMap::new(),
             source: None,
-            started: Instant::now(),
+            clock,
         }
     }
-}
 
-impl LineBook {
     /// Returns the source.
     pub fn source(&self) -> Option<SocketAddr> {
         self.source
@@ -78,7 +79,7 @@
                 way,
             },
             version: 0,
-            heard: Instant::now(),
+            heard: self.clock.elapsed(),
             wishes,
         };
         self.lines.insert(address, line);
@@ -98,7 +99,7 @@
     /// Takes note of a message.
     pub fn heard(&mut self, address: SocketAddr) {
         if let Some(line) = self.lines.get_mut(&address) {
-            line.heard = Instant::now();
+            line.heard = self.clock.elapsed();
         }
     }
 
@@ -119,16 +120,17 @@
     /// Chooses the source, for an entry that has a table of version `have`.
     /// Returns whether there is another one now.
     pub fn choose(&mut self, have: u64) -> bool {
+        let now = self.clock.elapsed();
         let peers: Vec<ControlPeer> = self
             .lines
             .values()
             .map(|line| ControlPeer {
-                is_settled: line.peer.is_settled && line.heard.elapsed() < QUIET_TIME,
+                is_settled: line.peer.is_settled && now < line.heard + QUIET_TIME,
                 ..line.peer
             })
             .collect();
         let former = self.source;
-        let is_early = self.started.elapsed() < SETTLE_TIME;
+        let is_early = now < SETTLE_TIME;
         if former.is_none() && is_early && !peers.iter().any(|peer| peer.is_settled) {
             // All have just started; who is near is not known yet.
             return false;
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 struct IdleLink {
     orders: oneshot::Sender<UpstreamOrder>,
-    until: Instant,
+    until: Duration,
     /// The request that it served last.
     last: Box<str>,
 }
@@ -54,7 +54,7 @@
 impl ServerPool {
     /// Sends a request on an idle connection, or on a new one.
     pub fn send<D: ForwardDialect>(&self, entry: &Rc<EntryDuty<D>>, order: UpstreamOrder) {
-        let now = Instant::now();
+        let now = entry.clock.elapsed();
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(order.order.server).or_default();
         links.retain(|link| link.until > now && !link.orders.is_closed());
@@ -80,7 +80,7 @@
 
     /// Tells the machine how many idle connections to a server can be used.
     fn tell_idle<D: ForwardDialect>(&self, entry: &Rc<EntryDuty<D>>, server: ServerKey) {
-        let now = Instant::now();
+        let now = entry.clock.elapsed();
         let idle = self.idle.borrow();
         let links = idle.get(&server).map(|links| {
             let live = links.iter();
@@ -98,7 +98,7 @@
     fn keep(
         &self,
         server: ServerKey,
-        until: Instant,
+        until: Duration,
         last: Box<str>,
     ) -> oneshot::Receiver<UpstreamOrder> {
         let (orders, receiver) = oneshot::channel();
@@ -136,7 +136,7 @@
         let Some(keep) = serve(&entry, &mut stream, &mut buffer, order).await else {
             return;
         };
-        let until = Instant::now() + keep;
+        let until = entry.clock.elapsed() + keep;
         let orders = entry.pool.keep(server, until, last);
         entry.pool.tell_idle(&entry, server);
         tokio::select! {
@@ -147,7 +147,7 @@
             },
             // It ended, or has bytes where none are due.
             _ = stream.readable() => return entry.pool.tell_idle(&entry, server),
-            () = tokio::time::sleep_until(until.into()) => {
+            () = tokio::time::sleep(keep) => {
                 return entry.pool.tell_idle(&entry, server);
             }
         }
--- a/crates/node/src/process/gossip.rs
+++ b/crates/node/src/process/gossip.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 use wheelmast_core::prelude::EntryInput;
@@ -14,6 +14,7 @@
 use wheelmast_wire::peer::PeerRequest;
 
 use crate::connection::peer::PeerLink;
+use crate::process::clock::ProcessClock;
 use crate::process::entry::EntryMessage;
 use crate::ring::{RingReceiver, RingSender};
 
@@ -44,7 +45,7 @@
     /// The cluster's key.
     pub key: Arc<str>,
     /// When the process started.
-    pub started: Instant,
+    pub started: ProcessClock,
     /// Links to members by address.
     pub links: HashMap<SocketAddr, PeerLink>,
     /// How the servers' limits are divided just now.
@@ -55,7 +56,7 @@
 #[derive(Debug)]
 pub struct ShareCount {
     count: u32,
-    fewer_since: Option<Instant>,
+    fewer_since: Option<Duration>,
 }
 
 impl ShareCount {
@@ -71,7 +72,7 @@
     /// the limits are to be divided anew: at once for more members, and for
     /// fewer only once they have been fewer for a lease, so that a member that
     /// was cut off does not share with those that took its part.
-    pub fn update(&mut self, there: u32, now: Instant) -> Option<u32> {
+    pub fn update(&mut self, there: u32, now: Duration) -> Option<u32> {
         if there >= self.count {
             self.fewer_since = None;
             let is_more = there > self.count;
@@ -79,7 +80,7 @@
             return is_more.then_some(there);
         }
         let since = *self.fewer_since.get_or_insert(now);
-        if now.duration_since(since) < SHARE_LEASE {
+        if now.saturating_sub(since) < SHARE_LEASE {
             return None;
         }
         self.fewer_since = None;
@@ -94,7 +95,7 @@
         let mut orders = Vec::with_capacity(BATCH);
         loop {
             let wake = self.machine.next_wake();
-            let sleep = wake.saturating_sub(self.started.elapsed());
+            let sleep = self.started.sleep_until(wake);
             tokio::select! {
                 count = self.ring.recv_many(&mut orders, BATCH) => {
                     if count == 0 {
@@ -147,7 +148,7 @@
     /// Divides the servers' limits anew if the members call for it.
     async fn divide(&mut self) {
         let there = self.machine.others().count() as u32 + 1;
-        if let Some(count) = self.shares.update(there, Instant::now()) {
+        if let Some(count) = self.shares.update(there, self.started.elapsed()) {
             tracing::info!("share: servers' limits divided by {count} instances");
             self.hand_on(EntryInput::Instances(count)).await;
         }
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -5,13 +5,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc::SyncSender;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::Notify;
 use wheelmast_core::process::control::replica::ReplicaMachine;
 use wheelmast_core::process::control::state::MemberRecord;
 use wheelmast_wire::group::GroupMessage;
 
+use crate::process::clock::ProcessClock;
 use crate::process::group::disk::DiskOrder;
 use crate::process::group::link::keep_link;
 use crate::process::group::state::{GroupRoll, GroupState};
@@ -51,7 +52,8 @@
     pub published: Notify,
     /// Tells that there is news of requests under which servers ended.
     pub suspects_changed: Notify,
-    started: Instant,
+    /// The time since the process started.
+    pub clock: ProcessClock,
     tags: Cell<u64>,
     seeds: RefCell<HashSet<SocketAddr>>,
     /// When a refused announcement was last logged.
@@ -65,7 +67,7 @@
         me: MemberRecord,
         state: GroupState,
         disk: SyncSender<DiskOrder>,
-        started: Instant,
+        clock: ProcessClock,
     ) -> GroupNode {
         GroupNode {
             calls: settings.control.unwrap_or(me.address),
@@ -76,7 +78,7 @@
             wake: Notify::new(),
             published: Notify::new(),
             suspects_changed: Notify::new(),
-            started,
+            clock,
             tags: Cell::new(1),
             seeds: RefCell::default(),
             refusal_told: Cell::new(None),
@@ -85,7 +87,7 @@
 
     /// Returns the time since the process started.
     pub fn now(&self) -> Duration {
-        self.started.elapsed()
+        self.clock.elapsed()
     }
 
     /// Returns a name for a question or a request, unique in this lifetime.
--- a/crates/node/src/process/group/replica.rs
+++ b/crates/node/src/process/group/replica.rs
@@ -319,7 +319,7 @@
                 self.wake.notified().await;
                 continue;
             };
-            let wait = next.saturating_sub(self.now());
+            let wait = self.clock.sleep_until(next);
             tokio::select! {
                 () = tokio::time::sleep(wait) => self.step_replica(ReplicaInput::Wake),
                 () = self.wake.notified() => {}
--- a/crates/node/src/process/group/run.rs
+++ b/crates/node/src/process/group/run.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::Context;
 use tokio::signal::unix::{signal, SignalKind};
@@ -11,6 +11,7 @@
 use wheelmast_core::process::control::state::MemberRecord;
 use wheelmast_wire::dialect::ForwardDialect;
 
+use crate::process::clock::ProcessClock;
 use crate::process::expose::expose_metrics;
 use crate::process::forward::callers::listen;
 use crate::process::group::answer::accept_calls;
@@ -44,7 +45,7 @@
 
 async fn serve<D: ForwardDialect>(settings: RoleSettings, path: PathBuf) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
-    let started = Instant::now();
+    let clock = ProcessClock::start();
     let data = settings
         .data_folder
         .clone()
@@ -69,7 +70,7 @@
     };
     tracing::info!(target: "group", replica = id, is_new, address = %me.address, "replica: opened");
     let kept = store.kept().clone();
-    let replica = make_replica(id, kept, settings.tolerate, started.elapsed());
+    let replica = make_replica(id, kept, settings.tolerate, clock.elapsed());
     let line = start_disk(store, data, &settings.instance)?;
     let state = GroupState {
         replica: Some(replica),
@@ -80,7 +81,7 @@
     let peers = listen(settings.peer_address()).await?;
     let seeds = settings.seed_peers();
     let founds = settings.first_start && seeds.iter().min() == Some(&me.address);
-    let node = Rc::new(GroupNode::new(settings, me, state, line.orders, started));
+    let node = Rc::new(GroupNode::new(settings, me, state, line.orders, clock));
     node.remember(servers);
     node.remember_suspects(suspects);
     node.publish();
--- a/crates/node/src/process/instance.rs
+++ b/crates/node/src/process/instance.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::sync::{oneshot, watch};
 use wheelmast_core::prelude::{
@@ -17,6 +17,7 @@
 use crate::process::announce::{announce_router, AnnounceState};
 use crate::process::callers::{caller_router, CallerState};
 use crate::process::change::ChangeDesk;
+use crate::process::clock::ProcessClock;
 use crate::process::control::ControlDriver;
 use crate::process::duty::{join_all, start_thread, DutyStarter, ListenPlan};
 use crate::process::entry::{EntryDriver, EntryMessage};
@@ -119,7 +120,7 @@
             ring: entry_ring,
             upstreams,
             journal,
-            started: Instant::now(),
+            started: ProcessClock::start(),
             left: Some(left_sender),
             learned: ready.learned.clone(),
             outcomes: HashMap::new(),
@@ -138,7 +139,7 @@
             }
         }
 
-        let started = Instant::now();
+        let started = ProcessClock::start();
         let mut desk = None;
         let mut peers = None;
         let mut gossip = None;
@@ -251,7 +252,7 @@
     settings: &'a InstanceSettings,
     entry: &'a RingSender<EntryMessage>,
     stop: watch::Receiver<bool>,
-    started: Instant,
+    started: ProcessClock,
 }
 
 /// The parts of an instance that the others reach.
--- a/crates/node/src/process/member.rs
+++ b/crates/node/src/process/member.rs
@@ -2,7 +2,7 @@
 //! the other instances, its replica.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use anyhow::{bail, Context};
 use wheelmast_core::process::control::log::ReplicaId;
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::connection::peer::{PeerLink, PeerTeller};
+use crate::process::clock::ProcessClock;
 use crate::process::control::ReplicaDuty;
 use crate::process::store::folder::{DataFolder, FolderIdentity, FOLDER_FORMAT};
 use crate::process::store::replica_store::ReplicaStore;
@@ -62,7 +63,7 @@
 pub fn open_replica(
     cluster: &ClusterSettings,
     instance: &str,
-    started: Instant,
+    started: ProcessClock,
 ) -> anyhow::Result<Option<ReplicaDuty>> {
     let Some(path) = &cluster.data_folder else {
         return Ok(None);
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod announce;
 pub mod callers;
 pub mod change;
+pub mod clock;
 pub mod control;
 pub mod duty;
 pub mod entry;
--- a/crates/node/tests/shares.rs
+++ b/crates/node/tests/shares.rs
@@ -1,6 +1,6 @@
 //! A server's limits, divided over instances that come and go.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -31,7 +31,7 @@
     /// have been fewer for the whole lease.
     #[test]
     fn a_lost_part_is_held_for_a_lease(steps in prop::collection::vec((1u32..8, 0u64..4000), 1..40)) {
-        let start = Instant::now();
+        let start = Duration::ZERO;
         let mut now = start;
         let mut shares = ShareCount::new(7);
         let mut count = 7;
