--- a/crates/fake/src/model/caller.rs
+++ b/crates/fake/src/model/caller.rs
@@ -16,6 +16,8 @@
     pub(super) kind: usize,
     /// What it asks for, and who asks.
     pub(super) mark: RequestMark,
+    /// Place among the requests that end servers, if it is one.
+    pub(super) deadly: Option<usize>,
     /// When it first came.
     pub(super) came: Duration,
     /// Until when it waits.
@@ -36,6 +38,7 @@
         ModelCaller {
             kind,
             mark,
+            deadly: None,
             came: now,
             until: now + limit,
             tries_left: 2,
--- a/crates/fake/src/model/entry.rs
+++ b/crates/fake/src/model/entry.rs
@@ -40,6 +40,7 @@
             extra: spec.extra.with_reserve(),
             seed,
             pauses: spec.pause_way,
+            canary: spec.canary,
             records: false,
             ..ForwardOptions::default()
         };
--- a/crates/fake/src/model/event.rs
+++ b/crates/fake/src/model/event.rs
@@ -6,6 +6,7 @@
 
 use wheelmast_core::arena::SlotKey;
 use wheelmast_core::process::forward::input::AttemptEnd;
+use wheelmast_core::process::forward::suspect::record::SuspectRecord;
 use wheelmast_core::process::input::CallTag;
 
 use crate::model::server::JobKey;
@@ -15,6 +16,17 @@
 pub(super) enum PlayEvent {
     /// The next caller of a kind comes.
     Come { kind: usize },
+    /// Requests that end servers come.
+    Deadly { turn: usize },
+    /// A server ends under a request.
+    Crash { job: JobKey },
+    /// A server is back.
+    Revive { server: usize },
+    /// An entry hears what others know of requests under which servers ended.
+    Suspects {
+        entry: usize,
+        records: Vec<SuspectRecord>,
+    },
     /// A caller makes a try at an entry.
     Try { caller: usize },
     /// A timer of an entry may be due.
--- a/crates/fake/src/model/mod.rs
+++ b/crates/fake/src/model/mod.rs
@@ -13,6 +13,7 @@
 
 mod bound;
 mod caller;
+mod deadly;
 mod entry;
 mod event;
 mod play;
--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -42,6 +42,11 @@
     for kind in 0..spec.kinds.len() {
         state.plan_next(kind);
     }
+    if let Some(deadly) = &spec.deadly {
+        for (turn, at) in deadly.at.iter().enumerate() {
+            state.events.push(*at, PlayEvent::Deadly { turn });
+        }
+    }
     while let Some((at, event)) = state.events.pop() {
         if at > spec.length + LAST_TIME {
             break;
@@ -76,6 +81,10 @@
     pub(super) runs: HashMap<(CallTag, usize), u32>,
     /// Work done for tries that wait for their answer.
     pub(super) work: HashMap<CallTag, Duration>,
+    /// When the requests that end servers came to these.
+    pub(super) deadly: HashMap<usize, Vec<Duration>>,
+    /// When servers ended under them.
+    pub(super) crashes: HashMap<usize, Vec<Duration>>,
     pub(super) bound: BoundWatch,
     pub(super) tally: PlayTally,
     pub(super) next_tag: u64,
@@ -144,6 +153,8 @@
             sent: HashMap::new(),
             runs: HashMap::new(),
             work: HashMap::new(),
+            deadly: HashMap::new(),
+            crashes: HashMap::new(),
             bound: BoundWatch::default(),
             tally: PlayTally {
                 kinds: vec![KindTally::default(); spec.kinds.len()],
@@ -156,6 +167,10 @@
     fn take(&mut self, event: PlayEvent) {
         match event {
             PlayEvent::Come { kind } => self.come(kind),
+            PlayEvent::Deadly { turn } => self.deadly_comes(turn),
+            PlayEvent::Crash { job } => self.crash(job),
+            PlayEvent::Revive { server } => self.revive(server),
+            PlayEvent::Suspects { entry, records } => self.hear_suspects(entry, records),
             PlayEvent::Try { caller } => self.make_try(caller),
             PlayEvent::Wake { entry } => {
                 self.entries[entry].armed = Duration::MAX;
@@ -192,7 +207,11 @@
         let spec = &self.spec.kinds[kind];
         self.tally.kinds[kind].asked += 1;
         self.tally.kinds[kind].owed += spec.worth;
-        let mark = mark_of(self.callers.len());
+        let mut number = self.callers.len();
+        if self.spec.variety > 0 {
+            number = kind * self.spec.variety + self.rng.random_range(0..self.spec.variety);
+        }
+        let mark = mark_of(number);
         self.callers
             .push(ModelCaller::new(kind, mark, self.now, spec.limit));
         self.make_try(self.callers.len() - 1);
@@ -200,6 +219,10 @@
 
     fn make_try(&mut self, caller: usize) {
         let entry = self.pick_entry();
+        self.try_at(caller, entry);
+    }
+
+    pub(super) fn try_at(&mut self, caller: usize, entry: usize) {
         self.next_tag += 1;
         let tag = CallTag(self.next_tag);
         let state = &mut self.callers[caller];
@@ -238,7 +261,8 @@
                 ForwardAction::Close(server) => {
                     self.entries[entry].idle.remove(&server);
                 }
-                ForwardAction::Suspect(_) | ForwardAction::Decide(_) => {}
+                ForwardAction::Suspect(record) => self.tell_suspect(entry, record),
+                ForwardAction::Decide(_) => {}
             }
         }
         let state = &mut self.entries[entry];
@@ -277,10 +301,15 @@
             begun: None,
             is_closed: false,
             is_over: false,
+            deadly: None,
         });
         self.entries[entry]
             .jobs
             .insert(order.attempt, (job, order.server));
+        let server = &self.servers[place];
+        if server.is_down(self.now) || *server.id != *order.instance {
+            return self.plan_end(job, there_and_back, AttemptEnd::Unsent);
+        }
         let is_cut = self.entries[entry].is_cut(self.now);
         if !has_idle && (is_cut || self.servers[place].is_dark(self.now)) {
             return self.plan_end(job, OPEN_TIME, AttemptEnd::Unsent);
@@ -352,6 +381,9 @@
             }
             ForwardAnswer::Failure { .. } | ForwardAnswer::Server(_) => (CallerEnd::Failed, None),
         };
+        if let ForwardAnswer::Failure { failure, .. } = answer {
+            self.note_barred(caller, *failure);
+        }
         if !matches!(end, CallerEnd::Answered { .. }) {
             self.tally.wasted += work;
             let state = &mut self.callers[caller];
@@ -365,6 +397,10 @@
 
     fn count(&mut self, caller: usize, end: CallerEnd) {
         let state = &self.callers[caller];
+        if state.deadly.is_some() {
+            // Nobody owes it anything.
+            return;
+        }
         let spec = &self.spec.kinds[state.kind];
         let tally = &mut self.tally.kinds[state.kind];
         tally.returns += u32::from(state.came_back);
@@ -386,6 +422,7 @@
         let runs = self.runs.values();
         let over = runs.filter(|runs| **runs > ATTEMPTS).count();
         self.tally.over_attempts = over;
+        self.tally.late_deadly = self.count_late();
         for entry in &self.entries {
             let book = entry.machine.expectations();
             self.tally.expectations.merge(book);
--- a/crates/fake/src/model/server.rs
+++ b/crates/fake/src/model/server.rs
@@ -29,6 +29,8 @@
     pub(super) is_closed: bool,
     /// Whether it ended at its server.
     pub(super) is_over: bool,
+    /// Which of the requests that end servers it is of, once begun.
+    pub(super) deadly: Option<usize>,
 }
 
 /// A server and its faults.
@@ -38,6 +40,9 @@
     /// Place of its failure domain.
     pub(super) domain: usize,
     pub(super) faults: Vec<(Duration, Duration, ServerEffect)>,
+    /// Until when it is away, and how often it has been.
+    pub(super) down_until: Duration,
+    pub(super) lives: u32,
     /// Its pauses, with the time of the first one.
     pub(super) pauses: Option<(PauseSpec, Duration)>,
     slots: u32,
@@ -52,6 +57,8 @@
             id,
             domain,
             faults: Vec::new(),
+            down_until: Duration::ZERO,
+            lives: 0,
             pauses: None,
             slots,
             room,
@@ -72,6 +79,18 @@
         self.effects(now).any(|effect| effect == ServerEffect::Dark)
     }
 
+    /// Tells whether it has ended and is not back yet.
+    pub(super) fn is_down(&self, now: Duration) -> bool {
+        now < self.down_until
+    }
+
+    /// Begins another lifetime, which has nothing to do yet.
+    pub(super) fn begin_life(&mut self) {
+        self.lives += 1;
+        let name = self.id.split('#').next().unwrap_or_default();
+        self.id = format!("{name}#{}", self.lives);
+    }
+
     /// Returns the fraction of requests that it rejects.
     pub(super) fn sheds(&self, now: Duration) -> f64 {
         let parts = self.effects(now).map(|effect| match effect {
--- a/crates/fake/src/model/spec.rs
+++ b/crates/fake/src/model/spec.rs
@@ -3,6 +3,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use wheelmast_core::process::forward::canary::CanaryWay;
 use wheelmast_core::process::forward::extra::ExtraBound;
 use wheelmast_core::process::forward::pause::PauseWay;
 
@@ -55,6 +56,26 @@
     pub effect: ServerEffect,
 }
 
+/// Requests that end each server which begins to run them, a moment after it
+/// has begun.
+#[derive(Debug, Clone)]
+pub struct DeadlySpec {
+    /// Place of their kind; they are as others of it.
+    pub kind: usize,
+    /// When they come. The first of them comes again in turn.
+    pub at: Vec<Duration>,
+    /// How many different ones there are.
+    pub count: usize,
+    /// Entries at which each comes at once.
+    pub entries: usize,
+    /// Callers that ask for the same, in turn.
+    pub callers: usize,
+    /// Mean time after which a server ends.
+    pub after: Duration,
+    /// Time that it is away.
+    pub down: Duration,
+}
+
 /// Pauses of the servers: each stands still at an interval, from a time of its
 /// own on.
 #[derive(Debug, Clone, Copy)]
@@ -86,6 +107,13 @@
     pub faults: Vec<FaultSpec>,
     /// Entries that are cut off.
     pub cuts: Vec<CutSpec>,
+    /// Requests that end servers, if some come.
+    pub deadly: Option<DeadlySpec>,
+    /// How many different requests there are of each kind, by one caller each;
+    /// 0 for as many as come.
+    pub variety: usize,
+    /// Which requests one server tries first.
+    pub canary: CanaryWay,
     /// Pauses of the servers, if they pause.
     pub pauses: Option<PauseSpec>,
     /// How the entries meet them.
@@ -145,6 +173,9 @@
             kinds: vec![sweep, lookup],
             faults: Vec::new(),
             cuts: Vec::new(),
+            deadly: None,
+            variety: 0,
+            canary: CanaryWay::default(),
             pauses: None,
             pause_way: PauseWay::default(),
             entries: 4,
--- a/crates/fake/src/model/tally.rs
+++ b/crates/fake/src/model/tally.rs
@@ -70,6 +70,14 @@
     pub excess: f64,
     /// Parts of requests that ran more often than their route allows.
     pub over_attempts: usize,
+    /// Servers that ended under requests.
+    pub ends: u32,
+    /// Sends of one request to servers, later than all should know it: the most
+    /// of any.
+    pub late_deadly: u32,
+    /// Harmless requests that were refused in the end because servers had ended
+    /// under them.
+    pub mistaken: u32,
     /// Requests and slots that were still taken at the end.
     pub left: usize,
 }
--- a/crates/fake/src/model/work.rs
+++ b/crates/fake/src/model/work.rs
@@ -16,11 +16,17 @@
 impl PlayState<'_> {
     pub(super) fn reach(&mut self, job: JobKey) {
         let place = self.jobs[job].server;
+        if self.servers[place].is_down(self.now) {
+            self.jobs[job].is_over = true;
+            let back = self.jobs[job].way;
+            return self.plan_end(job, back, AttemptEnd::Broken);
+        }
         let is_cut = self.entries[self.jobs[job].entry].is_cut(self.now);
         if is_cut || self.jobs[job].is_closed || self.servers[place].is_dark(self.now) {
             return;
         }
         self.tally.arrivals += 1;
+        self.note_arrival(job);
         let shard = place / DOMAINS.len();
         let sent = self.sent.entry((self.jobs[job].call, shard)).or_default();
         *sent += 1;
@@ -59,6 +65,9 @@
         let factor = LogNormal::new(-spread * spread / 2.0, spread)
             .map_or(1.0, |factor| factor.sample(&mut self.rng));
         let work = Duration::from_secs_f64(mean * slowness * factor);
+        if self.plan_crash(job) {
+            return;
+        }
         let takes = self.servers[self.jobs[job].server].with_pauses(work, self.now);
         self.events
             .push(self.now + takes, PlayEvent::Finish { job });
@@ -80,7 +89,7 @@
     }
 
     /// Frees a job's slot and counts the time that it was taken.
-    fn leave_slot(&mut self, job: JobKey) {
+    pub(super) fn leave_slot(&mut self, job: JobKey) {
         let state = &mut self.jobs[job];
         state.is_over = true;
         self.servers[state.server].running -= 1;
--- /dev/null
+++ b/crates/fake/tests/plays/crashing.rs
@@ -0,0 +1,219 @@
+//! Requests that end each server which begins to run them, played on the core in
+//! virtual time: how many servers end, what callers of harmless requests get,
+//! and what the ways to be careful cost on a calm day.
+
+use std::time::Duration;
+
+use wheelmast_core::process::forward::canary::CanaryWay;
+use wheelmast_fake::model::spec::{CutSpec, DeadlySpec, FaultSpec, PlaySpec, ServerEffect};
+use wheelmast_fake::model::tally::PlayTally;
+
+use crate::support::{mean, play_all, shares};
+
+/// Sends of one request that may still be made once all should know it.
+const MOST_LATE: u32 = 3;
+
+struct CrashCase {
+    name: &'static str,
+    spec: fn() -> PlaySpec,
+    /// Most servers that end, as the mean of the seeds.
+    most_ends: f64,
+    /// Least part of the worth owed for harmless requests that is earned.
+    least_share: f64,
+    /// Servers that ended, and what was earned, before such requests were
+    /// known: printed beside what is now.
+    before: [f64; 2],
+}
+
+fn seconds(times: &[u64]) -> Vec<Duration> {
+    times.iter().map(|at| Duration::from_secs(*at)).collect()
+}
+
+fn deadly() -> DeadlySpec {
+    DeadlySpec {
+        kind: 0,
+        at: seconds(&[1, 3, 5, 7, 9]),
+        count: 1,
+        entries: 1,
+        callers: 1,
+        after: Duration::from_millis(20),
+        down: Duration::from_secs(2),
+    }
+}
+
+fn play_of(deadly: DeadlySpec) -> PlaySpec {
+    PlaySpec {
+        deadly: Some(deadly),
+        ..PlaySpec::of_today()
+    }
+}
+
+const CASES: &[CrashCase] = &[
+    CrashCase {
+        name: "one, five times",
+        spec: || play_of(deadly()),
+        most_ends: 22.0,
+        least_share: 0.9,
+        before: [200.0, 0.2],
+    },
+    CrashCase {
+        name: "one, at four entries at once",
+        spec: || {
+            play_of(DeadlySpec {
+                entries: 4,
+                ..deadly()
+            })
+        },
+        most_ends: 34.0,
+        least_share: 0.85,
+        before: [200.0, 0.2],
+    },
+    CrashCase {
+        name: "five, each once",
+        spec: || {
+            play_of(DeadlySpec {
+                count: 5,
+                ..deadly()
+            })
+        },
+        most_ends: 110.0,
+        least_share: 0.5,
+        before: [200.0, 0.2],
+    },
+    CrashCase {
+        name: "one content, a caller each time",
+        spec: || {
+            play_of(DeadlySpec {
+                callers: 5,
+                ..deadly()
+            })
+        },
+        most_ends: 24.0,
+        least_share: 0.9,
+        before: [200.0, 0.2],
+    },
+    CrashCase {
+        name: "slow to end its servers",
+        spec: || {
+            play_of(DeadlySpec {
+                after: Duration::from_millis(150),
+                ..deadly()
+            })
+        },
+        most_ends: 42.0,
+        least_share: 0.8,
+        before: [200.0, 0.2],
+    },
+    CrashCase {
+        name: "while an entry is cut off",
+        spec: || PlaySpec {
+            cuts: vec![CutSpec {
+                entries: 0..2,
+                from: Duration::from_millis(900),
+                until: Duration::from_secs(4),
+            }],
+            ..play_of(deadly())
+        },
+        most_ends: 22.0,
+        least_share: 0.85,
+        before: [200.0, 0.2],
+    },
+    CrashCase {
+        name: "beside harmless ones of which many are alike",
+        spec: || PlaySpec {
+            variety: 20,
+            ..play_of(deadly())
+        },
+        most_ends: 22.0,
+        least_share: 0.9,
+        before: [200.0, 0.2],
+    },
+    CrashCase {
+        name: "many entries that ask each other",
+        spec: || PlaySpec {
+            deadly: Some(DeadlySpec {
+                at: seconds(&[1, 3]),
+                entries: 3,
+                ..deadly()
+            }),
+            length: Duration::from_secs(5),
+            ..PlaySpec::of_many_entries()
+        },
+        most_ends: 130.0,
+        least_share: 0.6,
+        before: [192.0, 0.2],
+    },
+];
+
+fn harmed(tallies: &[PlayTally]) -> (f64, f64, f64) {
+    let ends = mean(tallies, |tally| f64::from(tally.ends));
+    let mistaken = mean(tallies, |tally| f64::from(tally.mistaken));
+    (ends, mistaken, mean(tallies, PlayTally::share))
+}
+
+#[test]
+fn few_servers_end_and_harmless_requests_are_served() {
+    for case in CASES {
+        let tallies = play_all(&(case.spec)());
+        let late = tallies.iter().map(|tally| tally.late_deadly).max();
+        let (ends, mistaken, share) = harmed(&tallies);
+        println!(
+            "{}: {ends:.1} servers ended, {mistaken:.2} harmless requests kept back, \
+             {share:.3} earned, {late:?} sends late; before {:?}",
+            case.name, case.before
+        );
+        assert!(late <= Some(MOST_LATE), "{}: {late:?}", case.name);
+        assert!(ends <= case.most_ends, "{}: {ends}", case.name);
+        assert!(share >= case.least_share, "{}: {share}", case.name);
+        for tally in &tallies {
+            assert_eq!(tally.false_refusals, 0, "{}", case.name);
+            assert_eq!(tally.left, 0, "{}: every request ends", case.name);
+        }
+    }
+}
+
+/// Both ways: to let one server try what has ended servers, and to let one try
+/// every request.
+#[test]
+fn a_canary_for_every_request_spares_servers_and_costs_on_a_calm_day() {
+    let ways = [CanaryWay::Suspects, CanaryWay::All];
+    let [after, first] = ways.map(|canary| {
+        let spec = PlaySpec {
+            canary,
+            ..play_of(deadly())
+        };
+        harmed(&play_all(&spec))
+    });
+    println!("deadly: after the first {after:.3?}, before all {first:.3?}");
+    assert!(first.0 < after.0, "it spares the first servers");
+    let [after, first] = ways.map(|canary| {
+        let spec = PlaySpec {
+            canary,
+            ..PlaySpec::of_today()
+        };
+        shares(&play_all(&spec))
+    });
+    println!("calm: after the first {after:.4?}, before all {first:.4?}");
+    assert!(after[0] >= 0.99, "{after:?}");
+}
+
+/// Servers that end for other reasons speak against nobody.
+#[test]
+fn requests_whose_servers_fall_dark_or_shed_are_not_kept_back() {
+    for effect in [ServerEffect::Dark, ServerEffect::Shed(0.6)] {
+        let spec = PlaySpec {
+            variety: 20,
+            faults: vec![FaultSpec {
+                shards: 0..10,
+                server: 0,
+                from: Duration::from_secs(2),
+                until: Duration::from_secs(6),
+                effect,
+            }],
+            ..PlaySpec::of_today()
+        };
+        for tally in play_all(&spec) {
+            assert_eq!(tally.mistaken, 0, "{effect:?}");
+        }
+    }
+}
--- a/crates/fake/tests/plays/main.rs
+++ b/crates/fake/tests/plays/main.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+mod crashing;
 mod load;
 mod pauses;
 mod silent;
