While servers end, one of them tries each gathered request first; several at once no longer try at one server

What is being tried last is refused elsewhere for 120 ms, as the caller is there before the news. The shard that tries is drawn by lot: all suspects had gone to the first one and ended there together.

--- a/crates/core/src/process/forward/canary.rs
+++ b/crates/core/src/process/forward/canary.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use rand::Rng;
+
 use crate::arena::SlotKey;
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardFailure};
 use crate::process::forward::call::{CallState, ForwardAttempt};
@@ -20,6 +22,9 @@
 
 /// Time between two looks for a server that may try a request.
 const LOOK_AGAIN: Duration = Duration::from_millis(10);
+/// Time within which a machine says that nobody listens there any more; a
+/// machine that is dark says nothing.
+const REFUSAL_TIME: Duration = Duration::from_millis(100);
 /// Status of a server that is not the one that was meant.
 const MISDIRECTED: u16 = 421;
 /// Status of a server that stopped work when the time was over: it says nothing
@@ -32,8 +37,10 @@
     /// None: what ends servers goes on to the others.
     Never,
     /// Those under which servers ended.
-    #[default]
     Suspects,
+    /// These, and all that are gathered while servers end.
+    #[default]
+    Alert,
     /// All that are gathered.
     All,
 }
@@ -83,7 +90,12 @@
 
     /// Returns what speaks against a request that comes in.
     pub(super) fn first_doubt(&self, call: &ForwardCall, now: Duration) -> CallDoubt {
-        let is_tried = self.options.canary == CanaryWay::All && call.relayed.is_none();
+        let is_tried = call.relayed.is_none()
+            && match self.options.canary {
+                CanaryWay::Never | CanaryWay::Suspects => false,
+                CanaryWay::Alert => self.end_watch.is_on(now),
+                CanaryWay::All => true,
+            };
         let is_known = !self.suspects.is_empty()
             && self.suspects.standing(call.mark, now) != SuspectStanding::Clear;
         CallDoubt {
@@ -156,8 +168,14 @@
     ) {
         match end {
             _ if self.options.canary == CanaryWay::Never => {}
-            AttemptEnd::Broken if attempt.is_relay() || attempt.cancelled => {}
-            AttemptEnd::Broken => self.note_end(attempt, now, out),
+            AttemptEnd::Broken | AttemptEnd::Unsent if attempt.is_relay() || attempt.cancelled => {}
+            AttemptEnd::Unsent if now < attempt.sent_at + REFUSAL_TIME => {
+                self.watch_end(attempt, now);
+            }
+            AttemptEnd::Broken => {
+                self.watch_end(attempt, now);
+                self.note_end(attempt, now, out);
+            }
             AttemptEnd::Bundle(bundle) if !bundle.parts.is_empty() => {
                 self.note_run(attempt, now, out);
             }
@@ -175,6 +193,11 @@
         }
     }
 
+    fn watch_end(&mut self, attempt: &ForwardAttempt, now: Duration) {
+        let answered_at = self.servers[attempt.server].answered_at;
+        self.end_watch.note(attempt.server, answered_at, now);
+    }
+
     fn note_end(&mut self, attempt: &ForwardAttempt, now: Duration, out: &mut Vec<ForwardAction>) {
         let call = attempt.call.and_then(|call| self.calls.get_mut(call));
         let has_run = attempt.has_run || call.as_ref().is_some_and(|call| call.doubt.has_run);
@@ -287,8 +310,13 @@
             let part = &state.parts[*part];
             part.is_open() && part.runs < state.attempts
         });
-        // A shard that has servers to spare loses least if one of them ends.
+        // A shard that has servers to spare loses least if one of them ends. Of
+        // these any: on one server all that are tried would end together.
         let mut open: Vec<usize> = open.collect();
+        if !open.is_empty() {
+            let first = self.rng.random_range(0..open.len());
+            open.rotate_left(first);
+        }
         open.sort_by_key(|part| {
             let servers = self.upstreams[state.parts[*part].upstream].servers.len();
             usize::MAX - servers.saturating_sub(state.parts[*part].tried.len())
@@ -346,10 +374,11 @@
         let Some(state) = self.calls.get(call).filter(|state| state.is_doubted()) else {
             return false;
         };
-        // Beside a server that is slow to try it, its peer may.
+        // Beside a server that is slow to try it, its peer may, if none has
+        // ended yet.
         let attempts = state.parts[part].attempts.iter();
         let mut attempts = attempts.filter_map(|attempt| self.attempts.get(*attempt));
-        !attempts.any(|attempt| attempt.on_trial)
+        state.doubt.ends > 0 || !attempts.any(|attempt| attempt.on_trial)
     }
 
     /// Asks for all shards that were not asked for while the request was
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -28,6 +28,7 @@
 use crate::process::forward::place::RegionMap;
 use crate::process::forward::server::ServerState;
 use crate::process::forward::split::SplitCounter;
+use crate::process::forward::suspect::alert::EndWatch;
 use crate::process::forward::suspect::book::SuspectBook;
 use crate::process::forward::timing::RouteTiming;
 use crate::process::input::CallTag;
@@ -152,6 +153,8 @@
     pub(super) expectations: ExpectationBook,
     /// Requests under which servers ended.
     pub(super) suspects: SuspectBook,
+    /// Servers that ended lately.
+    pub(super) end_watch: EndWatch,
     /// What the servers say of the interval of their pauses.
     pub(super) pause_vote: IntervalVote,
     /// When a request may be let in again that depends on doubtful shards.
@@ -190,6 +193,7 @@
             counters: ForwardCounters::default(),
             expectations: ExpectationBook::default(),
             suspects: SuspectBook::default(),
+            end_watch: EndWatch::default(),
             pause_vote: IntervalVote::default(),
             probe_at: Duration::ZERO,
             shifts_until: Duration::ZERO,
--- a/crates/core/src/process/forward/suspect/book.rs
+++ b/crates/core/src/process/forward/suspect/book.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::process::forward::suspect::record::{ServerEnd, SuspectRecord};
+use crate::process::forward::suspect::record::{ServerEnd, SuspectRecord, ENDS_TO_QUARANTINE};
 use crate::request::mark::{ContentMark, RequestMark};
 
 /// Most requests that are remembered: some 150 bytes each, so that all are under
@@ -16,6 +16,10 @@
 /// Time in which the entry that saw the ends puts the request on trial. After it
 /// a request that ended enough servers is kept from all without one.
 const TRIAL_TIME: Duration = Duration::from_millis(1500);
+/// Time after all but one of the ends, all of them under trials, in which the last
+/// trial is under way: a caller that comes again elsewhere is there before the
+/// news of it.
+const TRIAL_STEP: Duration = Duration::from_millis(120);
 /// Servers that end under one content, asked by several callers, until it is
 /// kept from all servers whoever asks.
 const CONTENT_ENDS: usize = 4;
@@ -92,6 +96,13 @@
                 SuspectStanding::OnTrial
             };
         }
+        let is_being_tried = own.is_some_and(|known| {
+            let is_last = known.record.ends.len() + 1 == ENDS_TO_QUARANTINE;
+            is_last && known.record.was_tried() && now < known.told_at + TRIAL_STEP
+        });
+        if is_being_tried {
+            return SuspectStanding::OnTrial;
+        }
         if is_content_at_fault(alike) {
             return SuspectStanding::Quarantined;
         }
--- a/crates/fake/src/model/spec.rs
+++ b/crates/fake/src/model/spec.rs
@@ -68,6 +68,9 @@
     pub count: usize,
     /// Entries at which each comes at once.
     pub entries: usize,
+    /// An entry that nobody hears of these requests, and that hears nobody: the
+    /// first of them comes there.
+    pub muted: Option<usize>,
     /// Callers that ask for the same, in turn.
     pub callers: usize,
     /// Mean time after which a server ends.
