--- a/crates/core/src/process/forward/canary.rs
+++ b/crates/core/src/process/forward/canary.rs
@@ -172,10 +172,8 @@
             AttemptEnd::Unsent if now < attempt.sent_at + REFUSAL_TIME => {
                 self.watch_end(attempt, now);
             }
-            AttemptEnd::Broken => {
-                self.watch_end(attempt, now);
-                self.note_end(attempt, now, out);
-            }
+            // That one broke off says little of whether it lives.
+            AttemptEnd::Broken => self.note_end(attempt, now, out),
             AttemptEnd::Bundle(bundle) if !bundle.parts.is_empty() => {
                 self.note_run(attempt, now, out);
             }
