--- a/crates/core/src/process/forward/canary.rs
+++ b/crates/core/src/process/forward/canary.rs
@@ -38,7 +38,8 @@
     Never,
     /// Those under which servers ended.
     Suspects,
-    /// These, and all that are gathered while servers end.
+    /// These, and all that are gathered while servers end and an entry is missed
+    /// that could have told why.
     #[default]
     Alert,
     /// All that are gathered.
