Read once more: what ends say has a file of its own; constants, causes and heads stand once

Change: judge.rs takes what the ends of attempts say, bodies as they were; reply.rs, hedge.rs and send.rs lend theirs; head.rs and tests/support serve both sides; the book's own lookup does for an empty book.

--- a/crates/core/src/process/forward/canary.rs
+++ b/crates/core/src/process/forward/canary.rs
@@ -11,26 +11,16 @@
 use rand::Rng;
 
 use crate::arena::SlotKey;
-use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardFailure};
-use crate::process::forward::call::{CallState, ForwardAttempt};
+use crate::process::forward::answer::{ForwardAction, ForwardFailure};
+use crate::process::forward::call::CallState;
 use crate::process::forward::choose::NoChoice;
-use crate::process::forward::input::{AttemptEnd, ForwardCall, ServerAnswer};
+use crate::process::forward::hedge::LOOK_AGAIN;
+use crate::process::forward::input::ForwardCall;
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::suspect::book::SuspectStanding;
-use crate::process::forward::suspect::record::{ServerEnd, SuspectRecord, ENDS_TO_QUARANTINE};
+use crate::process::forward::suspect::record::{SuspectRecord, ENDS_TO_QUARANTINE};
 use crate::request::mark::RequestMark;
 
-/// Time between two looks for a server that may try a request.
-const LOOK_AGAIN: Duration = Duration::from_millis(10);
-/// Time within which a machine says that nobody listens there any more; a
-/// machine that is dark says nothing.
-const REFUSAL_TIME: Duration = Duration::from_millis(100);
-/// Status of a server that is not the one that was meant.
-const MISDIRECTED: u16 = 421;
-/// Status of a server that stopped work when the time was over: it says nothing
-/// about what would have come of it.
-const OUT_OF_TIME: u16 = 504;
-
 /// Which requests one server tries before the others get them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum CanaryWay {
@@ -58,11 +48,6 @@
     pub has_run: bool,
 }
 
-/// Tells whether a server ran a request to an end, by its answer.
-fn has_run(answer: &ServerAnswer) -> bool {
-    !answer.not_run && ![MISDIRECTED, OUT_OF_TIME].contains(&answer.status)
-}
-
 impl CallState {
     /// Tells whether its shards are to be asked for one at a time.
     pub(super) fn is_doubted(&self) -> bool {
@@ -74,9 +59,6 @@
 impl ForwardMachine {
     /// Returns how a request that comes in stands.
     pub(super) fn standing_of(&self, state: &CallState, now: Duration) -> SuspectStanding {
-        if self.suspects.is_empty() {
-            return SuspectStanding::Clear;
-        }
         self.suspects.standing(state.mark, now)
     }
 
@@ -97,8 +79,7 @@
                 CanaryWay::Alert => self.end_watch.is_on(now),
                 CanaryWay::All => true,
             };
-        let is_known = !self.suspects.is_empty()
-            && self.suspects.standing(call.mark, now) != SuspectStanding::Clear;
+        let is_known = self.suspects.standing(call.mark, now) != SuspectStanding::Clear;
         CallDoubt {
             is_suspect: is_tried || is_known,
             ..CallDoubt::default()
@@ -121,111 +102,6 @@
         (self.suspects.len(), self.suspects.quarantined(now))
     }
 
-    /// Takes over what others know of requests under which servers ended.
-    pub(super) fn merge_suspects(
-        &mut self,
-        records: &[SuspectRecord],
-        now: Duration,
-        out: &mut Vec<ForwardAction>,
-    ) {
-        for record in records {
-            if !self.suspects.merge(record, now) {
-                continue;
-            }
-            let same = self.tags.values().copied().filter(|call| {
-                let state = self.calls.get(*call);
-                state.is_some_and(|state| state.mark == record.mark)
-            });
-            let same: Vec<SlotKey> = same.collect();
-            for call in same {
-                self.doubt(call, record.ends.len(), now, out);
-            }
-        }
-    }
-
-    /// Takes note that so many servers ended under a request that is at work.
-    fn doubt(&mut self, call: SlotKey, ends: usize, now: Duration, out: &mut Vec<ForwardAction>) {
-        if let Some(state) = self.calls.get_mut(call) {
-            state.doubt.ends = state.doubt.ends.max(ends);
-            if self.examine(call, now, out) {
-                self.plan_sweep(call, now);
-            }
-        }
-    }
-
-    /// Tells whether a request is at work and doubted.
-    pub(super) fn is_call_doubted(&self, call: Option<SlotKey>) -> bool {
-        let call = call.and_then(|call| self.calls.get(call));
-        call.is_some_and(CallState::is_doubted)
-    }
-
-    /// Takes note of what the end of an attempt says about its request.
-    pub(super) fn judge(
-        &mut self,
-        attempt: &ForwardAttempt,
-        end: &AttemptEnd,
-        now: Duration,
-        out: &mut Vec<ForwardAction>,
-    ) {
-        match end {
-            _ if self.options.canary == CanaryWay::Never => {}
-            AttemptEnd::Broken | AttemptEnd::Unsent if attempt.is_relay() || attempt.cancelled => {}
-            AttemptEnd::Unsent if now < attempt.sent_at + REFUSAL_TIME => {
-                self.watch_end(attempt, now);
-            }
-            // That one broke off says little of whether it lives.
-            AttemptEnd::Broken => self.note_end(attempt, now, out),
-            AttemptEnd::Bundle(bundle) if !bundle.parts.is_empty() => {
-                self.note_run(attempt, now, out);
-            }
-            AttemptEnd::Answer(answer) if !attempt.is_relay() && has_run(answer) => {
-                self.note_run(attempt, now, out);
-            }
-            AttemptEnd::Barred(record) => {
-                self.merge_suspects(std::slice::from_ref(record), now, out);
-                let call = attempt.call.and_then(|call| self.calls.get_mut(call));
-                if let Some(state) = call {
-                    state.doubt.ends = state.doubt.ends.max(record.ends.len());
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn watch_end(&mut self, attempt: &ForwardAttempt, now: Duration) {
-        let answered_at = self.servers[attempt.server].answered_at;
-        self.end_watch.note(attempt.server, answered_at, now);
-    }
-
-    fn note_end(&mut self, attempt: &ForwardAttempt, now: Duration, out: &mut Vec<ForwardAction>) {
-        let call = attempt.call.and_then(|call| self.calls.get_mut(call));
-        let has_run = attempt.has_run || call.as_ref().is_some_and(|call| call.doubt.has_run);
-        if has_run {
-            // Another server ran it to an end and lives.
-            return;
-        }
-        if let Some(state) = call {
-            state.doubt.ends += 1;
-        }
-        let instance = self.servers[attempt.server].id.clone();
-        let end = ServerEnd::of(&instance, attempt.on_trial);
-        if let Some(record) = self.suspects.note_end(attempt.mark, end, now) {
-            out.push(ForwardAction::Suspect(record));
-        }
-    }
-
-    fn note_run(&mut self, attempt: &ForwardAttempt, now: Duration, out: &mut Vec<ForwardAction>) {
-        if let Some(state) = attempt.call.and_then(|call| self.calls.get_mut(call)) {
-            state.doubt.has_run = true;
-        }
-        if self.suspects.is_empty() {
-            return;
-        }
-        if let Some(record) = self.suspects.note_run(attempt.mark, now) {
-            out.push(ForwardAction::Suspect(record));
-        }
-    }
-
     /// Decides what becomes of a request that is doubted, now that something
     /// about it has changed. Returns whether it is to be looked over again.
     pub(super) fn examine(
@@ -324,15 +200,7 @@
         for part in open {
             match self.choose_for(call, part, now) {
                 Ok(choice) if self.afford(call, part, now, out) => {
-                    let is_first = self
-                        .calls
-                        .get(call)
-                        .is_some_and(|state| state.parts[part].arrivals == 0);
-                    let cause = if is_first {
-                        AttemptCause::First
-                    } else {
-                        AttemptCause::Retry
-                    };
+                    let cause = self.cause_for(call, part);
                     self.send_to(call, part, cause, choice, now, out);
                     return true;
                 }
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -10,8 +10,9 @@
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::forward::place::PlaceStep;
 
-/// Time between two looks at a part that could not be hedged.
-const LOOK_AGAIN: Duration = Duration::from_millis(10);
+/// Time between two looks at a part that could not be hedged, or for a server that
+/// may try a request.
+pub(super) const LOOK_AGAIN: Duration = Duration::from_millis(10);
 /// Shards of a route up to which each is worth a far hedge as soon as it is
 /// slow: what is left out of so few costs a tenth of the answer.
 const DEAR_SHARDS: f64 = 20.0;
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -23,6 +23,7 @@
 mod hedge;
 pub mod home;
 pub mod input;
+mod judge;
 pub mod machine;
 mod notices;
 pub mod pace;
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -17,7 +17,7 @@
 /// Name of the request of an attempt that nobody waits for any more.
 const NO_CALL: CallTag = CallTag(u64::MAX);
 /// Status of a server that is not the one that was meant.
-const MISDIRECTED: u16 = 421;
+pub(super) const MISDIRECTED: u16 = 421;
 /// First status of a server's failure.
 const SERVER_FAILURE: u16 = 500;
 /// Time within which an entry that refuses says so; one that takes longer could
@@ -150,7 +150,7 @@
             return;
         };
         let mut meaning = EndMeaning::of(&end);
-        if state.cause == AttemptCause::Relay {
+        if state.is_relay() {
             meaning = EndMeaning::of_relay(&end);
         }
         if meaning == EndMeaning::Broken && !state.is_relay() && !state.cancelled {
@@ -229,7 +229,7 @@
             }
             EndMeaning::Barred => server.answered_at = now,
             EndMeaning::Broken if state.call.is_none() => {}
-            EndMeaning::Unsent if state.cause == AttemptCause::Relay && work > REFUSAL_TIME => {
+            EndMeaning::Unsent if state.is_relay() && work > REFUSAL_TIME => {
                 server.rest_at_least(SILENT_REST, now);
             }
             EndMeaning::Unsent => server.rest(now),
@@ -237,7 +237,7 @@
                 server.judged(true);
                 // One answer that broke off says little: of servers that lose one
                 // in ten, each would rest for a quarter of the time.
-                if state.cause == AttemptCause::Relay || server.failing > FAILS_OFTEN {
+                if state.is_relay() || server.failing > FAILS_OFTEN {
                     server.rest(now);
                 }
             }
@@ -273,7 +273,7 @@
             return;
         };
         let tag = call.tag;
-        let is_refused = state.cause == AttemptCause::Relay && meaning == EndMeaning::Unsent;
+        let is_refused = state.is_relay() && meaning == EndMeaning::Unsent;
         let mut is_wanted = false;
         for part in &state.parts {
             let part = &mut call.parts[*part];
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -4,9 +4,7 @@
 
 use crate::arena::{SlotKey, UpstreamKey};
 use crate::process::forward::answer::{AttemptCause, AttemptOrder, ForwardAction, ForwardDecision};
-use crate::process::forward::call::{
-    CallState, ForwardAttempt, PartState, PartStatus, RelayStanding,
-};
+use crate::process::forward::call::{CallState, ForwardAttempt, PartStatus, RelayStanding};
 use crate::process::forward::choose::{ExpectedTimes, NoChoice, ServerChoice};
 use crate::process::forward::input::RelayOrder;
 use crate::process::forward::machine::ForwardMachine;
@@ -118,8 +116,7 @@
             return;
         };
         let AttemptSend { cause, choice, .. } = send;
-        let is_known = !self.suspects.is_empty()
-            && self.suspects.standing(state.mark, now) != SuspectStanding::Clear;
+        let is_known = self.suspects.standing(state.mark, now) != SuspectStanding::Clear;
         let on_trial = state.is_doubted() || (is_known && !state.gathers);
         let typical = self.timings[send.timing].typical(state.rule());
         let key = choice.server.key();
@@ -248,6 +245,17 @@
         self.decide(tag, out, || ForwardDecision::NoServer { service, servers });
     }
 
+    /// Returns why a part is sent that was sent before, or was not.
+    pub(super) fn cause_for(&self, call: SlotKey, part: usize) -> AttemptCause {
+        let state = self.calls.get(call);
+        let is_first = state.is_none_or(|state| state.parts[part].arrivals == 0);
+        if is_first {
+            AttemptCause::First
+        } else {
+            AttemptCause::Retry
+        }
+    }
+
     /// Gives the parts that wait for a service another try.
     pub(super) fn serve_waiting(
         &mut self,
@@ -270,10 +278,7 @@
             if self.is_held(call, part) {
                 continue;
             }
-            let Some(state) = self.calls.get(call) else {
-                continue;
-            };
-            let cause = cause_of(&state.parts[part]);
+            let cause = self.cause_for(call, part);
             match self.choose_for(call, part, now) {
                 Ok(choice) if self.afford(call, part, now, out) => {
                     self.send_to(call, part, cause, choice, now, out);
@@ -287,11 +292,3 @@
         }
     }
 }
-
-fn cause_of(part: &PartState) -> AttemptCause {
-    if part.arrivals == 0 {
-        AttemptCause::First
-    } else {
-        AttemptCause::Retry
-    }
-}
--- a/crates/core/src/process/forward/suspect/book.rs
+++ b/crates/core/src/process/forward/suspect/book.rs
@@ -135,16 +135,14 @@
     /// then, if that is news.
     pub fn note_run(&mut self, mark: RequestMark, now: Duration) -> Option<SuspectRecord> {
         let alike = self.contents.get_mut(&mark.content)?;
-        let is_alone = alike.iter().all(|known| known.record.mark == mark);
         let own = alike.iter_mut().find(|known| known.record.mark == mark);
-        if own.is_none() && !is_alone {
+        let Some(known) = own else {
             // Another caller's request of the same content ended servers; this
             // one need not be tried again.
             let known = self.known(mark, now);
             known.record.clear();
             return Some(known.record.clone());
-        }
-        let known = own?;
+        };
         if known.record.ends.is_empty() {
             return None;
         }
--- a/crates/fake/src/fragile.rs
+++ b/crates/fake/src/fragile.rs
@@ -6,12 +6,14 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use wheelmast_wire::dialect::ForwardDialect;
 use wheelmast_wire::native::NativeDialect;
 
+use crate::head::{find_header, read_head};
+
 /// Time that a request takes, or that passes before the server ends under it.
 const WORK_TIME: Duration = Duration::from_millis(15);
 /// Connections that may wait to be taken.
@@ -136,21 +138,11 @@
 
     async fn answer_all(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let mut bytes = Vec::new();
-        loop {
-            let end = loop {
-                let end = bytes.windows(4).position(|part| part == b"\r\n\r\n");
-                if let Some(end) = end {
-                    break end + 4;
-                }
-                if stream.read_buf(&mut bytes).await? == 0 {
-                    return Ok(());
-                }
-            };
-            let head = String::from_utf8_lossy(&bytes[..end]).to_string();
-            bytes.drain(..end);
+        while let Some(head) = read_head(&mut stream, &mut bytes).await? {
             let answer = self.answer(&head).await;
             stream.write_all(answer.as_bytes()).await?;
         }
+        Ok(())
     }
 
     async fn answer(&self, head: &str) -> String {
@@ -187,11 +179,3 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
-
-/// Returns the value of a header of a head.
-fn find_header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    head.lines().find_map(|line| {
-        let (found, value) = line.split_once(':')?;
-        found.eq_ignore_ascii_case(name).then_some(value.trim())
-    })
-}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod deployment;
 pub mod fault;
 pub mod fragile;
+mod head;
 pub mod ledger;
 pub mod model;
 pub mod network;
--- a/crates/fake/src/shard.rs
+++ b/crates/fake/src/shard.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use wheelmast_wire::dialect::ForwardDialect;
 use wheelmast_wire::native::NativeDialect;
 
+use crate::head::{find_header, read_head};
+
 /// Size of a record in bytes.
 const RECORD_BYTES: usize = 16;
 
@@ -74,27 +76,17 @@
 
     async fn serve(self, mut stream: TcpStream, letter: u8) -> std::io::Result<()> {
         let mut bytes = Vec::new();
-        loop {
-            let end = loop {
-                let end = bytes.windows(4).position(|part| part == b"\r\n\r\n");
-                if let Some(end) = end {
-                    break end + 4;
-                }
-                if stream.read_buf(&mut bytes).await? == 0 {
-                    return Ok(());
-                }
-            };
-            let head = String::from_utf8_lossy(&bytes[..end]).to_string();
-            bytes.drain(..end);
+        while let Some(head) = read_head(&mut stream, &mut bytes).await? {
             let answer = self.answer(&head, letter);
             stream.write_all(&answer).await?;
         }
+        Ok(())
     }
 
     fn answer(&self, head: &str, letter: u8) -> Vec<u8> {
         let names = NativeDialect::HEADERS;
-        let request = header(head, names.request).unwrap_or_default();
-        let expected = header(head, names.expect);
+        let request = find_header(head, names.request).unwrap_or_default();
+        let expected = find_header(head, names.expect);
         let mut lines = format!("{}: {request}\r\n", names.request);
         if expected.is_some_and(|expected| expected != self.id) {
             lines.push_str(&format!("{}: 1\r\n", names.not_run));
@@ -116,11 +108,3 @@
         [head.into_bytes(), body].concat()
     }
 }
-
-/// Returns the value of a header of a head.
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    head.lines().find_map(|line| {
-        let (found, value) = line.split_once(':')?;
-        found.eq_ignore_ascii_case(name).then_some(value.trim())
-    })
-}
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -1,6 +1,8 @@
 //! What an entry hears from control instances that are stand-ins here: who is
 //! asked for everything, and what is done when that one falls silent.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -9,7 +11,6 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::task::LocalSet;
 use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
 use wheelmast_core::process::forward::input::EntryPeer;
 use wheelmast_core::process::forward::machine::ForwardOptions;
@@ -20,6 +21,8 @@
 use wheelmast_wire::native::NativeDialect;
 use wheelmast_wire::pack::pack;
 
+use crate::support::play;
+
 /// Longest time that anything here may take.
 const PATIENCE: Duration = Duration::from_secs(8);
 
@@ -137,14 +140,6 @@
     }
 }
 
-fn play(test: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn one_near_instance_is_asked_for_everything() {
     play(async {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::LocalSet;
 
 /// Sends bytes on a connection of their own and returns status and body.
 pub async fn exchange(address: SocketAddr, request: &str) -> (u16, String) {
@@ -28,3 +29,12 @@
         body.len()
     )
 }
+
+/// Plays a test on one thread, with tasks that stay on it.
+pub fn play(test: impl std::future::Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
--- a/crates/node/tests/suspended.rs
+++ b/crates/node/tests/suspended.rs
@@ -6,6 +6,8 @@
 //! still counted as open; a control instance that had not been heard for
 //! seconds counted as heard. The clock of the process counts the suspension.
 
+mod support;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,7 +18,6 @@
 use hyper::Method;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
-use tokio::task::LocalSet;
 use wheelmast_core::process::forward::answer::{ForwardAnswer, ForwardFailure};
 use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
 use wheelmast_core::process::forward::input::{EntryPeer, ForwardCall, ForwardInput};
@@ -29,6 +30,8 @@
 use wheelmast_node::process::forward::image::RequestImage;
 use wheelmast_wire::native::NativeDialect;
 
+use crate::support::play;
+
 /// How long the machine is suspended.
 const SUSPENSION: Duration = Duration::from_secs(30);
 /// Time within which an entry finds out that it was.
@@ -98,14 +101,6 @@
     answer
 }
 
-fn play(test: impl std::future::Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    LocalSet::new().block_on(&runtime, test);
-}
-
 #[test]
 fn a_caller_whose_time_ran_out_meanwhile_is_answered_at_once() {
     play(async {
