Acknowledge what comes in force once a quorum has kept that it is committed

Cause: the known red test, 'n0 stays at 5, not 6'. A leader ended a proposal with its own commit, and told the others of the commit by its next message. In the runs that failed n2 led, n1 was gone; n2 said 'accepted, version 6' to n3's operator (END at .3534) and was killed at .3537, before its push had left it. n0 held an entry that it could not tell from one never accepted, n3 had passed the word on without the table, and without a quorum both stayed at 5. Ruled out: that n3 had version 6 in force (it answered 'table None' to each question of n0, and asked n0 for more than 5 itself); that n0 and n3 were out of touch (they answered each other 6 to 12 times in the 20 s); shared addresses (no other run had the same in the failing ones). Change: the end of a change of the table, of the routes, or of what is out of use waits until a quorum has answered a message that told of the commit, which is sent at once. What a quorum has kept any survivor of it puts in force and spreads. Claims are acknowledged as before: they need a quorum to be read. The random plays check it (known_to_few), with a rule to switch off. The frozen leader of members/cases.rs was delivered messages in the last loop of its play, which stopped it from being frozen as soon as leaders send one more message; it gets none now, as in the loop before.

--- a/crates/core/src/process/control/apply.rs
+++ b/crates/core/src/process/control/apply.rs
@@ -21,9 +21,11 @@
                 end: ProposalEnd::Unknown,
             });
         }
-        for read in std::mem::take(&mut self.reads) {
+        let reads = std::mem::take(&mut self.reads).into_iter();
+        let ends = std::mem::take(&mut self.ends).into_iter();
+        for tag in reads.map(|read| read.tag).chain(ends.map(|end| end.tag)) {
             out.push(ReplicaAction::End {
-                tag: read.tag,
+                tag,
                 end: ProposalEnd::Unknown,
             });
         }
@@ -86,15 +88,19 @@
             };
             let outcome = self.state.apply(&entry.command);
             let term = entry.term;
+            let is_published = entry.command.is_published() && self.rules.known_commits;
             members_changed |= matches!(entry.command, ControlCommand::Members { .. });
             self.applied = index;
             if let Some((tag, proposed)) = self.proposals.remove(&index) {
-                let end = if proposed == term {
-                    ProposalEnd::Done(outcome)
+                if proposed != term {
+                    let end = ProposalEnd::Unknown;
+                    out.push(ReplicaAction::End { tag, end });
+                } else if is_published {
+                    self.put_off_end(tag, outcome, index);
                 } else {
-                    ProposalEnd::Unknown
-                };
-                out.push(ReplicaAction::End { tag, end });
+                    let end = ProposalEnd::Done(outcome);
+                    out.push(ReplicaAction::End { tag, end });
+                }
             }
         }
         let after = self.state.published_marks();
@@ -102,6 +108,7 @@
             out.push(ReplicaAction::KeepCommit(self.applied));
             out.push(ReplicaAction::Changed);
         }
+        self.end_known(out);
         self.compact(out);
     }
 
--- a/crates/core/src/process/control/mod.rs
+++ b/crates/core/src/process/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod log;
 mod members;
 pub mod message;
+mod publish;
 mod read;
 pub mod replica;
 mod replicate;
--- a/crates/core/src/process/control/replica.rs
+++ b/crates/core/src/process/control/replica.rs
@@ -10,6 +10,7 @@
 use crate::process::control::message::{
     ReplicaAction, ReplicaInput, ReplicaMessage, ReplicaTiming,
 };
+use crate::process::control::publish::PendingEnd;
 use crate::process::control::read::PendingRead;
 use crate::process::control::state::{ControlState, MemberRecord};
 
@@ -41,6 +42,8 @@
     pub one_change: bool,
     /// A read is confirmed by a quorum.
     pub confirmed_reads: bool,
+    /// What comes in force is acknowledged once a quorum knows that it does.
+    pub known_commits: bool,
 }
 
 impl Default for ReplicaRules {
@@ -53,6 +56,7 @@
             learners_apart: true,
             one_change: true,
             confirmed_reads: true,
+            known_commits: true,
         }
     }
 }
@@ -122,6 +126,7 @@
     pub(super) learners: BTreeMap<ReplicaId, MemberRecord>,
     pub(super) round: u64,
     pub(super) reads: Vec<PendingRead>,
+    pub(super) ends: Vec<PendingEnd>,
     pub(super) timing: ReplicaTiming,
     pub(super) rules: ReplicaRules,
     pub(super) rng: SmallRng,
@@ -156,6 +161,7 @@
             learners: BTreeMap::new(),
             round: 0,
             reads: Vec::new(),
+            ends: Vec::new(),
             timing: start.timing,
             rules: start.rules,
             rng: SmallRng::seed_from_u64(start.seed),
--- a/crates/core/src/process/control/replicate.rs
+++ b/crates/core/src/process/control/replicate.rs
@@ -213,7 +213,11 @@
             Err(index) => progress.next = (index + 1).max(progress.matched + 1),
         }
         let lacks = progress.next <= last;
+        if let Ok(index) = index {
+            self.note_known(from, index, round);
+        }
         self.advance_commit(out);
+        self.end_known(out);
         self.confirm_reads(out);
         if lacks {
             self.send_entries(from, now, out);
--- a/crates/core/src/process/control/state.rs
+++ b/crates/core/src/process/control/state.rs
@@ -67,6 +67,16 @@
 }
 
 impl ControlCommand {
+    /// Tells whether the command is for something that instances put in force.
+    pub fn is_published(&self) -> bool {
+        matches!(
+            self,
+            ControlCommand::Change { .. }
+                | ControlCommand::Route { .. }
+                | ControlCommand::Evacuate(_)
+        )
+    }
+
     /// Returns about how many bytes the command takes.
     pub fn bytes(&self) -> usize {
         let text = match self {
--- a/crates/core/tests/control.rs
+++ b/crates/core/tests/control.rs
@@ -76,6 +76,8 @@
     two_claims: u32,
     fell_back: u32,
     no_leader: u32,
+    /// Accepted while fewer than a quorum had it in force.
+    known_to_few: u32,
 }
 
 impl Broken {
@@ -87,6 +89,7 @@
             + self.two_claims
             + self.fell_back
             + self.no_leader
+            + self.known_to_few
     }
 }
 
@@ -216,6 +219,7 @@
                     ProposalEnd::Done(CommandOutcome::Change(outcome)) => {
                         let first = *self.outcomes.entry(name).or_insert(outcome);
                         self.broken.two_outcomes += u32::from(first != outcome);
+                        self.broken.known_to_few += u32::from(self.is_known_to_few(outcome));
                     }
                     ProposalEnd::Done(CommandOutcome::Claim(ClaimOutcome::Granted)) => {
                         let first = *self.claimants.entry(name).or_insert(tag);
@@ -240,6 +244,16 @@
         }
     }
 
+    /// Tells whether an accepted change is in force at fewer than a quorum.
+    fn is_known_to_few(&self, outcome: ChangeOutcome) -> bool {
+        let ChangeOutcome::Accepted(version) = outcome else {
+            return false;
+        };
+        let nodes = self.nodes.iter();
+        let known = nodes.filter(|node| node.in_force >= version);
+        known.count() < self.nodes.len() / 2 + 1
+    }
+
     fn deliver(&mut self, pick: usize) {
         if self.wire.is_empty() {
             return;
@@ -419,6 +433,11 @@
             off: |rules| rules.majority = false,
             lies: false,
         },
+        RuleCase {
+            name: "what comes in force is known to a quorum",
+            off: |rules| rules.known_commits = false,
+            lies: false,
+        },
         RuleCase {
             name: "a sync before an answer",
             off: |_| (),
--- a/crates/core/tests/members/cases.rs
+++ b/crates/core/tests/members/cases.rs
@@ -153,6 +153,7 @@
         group.wire.retain(|(_, _, to, _)| *to != group.nodes[0].id);
         while !group.wire.is_empty() {
             group.deliver(0);
+            group.wire.retain(|(_, _, to, _)| *to != group.nodes[0].id);
         }
         assert!(group.acknowledged > 0, "the others have a leader");
         group.tags += 1;
