Test harness: a cluster claims its addresses; the red test tells its story

Cause: the addresses of a cluster hung on the process id modulo 256, so that two runs at once could share them, and one's instances answered the other. Change: a block of addresses is claimed by a listener that is held as long as the cluster is there. Body, bounds and checks of the tests are as they were.

--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -17,6 +17,9 @@
 const REPLICAS: usize = 3;
 /// Instances: the replicas, and one without a disk.
 const INSTANCES: usize = REPLICAS + 1;
+/// Last byte and port of the address that claims a block.
+const CLAIM_HOST: u8 = 250;
+const CLAIM_PORT: u16 = 7400;
 /// Longest time for anything that must come about.
 const PATIENCE: Duration = Duration::from_secs(15);
 
@@ -24,7 +27,29 @@
 struct Cluster {
     folder: tempfile::TempDir,
     children: Vec<Option<Child>>,
-    net: [u8; 2],
+    net: AddressBlock,
+}
+
+/// The first three bytes of a cluster's addresses.
+struct AddressBlock {
+    bytes: [u8; 3],
+    /// Held as long as the cluster is there: no other run gets these addresses.
+    _claim: TcpListener,
+}
+
+impl AddressBlock {
+    /// Claims a block of this test's own, also among runs at the same time.
+    fn claim(test: u8) -> AddressBlock {
+        let first = std::process::id() as u8;
+        let blocks = (0..=u8::MAX).map(|step| [127, 100 + test, first.wrapping_add(step)]);
+        let mut claims = blocks.filter_map(|bytes| {
+            let [a, b, c] = bytes;
+            let address = SocketAddr::from(([a, b, c, CLAIM_HOST], CLAIM_PORT));
+            let _claim = TcpListener::bind(address).ok()?;
+            Some(AddressBlock { bytes, _claim })
+        });
+        claims.next().expect("a free block of addresses")
+    }
 }
 
 impl Drop for Cluster {
@@ -65,13 +90,12 @@
 }
 
 impl Cluster {
-    /// Makes folders and settings for addresses of this process's own.
+    /// Makes folders and settings for addresses of this cluster's own.
     fn new(test: u8) -> Cluster {
-        let pid = std::process::id();
         let cluster = Cluster {
             folder: tempfile::TempDir::new().expect("a folder"),
             children: (0..INSTANCES).map(|_| None).collect(),
-            net: [100 + test, pid as u8],
+            net: AddressBlock::claim(test),
         };
         std::fs::write(cluster.path("key"), "0123456789abcdef\n").expect("written");
         for node in 0..INSTANCES {
@@ -90,8 +114,8 @@
     }
 
     fn address(&self, node: usize, port: u16) -> SocketAddr {
-        let [test, pid] = self.net;
-        SocketAddr::from(([127, test, pid, node as u8 + 1], port))
+        let [a, b, c] = self.net.bytes;
+        SocketAddr::from(([a, b, c, node as u8 + 1], port))
     }
 
     fn command(&self, node: usize) -> Command {
@@ -257,6 +281,16 @@
     }
 }
 
+/// The story: n2 led, n1 was gone. The change of `c5` was committed at n2 with
+/// n0, and n2 told n3's operator "accepted, version 6" and was killed 0.3 ms
+/// later, before its word of the commit had left it. n3 had passed on an
+/// acknowledgement of what was not in force there, n0 held an entry that it
+/// could not tell from one that was never accepted, and without a quorum both
+/// stayed at 5, asking each other, for as long as the test looked. Seen on
+/// copies that print: `END Done(Change(Accepted(6)))` is n2's last line but one,
+/// no word of version 6 arrives at n0 or n3, and n0's questions to n3 all end
+/// with `table None`. What comes in force is acknowledged since only once a
+/// quorum has kept that it is committed.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_disk_does_not_come_back_as_itself_and_a_quorum_goes_on() {
     let mut cluster = Cluster::new(3);
