Tests: processes end with the test that started them, however it ends

Cause: the soak's processes left behind. They were killed when the test dropped them; a test that is ended by a signal drops nothing. Shown: the soak on, SIGTERM after 5 s, all four instances of that moment went on with parent 1. Ruled out: a soak that ends or panics (both drop). Change: each process has a guard, a shell that waits at a pipe which only the test's process holds open, and kills it when that closes. Measured: the same signal at the same moment, 4 left before, 0 after; a test that kills a test.

--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -5,9 +5,10 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
+use support::guarded::GuardedChild;
 use support::{exchange, post};
 use wheelmast_fake::announcer::AnnounceTarget;
 use wheelmast_fake::deployment::kivela;
@@ -26,7 +27,7 @@
 /// Some processes of one control group; killed if the test ends early.
 struct Cluster {
     folder: tempfile::TempDir,
-    children: Vec<Option<Child>>,
+    children: Vec<Option<GuardedChild>>,
     net: AddressBlock,
 }
 
@@ -129,8 +130,8 @@
     }
 
     fn start(&mut self, node: usize) {
-        let child = self.command(node).spawn().expect("wheelmastd starts");
-        self.children[node] = Some(child);
+        let child = GuardedChild::spawn(&mut self.command(node));
+        self.children[node] = Some(child.expect("wheelmastd starts"));
     }
 
     fn start_all(&mut self) {
@@ -139,8 +140,7 @@
 
     fn kill(&mut self, node: usize) {
         if let Some(mut child) = self.children[node].take() {
-            let _ = child.kill();
-            let _ = child.wait();
+            child.kill();
         }
     }
 
--- a/crates/node/tests/forward/harness.rs
+++ b/crates/node/tests/forward/harness.rs
@@ -4,19 +4,21 @@
 use std::io::{Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use tempfile::TempDir;
 use wheelmast_fake::shard::FakeShard;
 
+use crate::guarded::GuardedChild;
+
 /// Longest time that anything here may take.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
 /// A running `wheelmastd`; killed if the test ends early.
 pub(crate) struct Daemon {
     pub(crate) name: String,
-    pub(crate) child: Option<Child>,
+    pub(crate) child: Option<GuardedChild>,
     settings: PathBuf,
 }
 
@@ -29,20 +31,19 @@
         } else {
             Stdio::from(file)
         };
-        let child = Command::new(env!("CARGO_BIN_EXE_wheelmastd"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wheelmastd"));
+        command
             .arg("--settings")
             .arg(&self.settings)
             .stdout(output)
-            .stderr(Stdio::inherit())
-            .spawn()
-            .expect("wheelmastd starts");
-        self.child = Some(child);
+            .stderr(Stdio::inherit());
+        let child = GuardedChild::spawn(&mut command);
+        self.child = Some(child.expect("wheelmastd starts"));
     }
 
     pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+            child.kill();
         }
     }
 
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -1,5 +1,8 @@
 //! Entries and a control group as processes of their own.
 
+#[allow(dead_code, unreachable_pub)]
+#[path = "../support/guarded.rs"]
+mod guarded;
 mod harness;
 
 mod crashing;
--- a/crates/node/tests/process.rs
+++ b/crates/node/tests/process.rs
@@ -4,9 +4,10 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
+use support::guarded::GuardedChild;
 use support::{exchange, post};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -17,7 +18,7 @@
 
 /// A running `wheelmastd`; killed if the test ends early.
 struct Daemon {
-    child: Child,
+    child: GuardedChild,
     callers: SocketAddr,
     upstreams: SocketAddr,
     folder: std::path::PathBuf,
@@ -25,8 +26,7 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.child.kill();
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
@@ -45,14 +45,14 @@
                        "upstreams": "127.0.0.1:0"}}}}"#
         );
         std::fs::write(&settings, text).expect("written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_wheelmastd"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_wheelmastd"));
+        command
             .arg("--settings")
             .arg(&settings)
             .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("wheelmastd starts");
-        let mut lines = BufReader::new(child.stderr.take().expect("piped")).lines();
+            .stderr(Stdio::piped());
+        let mut child = GuardedChild::spawn(&mut command).expect("wheelmastd starts");
+        let mut lines = BufReader::new(child.take_stderr().expect("piped")).lines();
         let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
         let mut daemon = Daemon {
             child,
@@ -330,3 +330,43 @@
         assert_eq!(problem.outcome, "unknown", "{}", case.name);
     }
 }
+
+/// Variable that makes a test start a process and wait to be killed.
+const VICTIM_VARIABLE: &str = "WHEELMAST_TEST_VICTIM";
+
+#[test]
+fn a_test_that_is_killed_leaves_no_process() {
+    if std::env::var_os(VICTIM_VARIABLE).is_some() {
+        let child = GuardedChild::spawn(Command::new("sleep").arg("60")).expect("it starts");
+        println!("started {}", child.id());
+        std::thread::sleep(Duration::from_secs(60));
+        return;
+    }
+    let mut victim = Command::new(std::env::current_exe().expect("this test's program"))
+        .args(["--exact", "--nocapture"])
+        .arg("a_test_that_is_killed_leaves_no_process")
+        .env(VICTIM_VARIABLE, "1")
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let lines = BufReader::new(victim.stdout.take().expect("piped")).lines();
+    let mut ids = lines.map_while(Result::ok).filter_map(|line| {
+        let (_, id) = line.rsplit_once("started ")?;
+        id.parse::<u32>().ok()
+    });
+    let id = ids.next().expect("it says what it started");
+    victim.kill().expect("it is killed");
+    victim.wait().expect("it ends");
+    let until = Instant::now() + Duration::from_secs(5);
+    while runs(id) {
+        assert!(Instant::now() < until, "process {id} was left behind");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Tells whether a process runs; one that has ended and that nobody has waited
+/// for does not.
+fn runs(id: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status"));
+    status.is_ok_and(|status| !status.contains("State:\tZ"))
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -1,7 +1,10 @@
-//! A client that writes HTTP by hand, so that it can write it wrong.
+//! Processes that end with the test, and a client that writes HTTP by hand, so
+//! that it can write it wrong.
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod guarded;
+
 use std::net::SocketAddr;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
