--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -20,6 +20,7 @@
 mod reborn;
 mod remember;
 mod roll;
+mod shift;
 mod silent;
 mod slowness;
 mod source;
