Control: one place ends what a quorum knows, one loop drops what is open

Ends were looked over after each commit and once more after each answer, the three kinds of open proposals were dropped by two equal loops, and the end of a proposal was pushed in three branches. Change: advance_commit, which both ways pass, looks ends over; one loop; one push. Behaviour as before, but that an end follows the log's compaction. Measured: control, members, trio, evacuation and fence tests pass unchanged.

--- a/crates/core/src/process/control/apply.rs
+++ b/crates/core/src/process/control/apply.rs
@@ -15,20 +15,16 @@
 
 impl ReplicaMachine {
     pub(super) fn drop_proposals(&mut self, out: &mut Vec<ReplicaAction>) {
-        for (tag, _) in std::mem::take(&mut self.proposals).into_values() {
-            out.push(ReplicaAction::End {
-                tag,
-                end: ProposalEnd::Unknown,
-            });
-        }
+        let proposals = std::mem::take(&mut self.proposals).into_values();
         let reads = std::mem::take(&mut self.reads).into_iter();
         let ends = std::mem::take(&mut self.ends).into_iter();
-        for tag in reads.map(|read| read.tag).chain(ends.map(|end| end.tag)) {
-            out.push(ReplicaAction::End {
-                tag,
-                end: ProposalEnd::Unknown,
-            });
-        }
+        let tags = proposals.map(|(tag, _)| tag);
+        let tags = tags.chain(reads.map(|read| read.tag));
+        let tags = tags.chain(ends.map(|end| end.tag));
+        out.extend(tags.map(|tag| ReplicaAction::End {
+            tag,
+            end: ProposalEnd::Unknown,
+        }));
     }
 
     pub(super) fn propose(
@@ -91,24 +87,26 @@
             let is_published = entry.command.is_published() && self.rules.known_commits;
             members_changed |= matches!(entry.command, ControlCommand::Members { .. });
             self.applied = index;
-            if let Some((tag, proposed)) = self.proposals.remove(&index) {
-                if proposed != term {
-                    let end = ProposalEnd::Unknown;
-                    out.push(ReplicaAction::End { tag, end });
-                } else if is_published {
-                    self.put_off_end(tag, outcome, index);
-                } else {
-                    let end = ProposalEnd::Done(outcome);
-                    out.push(ReplicaAction::End { tag, end });
-                }
+            let Some((tag, proposed)) = self.proposals.remove(&index) else {
+                continue;
+            };
+            let is_own = proposed == term;
+            if is_own && is_published {
+                self.put_off_end(tag, outcome, index);
+                continue;
             }
+            let end = if is_own {
+                ProposalEnd::Done(outcome)
+            } else {
+                ProposalEnd::Unknown
+            };
+            out.push(ReplicaAction::End { tag, end });
         }
         let after = self.state.published_marks();
         if after != before || members_changed {
             out.push(ReplicaAction::KeepCommit(self.applied));
             out.push(ReplicaAction::Changed);
         }
-        self.end_known(out);
         self.compact(out);
     }
 
--- a/crates/core/src/process/control/replicate.rs
+++ b/crates/core/src/process/control/replicate.rs
@@ -217,7 +217,6 @@
             self.note_known(from, index, round);
         }
         self.advance_commit(out);
-        self.end_known(out);
         self.confirm_reads(out);
         if lacks {
             self.send_entries(from, now, out);
@@ -246,7 +245,7 @@
         Some(values[place])
     }
 
-    /// Commits what a quorum holds.
+    /// Commits what a quorum holds, and ends what a quorum knows to be committed.
     pub(super) fn advance_commit(&mut self, out: &mut Vec<ReplicaAction>) {
         let last = self.log.last().index;
         let Some(index) = self.quorum_reach(last, |peer| peer.matched) else {
@@ -257,6 +256,7 @@
             self.commit = index;
             self.apply_committed(out);
         }
+        self.end_known(out);
         if !self.is_voter() && self.records_index <= self.commit {
             // It was taken out of the group, and that is decided.
             self.step_down(self.hard.term, out);
