Store: servers and suspects are remembered by the same code

Cause: two files of the store differed in a name and a type alone, and an order to the disk was written out in three places. Change: RememberedFile, one pair to write and read any of these files, and GroupState::disk_order, which the three fill in. Names and contents of the files are as before.

--- a/crates/node/src/process/group/disk.rs
+++ b/crates/node/src/process/group/disk.rs
@@ -13,6 +13,7 @@
 
 use crate::process::duty::start_thread;
 use crate::process::store::folder::DataFolder;
+use crate::process::store::remembered::RememberedFile;
 use crate::process::store::replica_store::{KeptState, ReplicaStore};
 use crate::ring::{bounded_ring, RingReceiver, RingSender};
 
@@ -122,12 +123,14 @@
             next = self.orders.try_recv().ok();
         }
         store.sync()?;
-        if let Some(Err(error)) = servers.map(|servers| store.folder().remember_servers(&servers)) {
+        let folder = store.folder();
+        let remembered = servers.map(|servers| folder.remember(RememberedFile::Servers, &servers));
+        if let Some(Err(error)) = remembered {
             // They announce themselves in any case.
             tracing::warn!(target: "group", "disk: servers not remembered, {error:#}");
         }
         if let Some(suspects) = suspects {
-            store.folder().remember_suspects(&suspects)?;
+            folder.remember(RememberedFile::Suspects, &suspects)?;
         }
         Ok(last)
     }
--- a/crates/node/src/process/group/replica.rs
+++ b/crates/node/src/process/group/replica.rs
@@ -66,11 +66,8 @@
             if !keeps.is_empty() {
                 state.batch += 1;
                 let order = DiskOrder {
-                    epoch: state.epoch,
-                    batch: state.batch,
                     actions: keeps,
-                    servers: None,
-                    suspects: None,
+                    ..state.disk_order()
                 };
                 if self.disk.try_send(order).is_err() {
                     tracing::error!(target: "group", "disk: too much waits for it");
--- a/crates/node/src/process/group/run.rs
+++ b/crates/node/src/process/group/run.rs
@@ -23,6 +23,7 @@
 use crate::process::group::state::GroupState;
 use crate::process::reload::watch_seeds;
 use crate::process::store::folder::DataFolder;
+use crate::process::store::remembered::RememberedFile;
 use crate::process::store::replica_store::ReplicaStore;
 use crate::settings::role::RoleSettings;
 
@@ -52,17 +53,16 @@
         .context("could not find data_folder")?;
     let (folder, id, is_new) = DataFolder::open_own(&data, &settings.instance)?;
     let store = ReplicaStore::open(folder)?;
-    let servers = store.folder().remembered_servers().unwrap_or_else(|error| {
+    let servers = store.folder().remembered(RememberedFile::Servers);
+    let servers = servers.unwrap_or_else(|error| {
         tracing::warn!(target: "group", "disk: servers not remembered, {error:#}");
         Vec::new()
     });
-    let suspects = store
-        .folder()
-        .remembered_suspects()
-        .unwrap_or_else(|error| {
-            tracing::warn!(target: "group", "disk: suspects not remembered, {error:#}");
-            Vec::new()
-        });
+    let suspects = store.folder().remembered(RememberedFile::Suspects);
+    let suspects = suspects.unwrap_or_else(|error| {
+        tracing::warn!(target: "group", "disk: suspects not remembered, {error:#}");
+        Vec::new()
+    });
     let me = MemberRecord {
         id,
         instance: settings.instance.as_str().into(),
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -12,7 +12,7 @@
 use crate::process::group::disk::DiskOrder;
 use crate::process::group::node::GroupNode;
 use crate::process::group::state::KeepWait;
-use crate::process::store::servers::encode_servers;
+use crate::process::store::remembered::encode_records;
 
 /// Longest time to wait until others hold that a server leaves.
 const KEEP_TIME: Duration = Duration::from_millis(600);
@@ -181,15 +181,12 @@
             return;
         }
         let living: Vec<&ServerNotice> = state.directory.living().collect();
-        let Ok(servers) = encode_servers(&living) else {
+        let Ok(servers) = encode_records(&living) else {
             return;
         };
         let order = DiskOrder {
-            epoch: state.epoch,
-            batch: state.batch,
-            actions: Vec::new(),
             servers: Some(servers),
-            suspects: None,
+            ..state.disk_order()
         };
         // A full line: its disk stalls, and what it keeps would be old.
         let _ = self.disk.try_send(order);
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -16,6 +16,7 @@
 use wheelmast_wire::group::{ControlMark, GroupMessage, GroupTell};
 
 use crate::connection::frame::write_frame;
+use crate::process::group::disk::DiskOrder;
 use crate::ring::RingSender;
 
 /// Time that an entry which is no longer subscribed keeps its part of the
@@ -198,6 +199,18 @@
 }
 
 impl GroupState {
+    /// Returns an order to the disk, of the batch given last and with nothing to
+    /// keep yet.
+    pub fn disk_order(&self) -> DiskOrder {
+        DiskOrder {
+            epoch: self.epoch,
+            batch: self.batch,
+            actions: Vec::new(),
+            servers: None,
+            suspects: None,
+        }
+    }
+
     /// Returns how far what is in force here has come.
     pub fn mark(&self) -> ControlMark {
         ControlMark {
--- a/crates/node/src/process/group/suspects.rs
+++ b/crates/node/src/process/group/suspects.rs
@@ -8,7 +8,7 @@
 
 use crate::process::group::disk::DiskOrder;
 use crate::process::group::node::GroupNode;
-use crate::process::store::suspects::encode_suspects;
+use crate::process::store::remembered::encode_records;
 
 /// Time in which more news are awaited before the disk is given them: a request
 /// that ends many servers is told many times at once.
@@ -61,15 +61,12 @@
             tokio::time::sleep(GATHER_TIME).await;
             let state = self.state.borrow();
             let records: Vec<&SuspectRecord> = state.suspects.records().collect();
-            let Ok(suspects) = encode_suspects(&records) else {
+            let Ok(suspects) = encode_records(&records) else {
                 continue;
             };
             let order = DiskOrder {
-                epoch: state.epoch,
-                batch: state.batch,
-                actions: Vec::new(),
-                servers: None,
                 suspects: Some(suspects),
+                ..state.disk_order()
             };
             if self.disk.try_send(order).is_err() {
                 // Its disk stalls: it is given them with the next news, and the
--- a/crates/node/src/process/store/mod.rs
+++ b/crates/node/src/process/store/mod.rs
@@ -7,6 +7,5 @@
 
 pub mod folder;
 pub mod record;
+pub mod remembered;
 pub mod replica_store;
-pub mod servers;
-pub mod suspects;
