Canary: why a part is sent is asked where it is known

Cause: ask_released told a first send from a repeat as cause_for does, and the callers' side asked twice whether a request was passed on. Change: cause_for serves both, the function goes; the name that stood there is used. Behaviour as before. Measured: the core's forward tests pass unchanged.

--- a/crates/core/src/process/forward/canary.rs
+++ b/crates/core/src/process/forward/canary.rs
@@ -11,7 +11,7 @@
 use rand::Rng;
 
 use crate::arena::SlotKey;
-use crate::process::forward::answer::{ForwardAction, ForwardFailure};
+use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardFailure};
 use crate::process::forward::call::CallState;
 use crate::process::forward::choose::NoChoice;
 use crate::process::forward::hedge::LOOK_AGAIN;
@@ -268,28 +268,14 @@
                 let part = &state.parts[part];
                 part.is_open() && part.attempts.is_empty() && !part.waits
             });
-            if is_left {
-                self.ask_released(call, part, now, out);
+            if !is_left {
+                continue;
+            }
+            match self.cause_for(call, part) {
+                AttemptCause::First => self.send_first(call, part, now, out),
+                _ => self.try_again(call, part, now, out),
             }
         }
         self.plan_sweep(call, now);
     }
-
-    fn ask_released(
-        &mut self,
-        call: SlotKey,
-        part: usize,
-        now: Duration,
-        out: &mut Vec<ForwardAction>,
-    ) {
-        let is_new = self
-            .calls
-            .get(call)
-            .is_some_and(|state| state.parts[part].arrivals == 0);
-        if is_new {
-            self.send_first(call, part, now, out);
-        } else {
-            self.try_again(call, part, now, out);
-        }
-    }
 }
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -146,7 +146,7 @@
     };
     let is_passed_on = relayed.is_some();
     let mut grant = None;
-    let body = if relayed.is_some() {
+    let body = if is_passed_on {
         match GrantReader::read_body(&parts.headers, body, limits.body_bytes).await {
             Ok((body, reader)) => {
                 grant = Some(reader);
