Tests: one way to restart instances, to announce and to count what comes late

Cause: killing, taking a disk and starting again stood in three tests of forwarding, announcing fragile servers and counting late arrivals in two, and both stand-in servers wrote their announcement and their 421 by themselves. Change: Deployment::restart, lose_disk and start_again; tests/forward/ fragile.rs; fake/dialect.rs. Bounds and checks are as they were, but that the deadly request is told by its path's part in both tests, which counts no less.

--- a/crates/fake/src/fragile.rs
+++ b/crates/fake/src/fragile.rs
@@ -12,7 +12,8 @@
 use wheelmast_wire::dialect::ForwardDialect;
 use wheelmast_wire::native::NativeDialect;
 
-use crate::head::{find_header, read_head};
+use crate::dialect::{announce, begin_answer};
+use crate::head::read_head;
 
 /// Time that a request takes, or that passes before the server ends under it.
 const WORK_TIME: Duration = Duration::from_millis(15);
@@ -94,11 +95,14 @@
     /// Returns the call and the body of its next announcement.
     pub fn announcement(&self) -> (String, String) {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let body = format!(
-            r#"{{"service":"{}","address":"{}","failure_domain":"{}","slots":4,"draining":false,"sequence":{sequence}}}"#,
-            self.service, self.address, self.domain
-        );
-        (format!("/v1/servers/{}", self.id()), body)
+        announce(
+            &self.id(),
+            &self.service,
+            self.address,
+            &self.domain,
+            false,
+            sequence,
+        )
     }
 
     fn id(&self) -> String {
@@ -146,13 +150,10 @@
     }
 
     async fn answer(&self, head: &str) -> String {
-        let names = NativeDialect::HEADERS;
-        let request = find_header(head, names.request).unwrap_or_default();
-        let mut lines = format!("{}: {request}\r\n", names.request);
-        if find_header(head, names.expect).is_some_and(|expected| expected != self.id()) {
-            lines.push_str(&format!("{}: 1\r\n", names.not_run));
-            return format!("HTTP/1.1 421 Misdirected\r\n{lines}content-length: 0\r\n\r\n");
-        }
+        let (request, mut lines) = match begin_answer(head, &self.id()) {
+            Ok(begun) => begun,
+            Err(answer) => return answer,
+        };
         let path = head.split(' ').nth(1).unwrap_or_default().to_string();
         if let Ok(mut arrivals) = self.arrivals.lock() {
             let at = Instant::now();
@@ -167,7 +168,8 @@
             // Its connections end now, this one too.
             std::future::pending::<()>().await;
         }
-        lines.push_str(&format!("{}: {}.{request}\r\n", names.stamp, self.id()));
+        let stamp = NativeDialect::HEADERS.stamp;
+        lines.push_str(&format!("{stamp}: {}.{request}\r\n", self.id()));
         format!("HTTP/1.1 200 OK\r\n{lines}content-length: 16\r\n\r\nrecord of 16 b..")
     }
 }
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod announcer;
 pub mod checker;
 pub mod deployment;
+mod dialect;
 pub mod fault;
 pub mod fragile;
 mod head;
--- a/crates/fake/src/shard.rs
+++ b/crates/fake/src/shard.rs
@@ -9,7 +9,8 @@
 use wheelmast_wire::dialect::ForwardDialect;
 use wheelmast_wire::native::NativeDialect;
 
-use crate::head::{find_header, read_head};
+use crate::dialect::{announce, begin_answer};
+use crate::head::read_head;
 
 /// Size of a record in bytes.
 const RECORD_BYTES: usize = 16;
@@ -67,11 +68,14 @@
             *sequence += 1;
             *sequence
         });
-        let body = format!(
-            r#"{{"service":"{}","address":"{}","failure_domain":"{}","slots":4,"draining":{draining},"sequence":{sequence}}}"#,
-            self.service, self.address, self.domain
-        );
-        (format!("/v1/servers/{}", self.id), body)
+        announce(
+            &self.id,
+            &self.service,
+            self.address,
+            &self.domain,
+            draining,
+            sequence,
+        )
     }
 
     async fn serve(self, mut stream: TcpStream, letter: u8) -> std::io::Result<()> {
@@ -84,18 +88,15 @@
     }
 
     fn answer(&self, head: &str, letter: u8) -> Vec<u8> {
-        let names = NativeDialect::HEADERS;
-        let request = find_header(head, names.request).unwrap_or_default();
-        let expected = find_header(head, names.expect);
-        let mut lines = format!("{}: {request}\r\n", names.request);
-        if expected.is_some_and(|expected| expected != self.id) {
-            lines.push_str(&format!("{}: 1\r\n", names.not_run));
-            return format!("HTTP/1.1 421 Misdirected\r\n{lines}content-length: 0\r\n\r\n").into();
-        }
+        let (request, mut lines) = match begin_answer(head, &self.id) {
+            Ok(begun) => begun,
+            Err(answer) => return answer.into(),
+        };
         if let Ok(mut seen) = self.seen.lock() {
             seen.push(request.to_string());
         }
-        lines.push_str(&format!("{}: {}.{request}\r\n", names.stamp, self.id));
+        let stamp = NativeDialect::HEADERS.stamp;
+        lines.push_str(&format!("{stamp}: {}.{request}\r\n", self.id));
         let body: Vec<u8> = (0..3u8)
             .flat_map(|number| {
                 let mut record = [letter; RECORD_BYTES];
--- a/crates/node/tests/forward/crashing.rs
+++ b/crates/node/tests/forward/crashing.rs
@@ -14,13 +14,15 @@
 //! sent to six more, and two of these ended 30 to 50 ms after they began it. The
 //! ends came with no rise of load, and only at services that this request asks.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use wheelmast_fake::fragile::FragileShard;
 
-use crate::harness::{ask, until, Deployment};
+use crate::fragile::{announce_all, arrivals_of, count_late, MOST_LATE, SPREAD_TIME};
+use crate::harness::{until, Deployment};
 
 /// Shards, with a server in each of two failure domains.
 const SHARDS: usize = 6;
@@ -30,10 +32,6 @@
 const DOWN_TIME: Duration = Duration::from_millis(700);
 /// Time between two announcements of a server.
 const BEAT_TIME: Duration = Duration::from_millis(250);
-/// Time after the third end in which all entries in contact have heard.
-const SPREAD_TIME: Duration = Duration::from_secs(2);
-/// Sends that may still be made after that.
-const MOST_LATER: usize = 3;
 /// The request that ends servers.
 const DEADLY: &str = "/q/deadly";
 
@@ -57,9 +55,9 @@
             }
         }
         let ends = Arc::new(AtomicBool::new(false));
-        let control = (0..3).map(|number| deployment.front(number)).collect();
+        let control = [0, 1, 2].map(|number| deployment.front(number));
         let (beating, stop) = (shards.clone(), ends.clone());
-        std::thread::spawn(move || announce_all(&beating, control, &stop));
+        std::thread::spawn(move || keep_announcing(&beating, &control, &stop));
         let mut world = World {
             deployment,
             shards,
@@ -101,41 +99,17 @@
 
     /// Returns when the deadly request came to servers.
     fn deadly(&self) -> Vec<Instant> {
-        let arrivals = self.shards.iter().flat_map(FragileShard::arrivals);
-        let arrivals = arrivals.filter(|arrival| arrival.path == DEADLY);
-        let mut times: Vec<Instant> = arrivals.map(|arrival| arrival.at).collect();
-        times.sort();
-        times
+        arrivals_of(&self.shards, DEADLY)
     }
 
     /// Returns how often it came later than all should know it.
     fn later(&self) -> usize {
-        let times = self.deadly();
-        let known = times.get(2).map(|third| *third + SPREAD_TIME);
-        let later = times
-            .iter()
-            .filter(|at| known.is_some_and(|known| **at > known));
-        later.count()
+        count_late(&self.deadly())
     }
 
     fn ends(&self) -> u64 {
         self.shards.iter().map(FragileShard::ends).sum()
     }
-
-    /// Kills these instances, takes the disk of one, and starts them again.
-    fn restart(&mut self, restart: &Restart) {
-        for number in restart.instances.clone() {
-            self.deployment.daemons[number].kill();
-        }
-        if let Some(number) = restart.wiped {
-            let folder = self.deployment.data_folder(number);
-            std::fs::remove_dir_all(folder).expect("removed");
-        }
-        for number in restart.instances.clone() {
-            self.deployment.write_settings(number, false);
-            self.deployment.daemons[number].start();
-        }
-    }
 }
 
 /// Instances that lose power together.
@@ -153,16 +127,9 @@
 }
 
 /// Announces the servers that are up, now and then.
-fn announce_all(shards: &[FragileShard], control: Vec<std::net::SocketAddr>, ends: &AtomicBool) {
+fn keep_announcing(shards: &[FragileShard], control: &[SocketAddr], ends: &AtomicBool) {
     while !ends.load(Ordering::Relaxed) {
-        for shard in shards.iter().filter(|shard| shard.is_up()) {
-            let (path, body) = shard.announcement();
-            let mut control = control.iter();
-            let _ = control.find(|to| {
-                let reply = ask(**to, "PUT", &path, "", &body);
-                reply.is_some_and(|reply| reply.status == 200)
-            });
-        }
+        announce_all(shards, control);
         std::thread::sleep(BEAT_TIME);
     }
 }
@@ -208,11 +175,11 @@
     ];
     for restart in restarts {
         let name = restart.name;
-        world.restart(&restart);
+        world.deployment.restart(restart.instances, restart.wiped);
         world.until_served(&format!("after-{name}"));
         world.ask_deadly();
         assert!(
-            world.later() <= MOST_LATER,
+            world.later() <= MOST_LATE,
             "{name}: it came to servers {} times later, {} servers ended",
             world.later(),
             world.ends()
--- a/crates/node/tests/forward/disks.rs
+++ b/crates/node/tests/forward/disks.rs
@@ -17,20 +17,6 @@
 /// Metric that says whether an instance has a vote.
 const VOTES: &str = "wheelmast_replica_votes 1";
 
-/// Kills everything, takes a disk, and starts everything again.
-fn lose_disk(deployment: &mut Deployment, number: usize) {
-    deployment
-        .daemons
-        .iter_mut()
-        .for_each(|daemon| daemon.kill());
-    let folder = deployment.data_folder(number);
-    std::fs::remove_dir_all(folder).expect("removed");
-    for instance in 0..deployment.daemons.len() {
-        deployment.write_settings(instance, false);
-        deployment.daemons[instance].start();
-    }
-}
-
 fn metrics(deployment: &Deployment, number: usize) -> Option<Reply> {
     ask(deployment.metrics(number), "GET", "/metrics", "", "")
 }
@@ -46,7 +32,8 @@
     deployment.put_first_table(&route_table(1));
     for loss in 0..LOSSES {
         let lost = loss % CONTROLS;
-        lose_disk(&mut deployment, lost);
+        let all = 0..deployment.daemons.len();
+        deployment.restart(all, Some(lost));
         for from in 0..CONTROLS {
             until(
                 &format!("loss {loss}: a table at n{from}"),
--- a/crates/node/tests/forward/harness.rs
+++ b/crates/node/tests/forward/harness.rs
@@ -3,6 +3,7 @@
 
 use std::io::{Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::ops::Range;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
@@ -212,6 +213,31 @@
         path
     }
 
+    /// Takes the disk of a control instance that does not run.
+    pub(crate) fn lose_disk(&self, number: usize) {
+        let folder = self.data_folder(number);
+        std::fs::remove_dir_all(folder).expect("removed");
+    }
+
+    /// Starts an instance once more, as one that was there before.
+    pub(crate) fn start_again(&mut self, number: usize) {
+        self.write_settings(number, false);
+        self.daemons[number].start();
+    }
+
+    /// Kills instances together, takes the disk of one, and starts them again.
+    pub(crate) fn restart(&mut self, instances: Range<usize>, lost: Option<usize>) {
+        for number in instances.clone() {
+            self.daemons[number].kill();
+        }
+        if let Some(number) = lost {
+            self.lose_disk(number);
+        }
+        for number in instances {
+            self.start_again(number);
+        }
+    }
+
     /// Puts the first table in force, once the group takes it.
     pub(crate) fn put_first_table(&self, table: &str) {
         until(
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -9,6 +9,7 @@
 mod disks;
 mod evacuate;
 mod extra;
+mod fragile;
 mod relayed;
 mod serve;
 mod soak;
--- a/crates/node/tests/forward/soak.rs
+++ b/crates/node/tests/forward/soak.rs
@@ -12,6 +12,7 @@
 use wheelmast_fake::fragile::FragileShard;
 use wheelmast_fake::shard::FakeShard;
 
+use crate::fragile::{announce_all, arrivals_of, count_late, MOST_LATE};
 use crate::harness::{ask, route_table, until, Deployment, Reply};
 
 /// Variable that names another seed and number of steps.
@@ -30,10 +31,6 @@
 const DEADLY: &str = "deadly";
 /// Time that a server which ended is away.
 const DOWN_TIME: Duration = Duration::from_millis(400);
-/// Time after the third end in which all entries in contact have heard.
-const SPREAD_TIME: Duration = Duration::from_secs(2);
-/// Sends that may still be made after that.
-const MOST_LATE: usize = 3;
 /// Letters of the shards.
 const LETTERS: &[u8] = b"abcd";
 
@@ -213,12 +210,8 @@
             let mut tries = tries.filter_map(|to| self.deployment.announce(shard, to, false));
             tries.any(|reply| reply.status == 200);
         }
-        for shard in self.fragile.iter().filter(|shard| shard.is_up()) {
-            let (path, body) = shard.announcement();
-            let mut tries = (0..CONTROLS)
-                .filter_map(|to| ask(self.deployment.front(to), "PUT", &path, "", &body));
-            tries.any(|reply| reply.status == 200);
-        }
+        let control: Vec<_> = (0..CONTROLS).map(|to| self.deployment.front(to)).collect();
+        announce_all(&self.fragile, &control);
     }
 
     /// Asks for what ends servers, at both entries, and checks that no server
@@ -233,15 +226,7 @@
                 self.ledger.broken.push(finding);
             }
         }
-        let arrivals = self.fragile.iter().flat_map(FragileShard::arrivals);
-        let deadly = arrivals.filter(|arrival| arrival.path.contains(DEADLY));
-        let mut times: Vec<Instant> = deadly.map(|arrival| arrival.at).collect();
-        times.sort();
-        let known = times.get(2).map(|third| *third + SPREAD_TIME);
-        let late = times
-            .iter()
-            .filter(|at| known.is_some_and(|known| **at > known));
-        let late = late.count();
+        let late = count_late(&arrivals_of(&self.fragile, DEADLY));
         if late > MOST_LATE {
             let finding = format!("what ends servers came to them {late} times more");
             self.ledger.broken.push(finding);
@@ -315,8 +300,7 @@
             Fault::Freeze => self.deployment.daemons[instance].signal("STOP"),
             Fault::Wipe => {
                 self.deployment.daemons[instance].kill();
-                let folder = self.deployment.data_folder(instance);
-                std::fs::remove_dir_all(folder).expect("removed");
+                self.deployment.lose_disk(instance);
             }
             Fault::KillAll => {
                 let daemons = &mut self.deployment.daemons;
@@ -335,8 +319,7 @@
             if fault == Fault::Freeze {
                 self.deployment.daemons[instance].signal("CONT");
             } else {
-                self.deployment.write_settings(instance, false);
-                self.deployment.daemons[instance].start();
+                self.deployment.start_again(instance);
             }
         }
     }
