Sight: how late an entry reads, and how late it writes

Cause: not known; no line told apart whether a request lay unread, a send waited after its decision, or was written after its request had ended. Change: a loop knows how long what it reads may have lain unread, as it takes what comes in its order, its own timers among it (LoopWatch); lines and counts for what is read late, sent late, and sent after the end. No change of what is decided.

--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -51,6 +51,8 @@
     closing: watch::Receiver<bool>,
 ) {
     let mut closed = closing.clone();
+    let watched = entry.clone();
+    tokio::task::spawn_local(async move { watched.watch.keep().await });
     loop {
         let stream = tokio::select! {
             stream = next_stream(&listener) => stream,
@@ -133,6 +135,7 @@
     if entry.phase() == EntryPhase::Learning {
         return failure_response(ForwardFailure::NoTable, Some(Duration::from_millis(200)));
     }
+    let unread = entry.watch.unread_time();
     let (mut parts, body) = request.into_parts();
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host: Box<str> = host.or_else(|| parts.uri.host()).unwrap_or_default().into();
@@ -187,6 +190,10 @@
     let id = parts.headers.get(D::HEADERS.request);
     let id = id.and_then(|id| id.to_str().ok()).map(str::to_string);
     let id = id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
+    if unread > Duration::ZERO {
+        let unread_ms = unread.as_millis() as u64;
+        tracing::warn!(target: "entry", request = id, unread_ms, "route: read late");
+    }
     let image = RequestImage::new::<D>(&parts.method, &parts.uri, &parts.headers, &id, body);
     let image = image.with_mark(mark);
     let (tag, receiver) = entry.admit(image);
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -17,8 +17,10 @@
 
 use crate::process::clock::ProcessClock;
 use crate::process::forward::image::RequestImage;
+use crate::process::forward::measure::DriverCounts;
 use crate::process::forward::pool::{ServerPool, UpstreamOrder};
 use crate::process::forward::story::StoryBook;
+use crate::process::loop_watch::LoopWatch;
 use crate::process::output::lines_unwritten;
 
 /// A request that waits for its answer.
@@ -56,6 +58,8 @@
     phase: Cell<EntryPhase>,
     /// The time since the process started.
     pub clock: ProcessClock,
+    /// How late the entry reads what comes.
+    pub watch: LoopWatch,
     armed: Cell<Duration>,
     wake: Notify,
     /// What the control group is to be told of requests under which servers
@@ -90,6 +94,7 @@
             tags: Cell::new(0),
             phase: Cell::new(EntryPhase::Learning),
             clock,
+            watch: LoopWatch::new(clock),
             armed: Cell::new(Duration::MAX),
             wake: Notify::new(),
             suspects: RefCell::default(),
@@ -144,11 +149,13 @@
                 let (cancel, cancelled) = oneshot::channel();
                 self.cancels.borrow_mut().insert(order.attempt, cancel);
                 let image = call.image.clone();
+                let ordered = self.clock.elapsed();
                 self.pool.send(
                     self,
                     UpstreamOrder {
                         order,
                         image,
+                        ordered,
                         cancelled,
                     },
                 );
@@ -202,10 +209,14 @@
     pub fn render_metrics(&self) -> String {
         let stories = self.stories.borrow();
         let machine = self.machine.borrow();
-        let dropped = stories.lines_dropped() + lines_unwritten();
+        let counts = DriverCounts {
+            lines_dropped: stories.lines_dropped() + lines_unwritten(),
+            times_held_up: self.watch.times_held_up(),
+            sent_late: self.pool.sent_late(),
+        };
         stories
             .measures
-            .render(&machine, self.clock.elapsed(), dropped)
+            .render(&machine, self.clock.elapsed(), counts)
     }
 
     /// Takes a request in and returns where its answer comes.
@@ -224,6 +235,11 @@
         (tag, receiver)
     }
 
+    /// Tells whether a request waits for its answer.
+    pub fn is_at_work(&self, tag: CallTag) -> bool {
+        self.calls.borrow().contains_key(&tag)
+    }
+
     /// Takes note that a caller left, unless it was answered.
     pub fn leave(self: &Rc<Self>, tag: CallTag) {
         if self.calls.borrow_mut().remove(&tag).is_some() {
--- a/crates/node/src/process/forward/measure.rs
+++ b/crates/node/src/process/forward/measure.rs
@@ -19,6 +19,17 @@
 /// Name that the other routes count under.
 const OTHER_ROUTES: &str = "other";
 
+/// What the entry counts beside its machine, since its start.
+#[derive(Debug, Clone, Copy)]
+pub struct DriverCounts {
+    /// Lines that were not told or not written.
+    pub lines_dropped: u64,
+    /// Times that it read late.
+    pub times_held_up: u64,
+    /// Attempts that were written long after they were decided on.
+    pub sent_late: u64,
+}
+
 /// The metrics of an entry.
 pub struct EntryMeasures {
     recorder: PrometheusRecorder,
@@ -63,13 +74,13 @@
     }
 
     /// Renders all metrics.
-    pub fn render(&self, machine: &ForwardMachine, now: Duration, lines_dropped: u64) -> String {
-        with_local_recorder(&self.recorder, || copy(machine, now, lines_dropped));
+    pub fn render(&self, machine: &ForwardMachine, now: Duration, counts: DriverCounts) -> String {
+        with_local_recorder(&self.recorder, || copy(machine, now, counts));
         self.recorder.handle().render()
     }
 }
 
-fn copy(machine: &ForwardMachine, now: Duration, lines_dropped: u64) {
+fn copy(machine: &ForwardMachine, now: Duration, driver: DriverCounts) {
     let counts = machine.counters();
     let totals = [
         ("wheelmast_forward_requests_total", counts.calls),
@@ -85,7 +96,9 @@
         ("wheelmast_forward_unaffordable_total", counts.unaffordable),
         ("wheelmast_forward_cancels_total", counts.cancels),
         ("wheelmast_forward_broken_total", counts.broken),
-        ("wheelmast_log_lines_dropped_total", lines_dropped),
+        ("wheelmast_forward_sent_late_total", driver.sent_late),
+        ("wheelmast_held_up_total", driver.times_held_up),
+        ("wheelmast_log_lines_dropped_total", driver.lines_dropped),
     ];
     for (name, total) in totals {
         counter!(name).absolute(total);
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -24,6 +24,8 @@
 
 /// Longest time a connection may take to open.
 const CONNECT_TIME: Duration = Duration::from_millis(700);
+/// Time from a decision to the write after which an attempt counts as sent late.
+const LATE_SEND: Duration = Duration::from_millis(100);
 
 /// A request for one server.
 #[derive(Debug)]
@@ -32,6 +34,8 @@
     pub order: AttemptOrder,
     /// The request.
     pub image: Rc<RequestImage>,
+    /// When it was ordered.
+    pub ordered: Duration,
     /// Turns ready when nobody waits for it any more.
     pub cancelled: oneshot::Receiver<()>,
 }
@@ -49,6 +53,7 @@
 #[derive(Debug, Default)]
 pub struct ServerPool {
     idle: RefCell<HashMap<ServerKey, Vec<IdleLink>>>,
+    sent_late: Cell<u64>,
 }
 
 impl ServerPool {
@@ -73,6 +78,27 @@
         tokio::task::spawn_local(run_link(entry.clone(), order));
     }
 
+    /// Returns the number of attempts that were written long after they were
+    /// decided on.
+    pub fn sent_late(&self) -> u64 {
+        self.sent_late.get()
+    }
+
+    /// Tells an attempt that is written long after it was decided on, or after
+    /// its request ended.
+    fn tell_late<D: ForwardDialect>(&self, entry: &EntryDuty<D>, order: &UpstreamOrder) {
+        let late = entry.clock.elapsed().saturating_sub(order.ordered);
+        let is_wanted = entry.is_at_work(order.order.call);
+        if is_wanted && late < LATE_SEND {
+            return;
+        }
+        self.sent_late.set(self.sent_late.get() + 1);
+        let (request, server) = (&order.image.id, &order.order.instance);
+        let time_left_ms = order.order.time_left.as_millis() as u64;
+        let (late_ms, ended) = (late.as_millis() as u64, !is_wanted);
+        tracing::warn!(target: "entry", %request, %server, late_ms, time_left_ms, ended, "route: sent late");
+    }
+
     /// Closes the idle connections to a server.
     pub fn close(&self, server: ServerKey) {
         self.idle.borrow_mut().remove(&server);
@@ -161,10 +187,12 @@
     buffer: &mut BytesMut,
     order: UpstreamOrder,
 ) -> Option<Duration> {
+    entry.pool.tell_late(entry, &order);
     let UpstreamOrder {
         order,
         image,
         mut cancelled,
+        ..
     } = order;
     let request = image.render::<D>(&order.instance, order.time_left, order.relay.as_ref());
     let attempt = order.attempt;
--- /dev/null
+++ b/crates/node/src/process/loop_watch.rs
@@ -0,0 +1,67 @@
+//! How long what comes to a loop may lie unread.
+//!
+//! A loop whose processor is short, or whose process was stopped, reads late,
+//! and nothing on a connection tells by how much. But a loop takes what comes
+//! in the order in which it came, its own timers among it: what is read now
+//! came after the last of them was due that has run.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use crate::process::clock::ProcessClock;
+
+/// Time from one round to the next.
+const ROUND_TIME: Duration = Duration::from_millis(50);
+/// Longest time between a round's due time and what is read that counts as
+/// none: two rounds of a loop that keeps up are no further apart.
+const PROMPT_TIME: Duration = Duration::from_millis(100);
+
+/// Watches how late a loop is.
+#[derive(Debug)]
+pub struct LoopWatch {
+    clock: ProcessClock,
+    /// When the last round that has run was due.
+    due: Cell<Duration>,
+    held_up: Cell<u64>,
+}
+
+impl LoopWatch {
+    /// Returns a watch of a loop that has just run.
+    pub fn new(clock: ProcessClock) -> LoopWatch {
+        LoopWatch {
+            clock,
+            due: Cell::new(clock.elapsed()),
+            held_up: Cell::new(0),
+        }
+    }
+
+    /// Makes the rounds, until the loop ends.
+    pub async fn keep(&self) {
+        loop {
+            let due = self.clock.elapsed() + ROUND_TIME;
+            tokio::time::sleep(ROUND_TIME).await;
+            self.due.set(due);
+            let late = self.unread_time();
+            if late > Duration::ZERO {
+                self.held_up.set(self.held_up.get() + 1);
+                tracing::warn!(target: "entry", late_ms = late.as_millis() as u64, "entry: held up");
+            }
+        }
+    }
+
+    /// Returns how long what is read now may have lain unread; zero of a loop
+    /// that keeps up.
+    pub fn unread_time(&self) -> Duration {
+        let unread = self.clock.elapsed().saturating_sub(self.due.get());
+        if unread > PROMPT_TIME {
+            unread
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    /// Returns how often a round came late.
+    pub fn times_held_up(&self) -> u64 {
+        self.held_up.get()
+    }
+}
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -14,6 +14,7 @@
 pub mod group;
 pub mod instance;
 pub mod journal;
+pub mod loop_watch;
 pub mod measures;
 pub mod member;
 pub mod operators;
