--- a/crates/fake/src/shard.rs
+++ b/crates/fake/src/shard.rs
@@ -26,6 +26,7 @@
     pub address: SocketAddr,
     domain: String,
     seen: Arc<Mutex<Vec<String>>>,
+    heads: Arc<Mutex<Vec<String>>>,
     sequence: Arc<Mutex<u64>>,
 }
 
@@ -44,6 +45,7 @@
             address,
             domain: domain.to_string(),
             seen: Arc::default(),
+            heads: Arc::default(),
             sequence: Arc::default(),
         };
         let server = shard.clone();
@@ -62,6 +64,13 @@
             .map_or_else(|_| Vec::new(), |seen| seen.clone())
     }
 
+    /// Returns the heads of all requests that came, in order, run or not.
+    pub fn heads(&self) -> Vec<String> {
+        self.heads
+            .lock()
+            .map_or_else(|_| Vec::new(), |heads| heads.clone())
+    }
+
     /// Returns the call and the body of its next announcement.
     pub fn announcement(&self, draining: bool) -> (String, String) {
         let sequence = self.sequence.lock().map_or(0, |mut sequence| {
@@ -81,6 +90,9 @@
     async fn serve(self, mut stream: TcpStream, letter: u8) -> std::io::Result<()> {
         let mut bytes = Vec::new();
         while let Some(head) = read_head(&mut stream, &mut bytes).await? {
+            if let Ok(mut heads) = self.heads.lock() {
+                heads.push(head.to_lowercase());
+            }
             let answer = self.answer(&head, letter);
             stream.write_all(&answer).await?;
         }
