Tell servers and other entries the time that is left when they are written to

Symptom: servers got requests with up to 0.7 s more than their callers had left, 677 ms in place of 49, where half of the servers reset answers. Cause: the time left was worked out at the decision and written once there was a connection and the loop had come to it. Change: orders carry until when, and the span is worked out as it is written; what has no time left by then is withdrawn, which says nothing of the server. The same for how long an answer of another entry is of use. With that told truly, the time kept for the way back and the merge is 5 ms: of 7 ms an opened connection had always taken part. Conclusion: a deadline that is carried cannot go stale.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -127,8 +127,9 @@
     pub address: SocketAddr,
     /// The lifetime of the server that is meant.
     pub instance: Arc<str>,
-    /// Time the server may take.
-    pub time_left: Duration,
+    /// When the caller's time is over, since the process started. A span would
+    /// grow old until it is written: a connection may have to be opened first.
+    pub until: Duration,
     /// Whether the answer's headers are passed on.
     pub whole_head: bool,
     /// What is asked, if the server is another entry.
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -82,7 +82,7 @@
         let mut plan = self.timings[timing].plan(rule, call.time_left, now);
         let upstreams = match &call.relayed {
             Some(order) => {
-                plan.aim = now + order.answer_in;
+                plan.aim = order.answer_by;
                 let shards = order.shards.iter();
                 shards.map(|name| self.upstream(name)).collect()
             }
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -68,6 +68,12 @@
         self.check_end(call, now, out);
     }
 
+    /// Tells whether a request has no time for an answer any more.
+    pub(super) fn is_over(&self, call: SlotKey, now: Duration) -> bool {
+        let call = self.calls.get(call);
+        call.is_some_and(|state| now >= state.plan.limit)
+    }
+
     pub(super) fn limit_due(&mut self, call: SlotKey, now: Duration, out: &mut Vec<ForwardAction>) {
         let Some(state) = self.calls.get(call) else {
             return;
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -36,8 +36,8 @@
 pub struct RelayOrder {
     /// Version of the table in force at the asking entry.
     pub version: u64,
-    /// Time within which an answer is of use.
-    pub answer_in: Duration,
+    /// Until when an answer is of use, since this process started.
+    pub answer_by: Duration,
     /// Servers of each shard that it may run on, until it is told of more.
     pub attempts: u32,
     /// Whether the request counts for repeats there. Not if other entries were
@@ -118,6 +118,9 @@
     Bundle(BundleAnswer),
     /// Nothing of the request was written: it has not run.
     Unsent,
+    /// Nothing of it was written, as its time was over by then: it has not run,
+    /// and that says nothing of the server.
+    Withdrawn,
     /// Another entry keeps it from its servers, as servers ended under it.
     Barred(SuspectRecord),
     /// Anything else: it may have run.
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -20,7 +20,7 @@
 /// gone.
 pub(super) const SILENT_REST: Duration = Duration::from_secs(3);
 /// Time that the way back and the merge of a bundle are given.
-const BUNDLE_MARGIN: Duration = Duration::from_millis(7);
+const BUNDLE_MARGIN: Duration = Duration::from_millis(5);
 
 impl ForwardMachine {
     /// Takes over the entries that take requests.
@@ -114,7 +114,7 @@
         });
         let relay = RelayOrder {
             version: state.table.version(),
-            answer_in: state.plan.aim.saturating_sub(now + way + BUNDLE_MARGIN),
+            answer_by: state.plan.aim.saturating_sub(way + BUNDLE_MARGIN),
             attempts: loan.attempts,
             earns: state.earns && parts.iter().all(|part| state.parts[*part].arrivals == 0),
             divides,
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -40,6 +40,8 @@
     NotRun,
     /// It never arrived.
     Unsent,
+    /// It was not written, for reasons of this entry's own.
+    Withdrawn,
     /// Another entry keeps it from its servers.
     Barred,
     /// It may have run.
@@ -50,6 +52,7 @@
     fn of(end: &AttemptEnd) -> EndMeaning {
         match end {
             AttemptEnd::Unsent => EndMeaning::Unsent,
+            AttemptEnd::Withdrawn => EndMeaning::Withdrawn,
             AttemptEnd::Broken => EndMeaning::Broken,
             AttemptEnd::Barred(_) => EndMeaning::Barred,
             AttemptEnd::Answer(answer) if answer.not_run || answer.status == MISDIRECTED => {
@@ -66,6 +69,7 @@
         match end {
             AttemptEnd::Bundle(_) => EndMeaning::Final,
             AttemptEnd::Unsent => EndMeaning::Unsent,
+            AttemptEnd::Withdrawn => EndMeaning::Withdrawn,
             AttemptEnd::Barred(_) => EndMeaning::Barred,
             AttemptEnd::Answer(_) | AttemptEnd::Broken => EndMeaning::Broken,
         }
@@ -77,6 +81,7 @@
             EndMeaning::Failure => "server_failure",
             EndMeaning::NotRun => "not_run",
             EndMeaning::Unsent => "unreachable",
+            EndMeaning::Withdrawn => "withdrawn",
             EndMeaning::Barred => "barred",
             EndMeaning::Broken => "broken",
         }
@@ -128,7 +133,7 @@
     /// Takes an attempt back out of the counts, if it did not run.
     fn uncount(&mut self, meaning: EndMeaning, runs: u32) {
         match meaning {
-            EndMeaning::Unsent => {
+            EndMeaning::Unsent | EndMeaning::Withdrawn => {
                 self.runs -= runs;
                 self.arrivals -= 1;
             }
@@ -200,7 +205,7 @@
     ) {
         let server = &mut self.servers[state.server];
         server.settle(attempt);
-        if meaning != EndMeaning::Final {
+        if ![EndMeaning::Final, EndMeaning::Withdrawn].contains(&meaning) {
             self.upstreams[state.upstream].counts.losses += 1;
         }
         let work = (now - state.sent_at).saturating_sub(server.way());
@@ -228,6 +233,7 @@
                 server.judged(true);
             }
             EndMeaning::Barred => server.answered_at = now,
+            EndMeaning::Withdrawn => {}
             EndMeaning::Broken if state.call.is_none() => {}
             EndMeaning::Unsent if state.is_relay() && work > REFUSAL_TIME => {
                 server.rest_at_least(SILENT_REST, now);
@@ -312,6 +318,9 @@
                     call.failure = Some(Box::new(answer));
                 }
             }
+            AttemptEnd::Withdrawn if self.is_over(key, now) => {
+                return self.limit_due(key, now, out);
+            }
             _ => {}
         }
         for part in &state.parts {
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -148,7 +148,7 @@
         });
         state.sends += 1;
         let (tag, gathers) = (state.tag, state.gathers);
-        let time_left = state.plan.given_up.saturating_sub(now + SEND_MARGIN);
+        let until = state.plan.given_up.saturating_sub(SEND_MARGIN);
         for part in &send.parts {
             let part = &mut state.parts[*part];
             part.attempts.push(attempt);
@@ -202,7 +202,7 @@
             server: key,
             address,
             instance,
-            time_left,
+            until,
             whole_head: !gathers,
             relay: send.relay,
         }));
--- a/crates/core/tests/forward/around.rs
+++ b/crates/core/tests/forward/around.rs
@@ -84,7 +84,7 @@
     }
     let order = RelayOrder {
         version: 3,
-        answer_in: Duration::from_millis(80),
+        answer_by: harness.now + Duration::from_millis(80),
         attempts: 1,
         earns: true,
         divides: false,
@@ -111,7 +111,7 @@
         }
         let order = RelayOrder {
             version: 3,
-            answer_in: Duration::from_millis(80),
+            answer_by: harness.now + Duration::from_millis(80),
             attempts: 1,
             earns: true,
             divides: false,
@@ -144,7 +144,7 @@
         harness.meet_in("there", 1);
         let order = RelayOrder {
             version: 3,
-            answer_in: Duration::from_millis(80),
+            answer_by: harness.now + Duration::from_millis(80),
             attempts: 1,
             earns: true,
             divides: true,
@@ -301,7 +301,7 @@
     harness.serve_in("s1", HOME);
     let order = RelayOrder {
         version: 3,
-        answer_in: Duration::from_millis(30),
+        answer_by: harness.now + Duration::from_millis(30),
         attempts: 1,
         earns: true,
         divides: false,
--- a/crates/core/tests/forward/bundles.rs
+++ b/crates/core/tests/forward/bundles.rs
@@ -45,7 +45,7 @@
     let order = harness.sends[bundle].relay.clone().expect("an order");
     assert_eq!(order.version, 3);
     assert_eq!(order.shards.len(), 4);
-    assert!(order.answer_in < Duration::from_millis(100));
+    assert!(order.answer_by < harness.now + Duration::from_millis(100));
     harness.end_bundle(bundle, &["s2", "s3", "s4", "s5"], b"");
     for send in (0..3).filter(|send| *send != bundle) {
         harness.end_well(send, b"");
@@ -138,7 +138,7 @@
     let mut harness = split_world();
     let order = RelayOrder {
         version: 3,
-        answer_in: Duration::from_millis(30),
+        answer_by: harness.now + Duration::from_millis(30),
         attempts: 1,
         earns: true,
         divides: true,
@@ -163,7 +163,7 @@
     let mut harness = split_world();
     let order = RelayOrder {
         version: 4,
-        answer_in: Duration::from_millis(30),
+        answer_by: harness.now + Duration::from_millis(30),
         attempts: 1,
         earns: true,
         divides: true,
--- a/crates/core/tests/forward/divide.rs
+++ b/crates/core/tests/forward/divide.rs
@@ -67,7 +67,7 @@
         let mut harness = world(0);
         let order = RelayOrder {
             version: 3,
-            answer_in: Duration::from_millis(60),
+            answer_by: harness.now + Duration::from_millis(60),
             attempts: 1,
             earns: true,
             divides,
--- a/crates/fake/src/model/relay.rs
+++ b/crates/fake/src/model/relay.rs
@@ -89,7 +89,12 @@
         };
         let caller = &self.callers[*caller];
         let (name, mark) = (self.spec.kinds[caller.kind].name, caller.mark);
-        let (asked, order) = (call.asked, call.order.clone());
+        let asked = call.asked;
+        // It is told how much time is left, not until when.
+        let order = RelayOrder {
+            answer_by: call.order.answer_by + call.way,
+            ..call.order.clone()
+        };
         let sign = PlayEvent::RelaySign { tag };
         self.events.push(self.now + call.way, sign);
         let input = ForwardCall {
--- a/crates/node/src/connection/exchange.rs
+++ b/crates/node/src/connection/exchange.rs
@@ -49,7 +49,7 @@
 }
 
 /// Idle time of a connection whose server names none.
-const DEFAULT_IDLE: Duration = Duration::from_secs(60);
+pub const DEFAULT_IDLE: Duration = Duration::from_secs(60);
 /// Time before the server's own limit at which a connection is given up.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -143,7 +143,7 @@
     let time_left = time_left.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
     let time_left = time_left.filter(|millis| millis.is_finite());
     let time_left = time_left.map(|millis| Duration::from_secs_f64(millis.max(0.0) / 1000.0));
-    let Ok(relayed) = relay_order(&parts.headers) else {
+    let Ok(relayed) = relay_order(&parts.headers, entry.clock.elapsed()) else {
         // An entry of another version: it asks the shards itself.
         return failure_response(ForwardFailure::NoServer, None);
     };
@@ -225,11 +225,12 @@
 }
 
 /// Reads what another entry asks for, if one passed the request on.
-fn relay_order(headers: &HeaderMap) -> anyhow::Result<Option<RelayOrder>> {
+fn relay_order(headers: &HeaderMap, arrived: Duration) -> anyhow::Result<Option<RelayOrder>> {
     let Some(value) = headers.get(RELAY_HEADER) else {
         return Ok(None);
     };
-    let order = value.to_str().ok().and_then(read_order);
+    let text = value.to_str().ok();
+    let order = text.and_then(|text| read_order(text, arrived));
     Ok(Some(
         order.context("could not read what an entry asks for")?,
     ))
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, EXPECT, HOST};
 use hyper::{Method, Uri};
+use wheelmast_core::process::forward::answer::AttemptOrder;
 use wheelmast_core::process::forward::input::RelayOrder;
 use wheelmast_core::process::forward::suspect::record::SuspectRecord;
 use wheelmast_core::request::mark::RequestMark;
@@ -101,22 +102,19 @@
         }
     }
 
-    /// Returns the request as it is written to one server.
-    pub fn render<D: ForwardDialect>(
-        &self,
-        instance: &str,
-        time_left: Duration,
-        relay: Option<&RelayOrder>,
-    ) -> Vec<u8> {
+    /// Returns the request as it is written to one server at `now`.
+    pub fn render<D: ForwardDialect>(&self, order: &AttemptOrder, now: Duration) -> Vec<u8> {
+        let instance = &order.instance;
         let mut bytes = Vec::with_capacity(self.head.len() + self.body.len() + 96);
         bytes.extend_from_slice(&self.head);
-        let millis = time_left.as_millis();
+        let millis = order.until.saturating_sub(now).as_millis();
         let (left, expect) = (D::HEADERS.time_left, D::HEADERS.expect);
         // Writing to a vector cannot fail.
         let _ = write!(bytes, "{left}: {millis}\r\n{expect}: {instance}\r\n");
         let length = self.body.len();
-        if let Some(order) = relay {
-            push_line(&mut bytes, RELAY_HEADER, render_order(order).as_bytes());
+        if let Some(relay) = &order.relay {
+            let relay = render_order(relay, now);
+            push_line(&mut bytes, RELAY_HEADER, relay.as_bytes());
             if let Some(mark) = self.mark {
                 push_line(&mut bytes, MARK_HEADER, mark.to_string().as_bytes());
             }
@@ -147,8 +145,8 @@
 /// Writes what another entry is asked for: version of the table, time for the
 /// answer in milliseconds, servers of each shard that it may run on, whether it
 /// counts for repeats (1) or not, whether it may divide or not, and the shards.
-fn render_order(order: &RelayOrder) -> String {
-    let millis = order.answer_in.as_millis();
+fn render_order(order: &RelayOrder, now: Duration) -> String {
+    let millis = order.answer_by.saturating_sub(now).as_millis();
     let attempts = order.attempts;
     let (earns, divides) = (u8::from(order.earns), u8::from(order.divides));
     let shards = order.shards.join(",");
@@ -174,18 +172,18 @@
     serde_json::from_slice(value).ok()
 }
 
-/// Reads what another entry asks for.
-pub fn read_order(text: &str) -> Option<RelayOrder> {
+/// Reads what another entry asks for in a request that came at `arrived`.
+pub fn read_order(text: &str, arrived: Duration) -> Option<RelayOrder> {
     let mut fields = text.splitn(ORDER_FIELDS, ';');
     let version = fields.next()?.parse().ok()?;
-    let millis = fields.next()?.parse().ok()?;
+    let millis = Duration::from_millis(fields.next()?.parse().ok()?);
     let attempts = fields.next()?.parse().ok()?;
     let earns = fields.next()? == "1";
     let divides = fields.next()? == "1";
     let shards = fields.next()?.split(',').map(Into::into).collect();
     Some(RelayOrder {
         version,
-        answer_in: Duration::from_millis(millis),
+        answer_by: arrived + millis,
         attempts,
         earns,
         divides,
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -16,7 +16,7 @@
 };
 use wheelmast_wire::dialect::ForwardDialect;
 
-use crate::connection::exchange::{exchange_in_two, ExchangeFailure, WholeAnswer};
+use crate::connection::exchange::{exchange_in_two, ExchangeFailure, WholeAnswer, DEFAULT_IDLE};
 use crate::process::forward::entry::EntryDuty;
 use crate::process::forward::image::{
     is_hop, read_suspect, render_grant, RequestImage, SHARDS_HEADER, SUSPECT_HEADER,
@@ -94,7 +94,8 @@
         }
         self.sent_late.set(self.sent_late.get() + 1);
         let (request, server) = (&order.image.id, &order.order.instance);
-        let time_left_ms = order.order.time_left.as_millis() as u64;
+        let time_left = order.order.until.saturating_sub(entry.clock.elapsed());
+        let time_left_ms = time_left.as_millis() as u64;
         let (late_ms, ended) = (late.as_millis() as u64, !is_wanted);
         tracing::warn!(target: "entry", %request, %server, late_ms, time_left_ms, ended, "route: sent late");
     }
@@ -157,13 +158,20 @@
     let took = opened.elapsed();
     entry.step(ForwardInput::Connected { server, took });
     let mut buffer = BytesMut::new();
+    let mut until = entry.clock.elapsed() + DEFAULT_IDLE;
+    let mut last = Box::default();
     loop {
-        let last = order.image.id.clone();
-        let Some(keep) = serve(&entry, &mut stream, &mut buffer, order).await else {
-            return;
-        };
-        let until = entry.clock.elapsed() + keep;
-        let orders = entry.pool.keep(server, until, last);
+        if is_withdrawn(&entry, &order) {
+            finish(&entry, &order.order, AttemptEnd::Withdrawn);
+        } else {
+            last = order.image.id.clone();
+            let Some(keep) = serve(&entry, &mut stream, &mut buffer, order).await else {
+                return;
+            };
+            until = entry.clock.elapsed() + keep;
+        }
+        let keep = until.saturating_sub(entry.clock.elapsed());
+        let orders = entry.pool.keep(server, until, last.clone());
         entry.pool.tell_idle(&entry, server);
         tokio::select! {
             biased;
@@ -180,6 +188,11 @@
     }
 }
 
+/// Tells whether a request is not to be written any more: its time is over.
+fn is_withdrawn<D: ForwardDialect>(entry: &EntryDuty<D>, order: &UpstreamOrder) -> bool {
+    entry.clock.elapsed() >= order.order.until
+}
+
 /// Serves one request. Returns how long the connection may then be idle.
 async fn serve<D: ForwardDialect>(
     entry: &Rc<EntryDuty<D>>,
@@ -194,7 +207,9 @@
         mut cancelled,
         ..
     } = order;
-    let request = image.render::<D>(&order.instance, order.time_left, order.relay.as_ref());
+    // The loop may come to it long after the decision: what is told of time is
+    // worked out here.
+    let request = image.render::<D>(&order, entry.clock.elapsed());
     let attempt = order.attempt;
     let is_whole = Cell::new(order.relay.is_none());
     let granted = order.relay.as_ref().map(|_| entry.await_grant(attempt));
