Do not write to servers what nobody waits for any more

Symptom: a caller had its 502, or had left, and servers were asked for it up to 0.7 s later, with time that nobody had. Cause: what waited for its connection or for the loop was written whatever had been decided since; the exchange was polled before its cancelling, and a request that ends cancels what is outstanding 250 to 400 ms later only. Change: right before the write it is asked whether the attempt was cancelled and the request is still at work; if not, it is withdrawn. The test made its caller leave through a connection, where the loop writes before it can see the close; it leaves at the entry now, before any task has run, which is what the fault was. It fails on the code without the mend on a connection that is open and on a new one, and passes with it. Conclusion: why this holds: nothing runs between the question and the write.

--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -118,8 +118,8 @@
     Bundle(BundleAnswer),
     /// Nothing of the request was written: it has not run.
     Unsent,
-    /// Nothing of it was written, as its time was over by then: it has not run,
-    /// and that says nothing of the server.
+    /// Nothing of it was written, as its time was over by then or nobody waited
+    /// for it: it has not run, and that says nothing of the server.
     Withdrawn,
     /// Another entry keeps it from its servers, as servers ended under it.
     Barred(SuspectRecord),
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -84,20 +84,18 @@
         self.sent_late.get()
     }
 
-    /// Tells an attempt that is written long after it was decided on, or after
-    /// its request ended.
+    /// Tells an attempt that is written long after it was decided on.
     fn tell_late<D: ForwardDialect>(&self, entry: &EntryDuty<D>, order: &UpstreamOrder) {
         let late = entry.clock.elapsed().saturating_sub(order.ordered);
-        let is_wanted = entry.is_at_work(order.order.call);
-        if is_wanted && late < LATE_SEND {
+        if late < LATE_SEND {
             return;
         }
         self.sent_late.set(self.sent_late.get() + 1);
         let (request, server) = (&order.image.id, &order.order.instance);
         let time_left = order.order.until.saturating_sub(entry.clock.elapsed());
         let time_left_ms = time_left.as_millis() as u64;
-        let (late_ms, ended) = (late.as_millis() as u64, !is_wanted);
-        tracing::warn!(target: "entry", %request, %server, late_ms, time_left_ms, ended, "route: sent late");
+        let late_ms = late.as_millis() as u64;
+        tracing::warn!(target: "entry", %request, %server, late_ms, time_left_ms, "route: sent late");
     }
 
     /// Closes the idle connections to a server.
@@ -161,7 +159,7 @@
     let mut until = entry.clock.elapsed() + DEFAULT_IDLE;
     let mut last = Box::default();
     loop {
-        if is_withdrawn(&entry, &order) {
+        if is_withdrawn(&entry, &mut order) {
             finish(&entry, &order.order, AttemptEnd::Withdrawn);
         } else {
             last = order.image.id.clone();
@@ -188,9 +186,13 @@
     }
 }
 
-/// Tells whether a request is not to be written any more: its time is over.
-fn is_withdrawn<D: ForwardDialect>(entry: &EntryDuty<D>, order: &UpstreamOrder) -> bool {
-    entry.clock.elapsed() >= order.order.until
+/// Tells whether a request is not to be written any more: nobody waits for it, or
+/// its time is over. It may have waited long for its connection and for the loop,
+/// and what was decided since then reaches it only here.
+fn is_withdrawn<D: ForwardDialect>(entry: &EntryDuty<D>, order: &mut UpstreamOrder) -> bool {
+    let is_cancelled = order.cancelled.try_recv().is_ok();
+    let is_over = entry.clock.elapsed() >= order.order.until;
+    is_cancelled || is_over || !entry.is_at_work(order.order.call)
 }
 
 /// Serves one request. Returns how long the connection may then be idle.
--- a/crates/node/tests/held_up.rs
+++ b/crates/node/tests/held_up.rs
@@ -13,15 +13,20 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use hyper::header::HeaderMap;
+use hyper::Method;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
-use wheelmast_core::process::forward::input::{EntryPeer, ForwardInput};
+use wheelmast_core::process::forward::input::{EntryPeer, ForwardCall, ForwardInput};
 use wheelmast_core::process::forward::machine::ForwardOptions;
+use wheelmast_core::request::mark::{CallerMark, ContentMark, RequestMark};
 use wheelmast_core::version::route_table::{RouteDraft, RouteTable};
 use wheelmast_fake::shard::FakeShard;
 use wheelmast_node::process::forward::callers::{accept, listen};
 use wheelmast_node::process::forward::entry::{EntryDuty, EntryPhase};
+use wheelmast_node::process::forward::image::RequestImage;
 use wheelmast_wire::native::NativeDialect;
 
 use crate::support::play;
@@ -113,6 +118,31 @@
         tokio::task::spawn_blocking(ask).await.expect("asked")
     }
 
+    /// Makes a request whose caller leaves at once.
+    fn ask_and_leave(&self, id: &str) {
+        let uri = "/q/x".parse().expect("a path");
+        let image = RequestImage::new::<NativeDialect>(
+            &Method::GET,
+            &uri,
+            &HeaderMap::new(),
+            id,
+            Bytes::new(),
+        );
+        let (tag, _answer) = self.entry.admit(image);
+        self.entry.step(ForwardInput::Call(ForwardCall {
+            tag,
+            host: "h".into(),
+            path: "/q/x".into(),
+            mark: RequestMark {
+                content: ContentMark::of("GET", "h", "/q/x", &[]),
+                caller: CallerMark::of(b"caller"),
+            },
+            time_left: Some(PATIENCE),
+            relayed: None,
+        }));
+        self.entry.leave(tag);
+    }
+
     /// Holds the loop up.
     fn hold(time: Duration) -> Instant {
         std::thread::sleep(time);
@@ -421,20 +451,9 @@
             if case.warm {
                 let _ = stage.warm().await;
             }
-            let front = stage.front;
-            let (begin, begun) = std::sync::mpsc::channel();
-            let caller = std::thread::spawn(move || {
-                begun.recv().expect("the hold-up begins");
-                let mut stream = TcpStream::connect(front).expect("a connection");
-                write_head(&mut stream, "/q/x", "gone", 5000, 0);
-                // It closes as it goes out of scope.
-            });
-            begin.send(()).expect("a caller");
-            // Shorter than what counts as held up: the entry reads the request
-            // and the close in one go.
-            Stage::hold(Duration::from_millis(60));
-            let left = tokio::task::spawn_blocking(move || caller.join());
-            left.await.expect("joined").expect("a caller");
+            // It is decided to ask the server, and the caller leaves before any
+            // task has run.
+            stage.ask_and_leave("gone");
             tokio::time::sleep(SETTLE).await;
             let heads = asked(&stage.server, "gone");
             assert!(heads.is_empty(), "{}: {heads:?}", case.name);
