Let a request's time run from when it may have come, not from when it is read

Symptom: servers worked for callers whose time was over: told 2,574 ms in place of 0, at an entry that had read nothing for seconds. Cause: time was counted from the step that takes the request in: after the loop came to read it, and after its body was whole. Nothing told how long it had lain unread. Change: a connection marks when what is read on it may have come; the plan of a request, its limit and its objective run from there, the header's time and the answer that another entry waits for alike. What has no time left is refused as not run, with a time to come back, and no server works for it. Conclusion: why it holds: a loop takes what comes in its order, its own timers among it, so that the bound is never too small by more than 0.1 s.

--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -31,6 +31,11 @@
             return self.turn_away(call.tag, ForwardFailure::Overload, out);
         }
         let state = self.lay_out(&call, table, route, now);
+        let is_too_late = now >= state.plan.limit || (state.relayed && now >= state.plan.aim);
+        if is_too_late {
+            // It lay unread until its time was over: no server works for it.
+            return self.turn_away(call.tag, ForwardFailure::LateUnrun, out);
+        }
         if let Some(failure) = self.bar(&state, now) {
             return self.turn_away(call.tag, failure, out);
         }
@@ -44,7 +49,7 @@
         self.decide(call.tag, out, || ForwardDecision::Admit {
             route: name,
             version,
-            time_left: plan.given_up - now,
+            time_left: plan.given_up.saturating_sub(now),
             mark: call.mark,
             relayed: call.relayed.is_some(),
         });
@@ -79,7 +84,7 @@
         let rule = &table.routes()[route];
         let timing = self.timing(&rule.name);
         let homes = self.options.regions.homes(&rule.homes);
-        let mut plan = self.timings[timing].plan(rule, call.time_left, now);
+        let mut plan = self.timings[timing].plan(rule, call.time_left, call.arrived);
         let upstreams = match &call.relayed {
             Some(order) => {
                 plan.aim = order.answer_by;
@@ -102,7 +107,7 @@
             homes,
             route,
             timing,
-            arrived: now,
+            arrived: call.arrived,
             plan,
             parts: upstreams.into_iter().map(PartState::new).collect(),
             answered: 0,
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -25,7 +25,10 @@
     pub path: Box<str>,
     /// What it asks for, and who asks.
     pub mark: RequestMark,
-    /// Time the caller will wait, if it says so.
+    /// When it may have come at the earliest, since the process started. Its time
+    /// runs from there.
+    pub arrived: Duration,
+    /// Time the caller gave, if it says so.
     pub time_left: Option<Duration>,
     /// What another entry asks for, if one passed it on.
     pub relayed: Option<RelayOrder>,
--- a/crates/core/src/process/forward/timing.rs
+++ b/crates/core/src/process/forward/timing.rs
@@ -61,7 +61,7 @@
         )
     }
 
-    /// Works out when a request that arrives at `now` should be answered.
+    /// Works out when a request that arrived at `now` should be answered.
     pub fn plan(
         &mut self,
         route: &RouteRule,
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -244,6 +244,7 @@
             host: HOST.into(),
             path: format!("/{route}/x").into(),
             mark,
+            arrived: self.now,
             time_left,
             relayed,
         }));
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -4,6 +4,7 @@
 
 mod admit;
 mod around;
+mod arrived;
 mod bundles;
 mod chance;
 mod cold;
--- a/crates/node/src/connection/mod.rs
+++ b/crates/node/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! What lives for a connection: to upstream servers, and from clients.
 
 pub mod accept;
+pub mod arrival;
 pub mod attempt;
 pub mod exchange;
 pub mod frame;
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -27,6 +27,7 @@
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::connection::accept::next_stream;
+use crate::connection::arrival::ArrivalStream;
 use crate::connection::http::{
     say_retry_after, serve_http, typed_response, FullResponse, PLAIN_TYPE,
 };
@@ -41,6 +42,8 @@
 const LEAST_BUFFER: usize = 8192;
 /// Longest time for the head of a balancer's question.
 const BALANCER_HEAD_TIME: Duration = Duration::from_secs(10);
+/// Time from which a request counts as read late.
+const LATE_READ: Duration = Duration::from_millis(100);
 /// What stands between the words of a header's list.
 const WORD_JOIN: &str = ", ";
 
@@ -51,8 +54,8 @@
     closing: watch::Receiver<bool>,
 ) {
     let mut closed = closing.clone();
-    let watched = entry.clone();
-    tokio::task::spawn_local(async move { watched.watch.keep().await });
+    let watch = entry.watch.clone();
+    tokio::task::spawn_local(async move { watch.keep().await });
     loop {
         let stream = tokio::select! {
             stream = next_stream(&listener) => stream,
@@ -70,11 +73,21 @@
 ) {
     let limits = entry.look(|machine| machine.table().map(|table| table.limits()));
     let limits = limits.unwrap_or_default();
-    let handler = entry.clone();
     let caller = caller_of(&stream);
+    let stream = ArrivalStream::new(stream, entry.watch.clone());
+    let (handler, mark) = (entry.clone(), stream.mark());
     let service = service_fn(move |request| {
-        let entry = handler.clone();
-        async move { Ok::<_, Infallible>(handle(entry, request, caller, limits).await) }
+        let (entry, mark) = (handler.clone(), mark.clone());
+        async move {
+            let source = CallSource {
+                caller,
+                limits,
+                arrived: mark.take(),
+            };
+            let response = handle(entry, request, source).await;
+            mark.end();
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -91,6 +104,15 @@
     let _ = connection.await;
 }
 
+/// What the connection of a request says of it.
+#[derive(Debug, Clone, Copy)]
+struct CallSource {
+    caller: CallerMark,
+    limits: CallerLimits,
+    /// When the request may have come at the earliest.
+    arrived: Duration,
+}
+
 /// Returns who calls: the same for all connections from one address.
 fn caller_of(stream: &TcpStream) -> CallerMark {
     match stream.peer_addr().map(|address| address.ip()) {
@@ -115,10 +137,9 @@
 async fn handle<D: ForwardDialect>(
     entry: Rc<EntryDuty<D>>,
     request: Request<Incoming>,
-    caller: CallerMark,
-    limits: CallerLimits,
+    source: CallSource,
 ) -> FullResponse {
-    let mut response = answer(&entry, request, caller, limits).await;
+    let mut response = answer(&entry, request, source).await;
     if entry.phase() == EntryPhase::Leaving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -129,13 +150,17 @@
 async fn answer<D: ForwardDialect>(
     entry: &Rc<EntryDuty<D>>,
     request: Request<Incoming>,
-    caller: CallerMark,
-    limits: CallerLimits,
+    source: CallSource,
 ) -> FullResponse {
+    let CallSource {
+        caller,
+        limits,
+        arrived,
+    } = source;
     if entry.phase() == EntryPhase::Learning {
         return failure_response(ForwardFailure::NoTable, Some(Duration::from_millis(200)));
     }
-    let unread = entry.watch.unread_time();
+    let unread = entry.clock.elapsed().saturating_sub(arrived);
     let (mut parts, body) = request.into_parts();
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host: Box<str> = host.or_else(|| parts.uri.host()).unwrap_or_default().into();
@@ -143,7 +168,7 @@
     let time_left = time_left.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
     let time_left = time_left.filter(|millis| millis.is_finite());
     let time_left = time_left.map(|millis| Duration::from_secs_f64(millis.max(0.0) / 1000.0));
-    let Ok(relayed) = relay_order(&parts.headers, entry.clock.elapsed()) else {
+    let Ok(relayed) = relay_order(&parts.headers, arrived) else {
         // An entry of another version: it asks the shards itself.
         return failure_response(ForwardFailure::NoServer, None);
     };
@@ -184,13 +209,14 @@
         host,
         path: parts.uri.path().into(),
         mark,
+        arrived,
         time_left,
         relayed,
     };
     let id = parts.headers.get(D::HEADERS.request);
     let id = id.and_then(|id| id.to_str().ok()).map(str::to_string);
     let id = id.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
-    if unread > Duration::ZERO {
+    if unread > LATE_READ {
         let unread_ms = unread.as_millis() as u64;
         tracing::warn!(target: "entry", request = id, unread_ms, "route: read late");
     }
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -59,7 +59,7 @@
     /// The time since the process started.
     pub clock: ProcessClock,
     /// How late the entry reads what comes.
-    pub watch: LoopWatch,
+    pub watch: Rc<LoopWatch>,
     armed: Cell<Duration>,
     wake: Notify,
     /// What the control group is to be told of requests under which servers
@@ -94,7 +94,7 @@
             tags: Cell::new(0),
             phase: Cell::new(EntryPhase::Learning),
             clock,
-            watch: LoopWatch::new(clock),
+            watch: Rc::new(LoopWatch::new(clock)),
             armed: Cell::new(Duration::MAX),
             wake: Notify::new(),
             suspects: RefCell::default(),
--- a/crates/node/src/process/loop_watch.rs
+++ b/crates/node/src/process/loop_watch.rs
@@ -60,6 +60,23 @@
         }
     }
 
+    /// Returns when what is read now may have come at the earliest, since the
+    /// process started.
+    pub fn earliest(&self) -> Duration {
+        self.now().saturating_sub(self.unread_time())
+    }
+
+    /// Returns when the last round that has run was due: what was there by then
+    /// has been read.
+    pub fn last_due(&self) -> Duration {
+        self.due.get()
+    }
+
+    /// Returns the time since the process started.
+    pub fn now(&self) -> Duration {
+        self.clock.elapsed()
+    }
+
     /// Returns how often a round came late.
     pub fn times_held_up(&self) -> u64 {
         self.held_up.get()
--- a/crates/node/tests/held_up.rs
+++ b/crates/node/tests/held_up.rs
@@ -137,6 +137,7 @@
                 content: ContentMark::of("GET", "h", "/q/x", &[]),
                 caller: CallerMark::of(b"caller"),
             },
+            arrived: self.entry.clock.elapsed(),
             time_left: Some(PATIENCE),
             relayed: None,
         }));
@@ -462,3 +463,28 @@
         });
     }
 }
+
+/// A connection is kept and its next request comes much later: its time does not
+/// run from the body of the one before.
+#[test]
+fn a_request_on_a_kept_connection_is_not_as_old_as_the_one_before() {
+    play_on_stage(|stage| async move {
+        let front = stage.front;
+        let call = move || {
+            let mut stream = TcpStream::connect(front).expect("a connection");
+            stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+            write_head(&mut stream, "/q/x", "first", 5000, 4);
+            std::thread::sleep(Duration::from_millis(200));
+            stream.write_all(b"body").expect("written");
+            let first = read_status(&mut stream);
+            std::thread::sleep(Duration::from_millis(1500));
+            write_head(&mut stream, "/q/x", "second", 1200, 0);
+            (first, read_status(&mut stream))
+        };
+        let call = tokio::task::spawn_blocking(call).await.expect("called");
+        assert_eq!(call, (Some(200), Some(200)));
+        let heads = asked(&stage.server, "second");
+        let told = number_of(&heads[0], "wheelmast-time-left-ms: ");
+        assert!(told > Some(900), "{told:?}");
+    });
+}
--- a/crates/node/tests/suspended.rs
+++ b/crates/node/tests/suspended.rs
@@ -95,6 +95,7 @@
             content: ContentMark::of("GET", "h", id, &[]),
             caller: CallerMark::of(b"caller"),
         },
+        arrived: entry.clock.elapsed(),
         time_left: Some(CALLER_TIME),
         relayed: None,
     }));
