Count what another entry grants to the request before, not to the next one

Cause: a grant may come behind the answer; its byte was taken for the begin of the next request on that connection. Change: the request's reader of the grant marks its end. Measured: the test fails before (200, 503, 503) and passes now; all six of held_up pass.

--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -27,7 +27,7 @@
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::connection::accept::next_stream;
-use crate::connection::arrival::ArrivalStream;
+use crate::connection::arrival::{ArrivalMark, ArrivalStream};
 use crate::connection::http::{
     say_retry_after, serve_http, typed_response, FullResponse, PLAIN_TYPE,
 };
@@ -83,6 +83,7 @@
                 caller,
                 limits,
                 arrived: mark.take(),
+                mark: mark.clone(),
             };
             let response = handle(entry, request, source).await;
             mark.end();
@@ -105,12 +106,13 @@
 }
 
 /// What the connection of a request says of it.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct CallSource {
     caller: CallerMark,
     limits: CallerLimits,
     /// When the request may have come at the earliest.
     arrived: Duration,
+    mark: Rc<ArrivalMark>,
 }
 
 /// Returns who calls: the same for all connections from one address.
@@ -156,6 +158,7 @@
         caller,
         limits,
         arrived,
+        mark: arrival,
     } = source;
     if entry.phase() == EntryPhase::Learning {
         return failure_response(ForwardFailure::NoTable, Some(Duration::from_millis(200)));
@@ -229,7 +232,12 @@
     };
     entry.step(ForwardInput::Call(ForwardCall { tag, ..call }));
     if let Some(reader) = grant {
-        tokio::task::spawn_local(reader.wait(entry.clone(), tag));
+        let granted = reader.wait(entry.clone(), tag);
+        tokio::task::spawn_local(async move {
+            granted.await;
+            // It may come behind the answer, and belongs to this request.
+            arrival.end();
+        });
     }
     let answer = receiver.await;
     drop(guard);
--- a/crates/node/tests/held_up.rs
+++ b/crates/node/tests/held_up.rs
@@ -464,6 +464,44 @@
     }
 }
 
+/// Asks as another entry does, and says only after the answer what it grants.
+/// Returns the status.
+fn ask_as_entry(stream: &mut TcpStream, id: &str, left: u64) -> Option<u16> {
+    let head = format!(
+        "GET /q/x HTTP/1.1\r\nhost: h\r\nwheelmast-request: {id}\r\n\
+         wheelmast-time-left-ms: {left}\r\nwheelmast-relayed: 1;{left};1;1;0;s\r\n\
+         expect: 100-continue\r\ncontent-length: 1\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("written");
+    let mut status = read_status(stream);
+    if status == Some(100) {
+        status = read_status(stream);
+    }
+    stream.write_all(b"2").expect("written");
+    status
+}
+
+/// Another entry keeps its connection, and what it grants may come behind the
+/// answer: the next request is not as old as that.
+#[test]
+fn a_request_of_another_entry_is_not_as_old_as_the_grant_before() {
+    play_on_stage(|stage| async move {
+        let front = stage.front;
+        let call = move || {
+            let mut stream = TcpStream::connect(front).expect("a connection");
+            stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+            let mut ask = |id| {
+                let status = ask_as_entry(&mut stream, id, 1200);
+                std::thread::sleep(Duration::from_millis(1500));
+                status
+            };
+            [ask("first"), ask("second"), ask("third")]
+        };
+        let statuses = tokio::task::spawn_blocking(call).await.expect("called");
+        assert_eq!(statuses, [Some(200); 3]);
+    });
+}
+
 /// A connection is kept and its next request comes much later: its time does not
 /// run from the body of the one before.
 #[test]
