--- a/crates/cli/src/measure/capacity.rs
+++ b/crates/cli/src/measure/capacity.rs
@@ -110,7 +110,7 @@
             epoch: 1,
             version: 100,
         },
-        remaining: Duration::from_millis(180),
+        until: Duration::from_millis(180),
         body: Arc::new(body()),
     };
     Ok(vec![
@@ -119,7 +119,7 @@
             "question for a newer table",
             encode(&PeerRequest::AskTable { have: 1000 })?.len(),
         ),
-        ("subquery", encode_search(&order)?.len()),
+        ("subquery", encode_search(&order, Duration::ZERO)?.len()),
         ("announcement", serde_json::to_vec(&announcement())?.len()),
     ])
 }
--- a/crates/core/src/process/action.rs
+++ b/crates/core/src/process/action.rs
@@ -28,8 +28,10 @@
     pub shard: u32,
     /// Snapshot to search.
     pub snapshot: SnapshotId,
-    /// Time left until the request's deadline.
-    pub remaining: Duration,
+    /// The request's deadline, since the process started. A span would grow old
+    /// until it is written: another thread does that, on a connection that may
+    /// have to be opened first.
+    pub until: Duration,
     /// What is passed on.
     pub body: Arc<RequestBody>,
 }
--- a/crates/core/src/process/route.rs
+++ b/crates/core/src/process/route.rs
@@ -234,7 +234,7 @@
             address,
             shard: shard.number,
             snapshot: state.snapshot,
-            remaining: state.deadline.saturating_sub(now),
+            until: state.deadline,
             body: state.body.clone(),
         }));
         let gate = state.gate;
--- a/crates/node/src/connection/attempt.rs
+++ b/crates/node/src/connection/attempt.rs
@@ -11,6 +11,7 @@
 use wheelmast_wire::upstream::{decode_reply, encode_search, SEARCH_PATH};
 
 use crate::connection::pool::{ConnectionPool, UpstreamConnection};
+use crate::process::clock::ProcessClock;
 
 /// Largest body of a reply, in bytes.
 pub const REPLY_BYTES: usize = 4 * 1024 * 1024;
@@ -22,12 +23,13 @@
 pub async fn run_attempt(
     pool: ConnectionPool,
     source: Option<IpAddr>,
+    clock: ProcessClock,
     order: SendOrder,
 ) -> AttemptReply {
-    let limit = order.remaining + OVERTIME;
+    let limit = order.until.saturating_sub(clock.elapsed()) + OVERTIME;
     let key = order.attempt;
     let mut connect = None;
-    let exchange = exchange(&pool, source, &order, &mut connect);
+    let exchange = exchange(&pool, source, clock, &order, &mut connect);
     let status = tokio::time::timeout(limit, exchange).await;
     AttemptReply {
         attempt: key,
@@ -47,15 +49,12 @@
 async fn exchange(
     pool: &ConnectionPool,
     source: Option<IpAddr>,
+    clock: ProcessClock,
     order: &SendOrder,
     connect: &mut Option<Duration>,
 ) -> ReplyStatus {
-    let Ok(body) = encode_search(order) else {
-        return ReplyStatus::NeverSent;
-    };
-    let body = Bytes::from(body);
     if let Some(mut connection) = pool.take(order.server, order.address) {
-        match send(&mut connection, order, body.clone()).await {
+        match send(&mut connection, clock, order).await {
             SendEnd::Response(response) => {
                 return finish(pool, order, connection, response).await;
             }
@@ -69,21 +68,33 @@
         return ReplyStatus::NeverSent;
     };
     *connect = Some(began.elapsed());
-    match send(&mut connection, order, body).await {
+    match send(&mut connection, clock, order).await {
         SendEnd::Response(response) => finish(pool, order, connection, response).await,
         SendEnd::NeverSent => ReplyStatus::NeverSent,
         SendEnd::Broken => ReplyStatus::Failed,
     }
 }
 
-async fn send(connection: &mut UpstreamConnection, order: &SendOrder, body: Bytes) -> SendEnd {
+async fn send(
+    connection: &mut UpstreamConnection,
+    clock: ProcessClock,
+    order: &SendOrder,
+) -> SendEnd {
     if connection.sender.ready().await.is_err() {
         return SendEnd::NeverSent;
     }
+    // What is told of time is worked out as it is written.
+    let now = clock.elapsed();
+    if now >= order.until {
+        return SendEnd::NeverSent;
+    }
+    let Ok(body) = encode_search(order, now) else {
+        return SendEnd::NeverSent;
+    };
     let request = Request::post(SEARCH_PATH)
         .header("host", order.address.to_string())
         .header("content-type", "application/json")
-        .body(Full::new(body));
+        .body(Full::new(Bytes::from(body)));
     let Ok(request) = request else {
         return SendEnd::NeverSent;
     };
--- a/crates/node/src/process/instance.rs
+++ b/crates/node/src/process/instance.rs
@@ -115,12 +115,13 @@
             .decisions_per_second(settings.decisions_per_second)
             .guards(setup.guards)
             .build();
+        let clock = ProcessClock::start();
         let driver = EntryDriver {
             machine: EntryMachine::new(options, setup.policy),
             ring: entry_ring,
             upstreams,
             journal,
-            started: ProcessClock::start(),
+            started: clock,
             left: Some(left_sender),
             learned: ready.learned.clone(),
             outcomes: HashMap::new(),
@@ -130,6 +131,7 @@
             ring: upstream_ring,
             entry: entry.clone(),
             source: settings.source,
+            clock,
         };
         threads.push(duties.start("upstreams", driver.run())?);
         if let Some(table) = setup.table {
--- a/crates/node/src/process/upstreams.rs
+++ b/crates/node/src/process/upstreams.rs
@@ -9,6 +9,7 @@
 
 use crate::connection::attempt::run_attempt;
 use crate::connection::pool::ConnectionPool;
+use crate::process::clock::ProcessClock;
 use crate::process::entry::EntryMessage;
 use crate::ring::{RingReceiver, RingSender};
 
@@ -33,6 +34,8 @@
     pub entry: RingSender<EntryMessage>,
     /// Address its connections come from.
     pub source: Option<IpAddr>,
+    /// The clock of the thread that decides.
+    pub clock: ProcessClock,
 }
 
 impl UpstreamDriver {
@@ -47,7 +50,8 @@
                 command = self.ring.recv() => match command {
                     Some(UpstreamCommand::Send(order)) => {
                         let key = order.attempt;
-                        let task = tasks.spawn(run_attempt(pool.clone(), self.source, order));
+                        let attempt = run_attempt(pool.clone(), self.source, self.clock, order);
+                        let task = tasks.spawn(attempt);
                         running.insert(key, task);
                     }
                     Some(UpstreamCommand::Cancel(key)) => {
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -147,12 +147,12 @@
     }
 }
 
-/// Encodes the subquery of an order.
+/// Encodes the subquery of an order as it is written at `now`.
 ///
 /// # Errors
 ///
 /// Fails if the caller's payload is not JSON.
-pub fn encode_search(order: &SendOrder) -> Result<Vec<u8>, MessageError> {
+pub fn encode_search(order: &SendOrder, now: Duration) -> Result<Vec<u8>, MessageError> {
     let payload: &RawValue = serde_json::from_slice(&order.body.payload)
         .map_err(|error| MessageError(error.to_string()))?;
     let request = SearchRequest {
@@ -162,7 +162,7 @@
         shard: order.shard,
         epoch: order.snapshot.epoch,
         version: order.snapshot.version,
-        remaining_ms: order.remaining.as_millis() as u64,
+        remaining_ms: order.until.saturating_sub(now).as_millis() as u64,
         key: order.body.key.as_deref().map(str::to_string),
         payload: payload.to_owned(),
     };
