Demo: instances listen at ports that no connection is given

Cause: an instance that is killed starts again at the port that the system had chosen. Ruled out: a connection that is closed already, as listeners reuse addresses. Change: ports below that range, each once in a process (demo/port.rs).

--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod arrival;
 pub mod balancer;
+pub mod port;
 pub mod report;
 pub mod run;
 pub mod schedule;
--- a/crates/cli/src/demo/run.rs
+++ b/crates/cli/src/demo/run.rs
@@ -17,6 +17,7 @@
 
 use crate::client::HttpClient;
 use crate::demo::balancer::DemoBalancer;
+use crate::demo::port::choose_address;
 use crate::demo::report::{CountReport, RunReport, ServiceReport, SlowStory};
 use crate::demo::schedule::span_of;
 use crate::demo::tally::{CallEnd, SlowCall, TallyBook};
@@ -88,7 +89,7 @@
         let mut all_settings = Vec::new();
         for (number, domain) in plan.deployment.domains.iter().enumerate() {
             let source = IpAddr::V4(Ipv4Addr::new(127, 0, number as u8 + 1, 1));
-            let mut settings = instance_settings(domain, source, plan.deployment.domains.len());
+            let mut settings = instance_settings(domain, source, plan.deployment.domains.len())?;
             let instance = InstanceHandle::start(InstanceSetup {
                 settings: settings.clone(),
                 table: Some(table.clone()),
@@ -257,17 +258,22 @@
     }
 }
 
-fn instance_settings(domain: &str, source: IpAddr, instances: usize) -> InstanceSettings {
-    InstanceSettings::builder(format!("{domain}-1"))
+fn instance_settings(
+    domain: &str,
+    source: IpAddr,
+    instances: usize,
+) -> anyhow::Result<InstanceSettings> {
+    let settings = InstanceSettings::builder(format!("{domain}-1"))
         .domain(domain)
-        .callers(SocketAddr::new(source, 0))
-        .operators(SocketAddr::new(source, 0))
-        .upstreams(SocketAddr::new(source, 0))
+        .callers(choose_address(source)?)
+        .operators(choose_address(source)?)
+        .upstreams(choose_address(source)?)
         .source(source)
         .instances(instances as u32)
         .drain_notice(DRAIN_NOTICE)
         .log_decisions(false)
-        .build()
+        .build();
+    Ok(settings)
 }
 
 fn fault_name(fault: FaultKind) -> String {
