--- a/crates/node/tests/held_up.rs
+++ b/crates/node/tests/held_up.rs
@@ -4,6 +4,19 @@
 //! What callers saw: answers 502 or none at all where half of the servers reset
 //! their answers, and servers that worked for callers whose time was over, told
 //! up to 2.9 s more than was left.
+//!
+//! What happened: entries were short of processor time, and their loops went
+//! round a few times a second or not at all for seconds. A request lay unread,
+//! and its time was counted from when it was read, or from when its body was
+//! whole. A send was decided on, and written with the time of the decision when
+//! its connection was open and the loop came to it. What had been decided since,
+//! that its request had ended, did not keep it back.
+//!
+//! The evidence: lines of the entries that were added for it. In the plays that
+//! showed the fault requests were read up to 2.9 s late, sends written up to
+//! 0.7 s after their decision, and some 2,000 after their request had ended; of
+//! one request the servers were told 677 ms, decided on 0.64 s before, when 49
+//! were left. Holding the loop up brings each of these about with nothing else.
 
 mod support;
 
