--- a/crates/core/tests/forward/arrived.rs
+++ b/crates/core/tests/forward/arrived.rs
@@ -109,3 +109,24 @@
         assert_eq!(harness.failure_of(tag), failure, "{}", case.name);
     }
 }
+
+/// What callers would see: from one request on that gave days, no request of its
+/// route at that entry waits for its slow shards any more. The longest time that
+/// a caller gave counts as what all give, and what others give less as spent.
+#[test]
+fn one_caller_that_gives_days_does_not_make_the_others_late() {
+    let mut harness = Harness::new();
+    harness.obey(table(3, vec![route("q", shards(2))]));
+    harness.serve("s0", 1);
+    harness.serve("s1", 1);
+    let patient = harness.call_as("q", Some(Duration::from_secs(1_000_000)), None);
+    harness.end_well(0, b"");
+    harness.end_well(1, b"");
+    assert!(harness.gathered(patient).is_some());
+    let usual = harness.call_as("q", Some(ms(700)), None);
+    harness.end_well(2, b"");
+    harness.pass(30);
+    assert!(harness.answer_to(usual).is_none(), "it waits for its shard");
+    harness.end_well(3, b"");
+    assert_eq!(harness.gathered(usual).map(|(_, missing)| missing), Some(0));
+}
