Take a caller's time that no clock can hold for none

Symptom: a request with such a time got no answer; its connection ended. Cause: the header is read as a float, and making a duration of 1e300 ms panics in the task of that connection; the entry lives on. Change: the conversion that can fail. Conclusion: mended; what is no number was none before.

--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -170,7 +170,9 @@
     let time_left = parts.headers.get(D::HEADERS.time_left);
     let time_left = time_left.and_then(|value| value.to_str().ok()?.trim().parse::<f64>().ok());
     let time_left = time_left.filter(|millis| millis.is_finite());
-    let time_left = time_left.map(|millis| Duration::from_secs_f64(millis.max(0.0) / 1000.0));
+    // What no clock can hold is no time.
+    let time_left =
+        time_left.and_then(|millis| Duration::try_from_secs_f64(millis.max(0.0) / 1000.0).ok());
     let Ok(relayed) = relay_order(&parts.headers, arrived) else {
         // An entry of another version: it asks the shards itself.
         return failure_response(ForwardFailure::NoServer, None);
--- a/crates/node/tests/held_up.rs
+++ b/crates/node/tests/held_up.rs
@@ -539,3 +539,22 @@
         assert!(told > Some(900), "{told:?}");
     });
 }
+
+/// A caller names a time that no clock can hold: it is one without a time, and
+/// gets its answer. The task of its connection ended in a panic.
+#[test]
+fn a_time_that_no_clock_can_hold_is_none() {
+    play_on_stage(|stage| async move {
+        let front = stage.front;
+        let call = move || {
+            let mut stream = TcpStream::connect(front).expect("a connection");
+            stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+            let head = "GET /q/x HTTP/1.1\r\nhost: h\r\nwheelmast-request: huge\r\n\
+                        wheelmast-time-left-ms: 1e300\r\n\r\n";
+            stream.write_all(head.as_bytes()).expect("written");
+            read_status(&mut stream)
+        };
+        let status = tokio::task::spawn_blocking(call).await.expect("called");
+        assert_eq!(status, Some(200));
+    });
+}
