Soak: an instance without a disk is back once it votes

Change: the soak's "all are back" awaits the vote of each control instance, which its comment asks for already; the wait is the one of disks.rs, now in the harness. No check of what must hold is changed.

--- a/crates/node/tests/forward/disks.rs
+++ b/crates/node/tests/forward/disks.rs
@@ -8,24 +8,12 @@
 //! no table had `wheelmast_replica_votes 0` at the first one's instance in the
 //! moment before. Once it says 1 the next disk may go.
 
-use crate::harness::{ask, route_table, until, Deployment, Reply};
+use crate::harness::{route_table, until, Deployment};
 
 /// Control instances.
 const CONTROLS: usize = 3;
 /// Disks lost one after the other.
 const LOSSES: usize = 7;
-/// Metric that says whether an instance has a vote.
-const VOTES: &str = "wheelmast_replica_votes 1";
-
-fn metrics(deployment: &Deployment, number: usize) -> Option<Reply> {
-    ask(deployment.metrics(number), "GET", "/metrics", "", "")
-}
-
-fn says(reply: &Reply, line: &str) -> bool {
-    let text = String::from_utf8_lossy(&reply.body);
-    text.lines().any(|found| found == line)
-}
-
 #[test]
 fn a_disk_may_be_lost_once_the_last_one_is_replaced() {
     let mut deployment = Deployment::start(43);
@@ -41,10 +29,6 @@
                 |reply| reply.status == 200,
             );
         }
-        until(
-            &format!("loss {loss}: a vote at n{lost}"),
-            || metrics(&deployment, lost),
-            |reply| says(reply, VOTES),
-        );
+        deployment.await_vote(lost);
     }
 }
--- a/crates/node/tests/forward/harness.rs
+++ b/crates/node/tests/forward/harness.rs
@@ -15,6 +15,8 @@
 
 /// Longest time that anything here may take.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+/// Metric that says whether an instance has a vote.
+const VOTES: &str = "wheelmast_replica_votes 1";
 
 /// A running `wheelmastd`; killed if the test ends early.
 pub(crate) struct Daemon {
@@ -263,6 +265,18 @@
         }
     }
 
+    /// Waits until a control instance says that it has a vote.
+    pub(crate) fn await_vote(&self, number: usize) {
+        until(
+            &format!("a vote at n{number}"),
+            || ask(self.metrics(number), "GET", "/metrics", "", ""),
+            |reply| {
+                let text = String::from_utf8_lossy(&reply.body);
+                text.lines().any(|line| line == VOTES)
+            },
+        );
+    }
+
     pub(crate) fn put_table(&self, to: usize, text: &str) -> Option<Reply> {
         ask(self.front(to), "PUT", "/v1/routes", "", text)
     }
--- a/crates/node/tests/forward/soak.rs
+++ b/crates/node/tests/forward/soak.rs
@@ -350,6 +350,9 @@
                     reply.status == 200 && version_of(&text) >= acknowledged
                 },
             );
+            // One without a disk is not back before it votes: until then the
+            // loss of another one would be the second.
+            self.deployment.await_vote(from);
         }
         self.announce();
         let path = format!("{EVACUATIONS}/there");
