Tests: the stage of held_up in a file of its own

Change: moved, no line of a test or check is changed (mod lines and visibility apart). Conclusion: each file has one job.

--- a/crates/node/tests/attempt_time.rs
+++ b/crates/node/tests/attempt_time.rs
@@ -1,7 +1,7 @@
 //! What a server is told of the time left for a subquery that was decided on
 //! some time before it is written.
 //!
-//! What callers saw: the same as with forwarded requests (`held_up.rs`), servers
+//! What callers saw: the same as with forwarded requests (`held_up/`), servers
 //! at work for callers whose time was over. The time was worked out by the
 //! thread that decides, and written by another once it had a connection.
 
