Read once more: one clock reading a write, none a decided send; one pause of news

Change: the step's time goes along to what it decides, one reading serves the question whether a send is withdrawn, its line and what is told; the pause stands once, beside the news. Behaviour is as before: nothing runs between the question and the write. What the readings cost was not measured. Left: a subquery whose time is over on a kept connection opens a new one before it gives up (connection/attempt.rs).

--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -131,7 +131,7 @@
             machine.next_wake()
         };
         for action in out.drain(..) {
-            self.act(action);
+            self.act(action, now);
         }
         self.spare.replace(out);
         if next.is_some_and(|next| next < self.armed.get()) {
@@ -139,7 +139,8 @@
         }
     }
 
-    fn act(self: &Rc<Self>, action: ForwardAction) {
+    /// Does what the machine asked for at `now`.
+    fn act(self: &Rc<Self>, action: ForwardAction, now: Duration) {
         match action {
             ForwardAction::Send(order) => {
                 let calls = self.calls.borrow();
@@ -149,13 +150,12 @@
                 let (cancel, cancelled) = oneshot::channel();
                 self.cancels.borrow_mut().insert(order.attempt, cancel);
                 let image = call.image.clone();
-                let ordered = self.clock.elapsed();
                 self.pool.send(
                     self,
                     UpstreamOrder {
                         order,
                         image,
-                        ordered,
+                        ordered: now,
                         cancelled,
                     },
                 );
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -18,6 +18,7 @@
 use wheelmast_core::process::forward::input::{EntryPeer, ForwardInput};
 use wheelmast_core::process::forward::machine::ForwardMachine;
 use wheelmast_core::process::forward::suspect::record::SuspectRecord;
+use wheelmast_core::process::forward::suspect::NEWS_PAUSE;
 use wheelmast_core::version::route_table::RouteTable;
 use wheelmast_wire::dialect::ForwardDialect;
 use wheelmast_wire::group::GroupMessage;
@@ -27,9 +28,6 @@
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
 use crate::process::forward::lines::{LineBook, LineState, QUIET_TIME};
 
-/// Least time between two messages of news of requests under which servers
-/// ended.
-const TELL_PAUSE: Duration = Duration::from_millis(30);
 /// Interval of signs of life.
 const PING_INTERVAL: Duration = Duration::from_millis(800);
 /// Time without any after which a connection counts as lost.
@@ -248,7 +246,7 @@
             self.lines
                 .borrow()
                 .tell_all(&GroupMessage::Suspects(records));
-            tokio::time::sleep(TELL_PAUSE).await;
+            tokio::time::sleep(NEWS_PAUSE).await;
         }
     }
 
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -84,15 +84,15 @@
         self.sent_late.get()
     }
 
-    /// Tells an attempt that is written long after it was decided on.
-    fn tell_late<D: ForwardDialect>(&self, entry: &EntryDuty<D>, order: &UpstreamOrder) {
-        let late = entry.clock.elapsed().saturating_sub(order.ordered);
+    /// Tells an attempt that is written at `now`, long after it was decided on.
+    fn tell_late(&self, order: &UpstreamOrder, now: Duration) {
+        let late = now.saturating_sub(order.ordered);
         if late < LATE_SEND {
             return;
         }
         self.sent_late.set(self.sent_late.get() + 1);
         let (request, server) = (&order.image.id, &order.order.instance);
-        let time_left = order.order.until.saturating_sub(entry.clock.elapsed());
+        let time_left = order.order.until.saturating_sub(now);
         let time_left_ms = time_left.as_millis() as u64;
         let late_ms = late.as_millis() as u64;
         tracing::warn!(target: "entry", %request, %server, late_ms, time_left_ms, "route: sent late");
@@ -159,11 +159,12 @@
     let mut until = entry.clock.elapsed() + DEFAULT_IDLE;
     let mut last = Box::default();
     loop {
-        if is_withdrawn(&entry, &mut order) {
+        let now = entry.clock.elapsed();
+        if is_withdrawn(&entry, &mut order, now) {
             finish(&entry, &order.order, AttemptEnd::Withdrawn);
         } else {
             last = order.image.id.clone();
-            let Some(keep) = serve(&entry, &mut stream, &mut buffer, order).await else {
+            let Some(keep) = serve(&entry, &mut stream, &mut buffer, order, now).await else {
                 return;
             };
             until = entry.clock.elapsed() + keep;
@@ -189,20 +190,25 @@
 /// Tells whether a request is not to be written any more: nobody waits for it, or
 /// its time is over. It may have waited long for its connection and for the loop,
 /// and what was decided since then reaches it only here.
-fn is_withdrawn<D: ForwardDialect>(entry: &EntryDuty<D>, order: &mut UpstreamOrder) -> bool {
+fn is_withdrawn<D: ForwardDialect>(
+    entry: &EntryDuty<D>,
+    order: &mut UpstreamOrder,
+    now: Duration,
+) -> bool {
     let is_cancelled = order.cancelled.try_recv().is_ok();
-    let is_over = entry.clock.elapsed() >= order.order.until;
+    let is_over = now >= order.order.until;
     is_cancelled || is_over || !entry.is_at_work(order.order.call)
 }
 
-/// Serves one request. Returns how long the connection may then be idle.
+/// Serves one request that is written at `now`. Returns how long the connection may then be idle.
 async fn serve<D: ForwardDialect>(
     entry: &Rc<EntryDuty<D>>,
     stream: &mut TcpStream,
     buffer: &mut BytesMut,
     order: UpstreamOrder,
+    now: Duration,
 ) -> Option<Duration> {
-    entry.pool.tell_late(entry, &order);
+    entry.pool.tell_late(&order, now);
     let UpstreamOrder {
         order,
         image,
@@ -211,7 +217,7 @@
     } = order;
     // The loop may come to it long after the decision: what is told of time is
     // worked out here.
-    let request = image.render::<D>(&order, entry.clock.elapsed());
+    let request = image.render::<D>(&order, now);
     let attempt = order.attempt;
     let is_whole = Cell::new(order.relay.is_none());
     let granted = order.relay.as_ref().map(|_| entry.await_grant(attempt));
--- a/crates/node/src/process/group/suspects.rs
+++ b/crates/node/src/process/group/suspects.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use wheelmast_core::process::forward::suspect::record::SuspectRecord;
+use wheelmast_core::process::forward::suspect::NEWS_PAUSE;
 use wheelmast_wire::group::GroupMessage;
 
 use crate::process::group::disk::DiskOrder;
@@ -14,10 +15,6 @@
 /// that ends many servers is told many times at once.
 const GATHER_TIME: Duration = Duration::from_millis(15);
 
-/// Least time between two messages of news: well under the time that a trial is
-/// waited for at other entries.
-const TELL_PAUSE: Duration = Duration::from_millis(30);
-
 impl GroupNode {
     /// Returns all that is known of requests under which servers ended.
     pub fn all_suspects(&self) -> GroupMessage {
@@ -56,7 +53,7 @@
         loop {
             self.suspects_heard.notified().await;
             self.tell_suspect_news();
-            tokio::time::sleep(TELL_PAUSE).await;
+            tokio::time::sleep(NEWS_PAUSE).await;
         }
     }
 
