Workspaces: keys decide who may ask, and go no further than the entry

Change: a table may name workspaces with their keys, caps, ranks and homes. A checked table holds keyed digests of the keys alone; the machine is given a digest, and each send carries the name of the workspace, so that no write can carry the key. A request whose key a new table takes away ends at once; what may not be repeated and was sent is finished. Another entry's request must name the lifetime of the entry that it asks, which only the control group tells: a caller can't name a workspace that way.

Ruled out: comparing key texts (ends early by content); stripping the key at each write; telling other entries the key or a digest of it.

Measured: core/tests/workspaces.rs, core/tests/forward/keys.rs, node/tests/forward/keyed.rs on processes, platform/tests/translate.rs pass. The test of two entries names the lifetime now, and checks in addition that an order without one is refused.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -38,6 +38,11 @@
     Doubted,
     /// Servers ended under it; it is kept from others. It may have run.
     ServersEnded,
+    /// Its route needs a key, and no workspace holds the one it came with; it
+    /// has not run.
+    NoKey,
+    /// Its key was taken away while it was at work; it may have run.
+    KeyGone,
 }
 
 impl ForwardFailure {
@@ -45,7 +50,10 @@
     pub fn is_unrun(self) -> bool {
         !matches!(
             self,
-            ForwardFailure::Late | ForwardFailure::Failed | ForwardFailure::ServersEnded
+            ForwardFailure::Late
+                | ForwardFailure::Failed
+                | ForwardFailure::ServersEnded
+                | ForwardFailure::KeyGone
         )
     }
 
@@ -72,6 +80,8 @@
             ForwardFailure::Quarantined => "quarantined",
             ForwardFailure::Doubted => "doubted",
             ForwardFailure::ServersEnded => "servers_ended",
+            ForwardFailure::NoKey => "no_key",
+            ForwardFailure::KeyGone => "key_gone",
         }
     }
 }
@@ -130,6 +140,8 @@
     /// When the caller's time is over, since the process started. A span would
     /// grow old until it is written: a connection may have to be opened first.
     pub until: Duration,
+    /// The workspace that asks; servers and other entries are told it.
+    pub workspace: Option<Arc<str>>,
     /// Whether the answer's headers are passed on.
     pub whole_head: bool,
     /// What is asked, if the server is another entry.
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::arena::{SlotKey, UpstreamKey};
+use crate::process::forward::access;
 use crate::process::forward::admit::AdmitVerdict;
 use crate::process::forward::answer::{
     AttemptCause, ForwardAction, ForwardDecision, ForwardFailure,
@@ -12,6 +13,7 @@
 use crate::process::forward::input::ForwardCall;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::version::route_table::{RouteRule, RouteTable, RouteTarget};
+use crate::version::workspace::WorkspaceKey;
 
 impl ForwardMachine {
     pub(super) fn begin(&mut self, call: ForwardCall, now: Duration, out: &mut Vec<ForwardAction>) {
@@ -30,7 +32,11 @@
         if self.calls.len() >= self.options.in_flight {
             return self.turn_away(call.tag, ForwardFailure::Overload, out);
         }
-        let state = self.lay_out(&call, table, route, now);
+        let workspace = match access::asking_workspace(&table, &table.routes()[route], &call) {
+            Ok(workspace) => workspace,
+            Err(failure) => return self.turn_away(call.tag, failure, out),
+        };
+        let state = self.lay_out(&call, table, route, workspace, now);
         let is_too_late = now >= state.plan.limit || (state.relayed && now >= state.plan.aim);
         if is_too_late {
             // It lay unread until its time was over: no server works for it.
@@ -79,11 +85,17 @@
         call: &ForwardCall,
         table: Arc<RouteTable>,
         route: usize,
+        workspace: Option<WorkspaceKey>,
         now: Duration,
     ) -> CallState {
         let rule = &table.routes()[route];
         let timing = self.timing(&rule.name);
-        let homes = self.options.regions.homes(&rule.homes);
+        let workspace = workspace.zip(table.workspaces());
+        let workspace = workspace.map(|(workspace, book)| book.rule(workspace));
+        let mut homes = self.options.regions.homes(&rule.homes);
+        if let Some(workspace) = workspace {
+            homes = homes.both(self.options.regions.homes(&workspace.homes));
+        }
         let mut plan = self.timings[timing].plan(rule, call.time_left, call.arrived);
         let upstreams = match &call.relayed {
             Some(order) => {
@@ -105,6 +117,8 @@
                 None => rule.attempts,
             },
             homes,
+            workspace: workspace.map(|workspace| workspace.name.as_str().into()),
+            key: call.key,
             route,
             timing,
             arrived: call.arrived,
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -16,6 +16,7 @@
 use crate::process::input::CallTag;
 use crate::request::mark::RequestMark;
 use crate::version::route_table::{RouteRule, RouteTable, RouteTarget};
+use crate::version::workspace::KeyDigest;
 
 /// Most attempts outstanding for one shard.
 pub const PART_ATTEMPTS: usize = 3;
@@ -116,6 +117,10 @@
     pub attempts: u32,
     /// Where it may be served.
     pub homes: HomeSet,
+    /// The workspace that asks, if requests need a key.
+    pub workspace: Option<Arc<str>>,
+    /// Digest of the key it came with. Not told to other entries.
+    pub key: Option<KeyDigest>,
     /// Whether it counts for repeats.
     pub earns: bool,
     /// When it came.
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -215,7 +215,10 @@
     fn refuse(&mut self, call: CallTag, failure: ForwardFailure, out: &mut Vec<ForwardAction>) {
         self.counters.failed += 1;
         // Who comes back with what is kept from all is refused again.
-        let is_vain = [ForwardFailure::NoRoute, ForwardFailure::Quarantined].contains(&failure);
+        let is_vain = matches!(
+            failure,
+            ForwardFailure::NoRoute | ForwardFailure::Quarantined | ForwardFailure::NoKey
+        );
         let is_worth = failure.is_unrun() && !is_vain;
         let retry_after = is_worth.then(|| {
             let (least, spread) = match failure {
--- a/crates/core/src/process/forward/home.rs
+++ b/crates/core/src/process/forward/home.rs
@@ -43,6 +43,11 @@
         HomeSet(known.fold(0, |set, region| set | 1 << region.0))
     }
 
+    /// Returns the regions that both sets hold.
+    pub fn both(self, other: HomeSet) -> HomeSet {
+        HomeSet(self.0 & other.0)
+    }
+
     /// Tells whether a region is one of them.
     pub fn holds(self, region: RegionKey) -> bool {
         self.0 & (1 << region.0) != 0
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -13,6 +13,7 @@
 use crate::process::input::CallTag;
 use crate::request::mark::RequestMark;
 use crate::version::route_table::RouteTable;
+use crate::version::workspace::KeyDigest;
 
 /// A caller's request, as far as decisions need it.
 #[derive(Debug, Clone)]
@@ -25,6 +26,8 @@
     pub path: Box<str>,
     /// What it asks for, and who asks.
     pub mark: RequestMark,
+    /// Digest of the key it came with, if any.
+    pub key: Option<KeyDigest>,
     /// When it may have come at the earliest, since the process started. Its time
     /// runs from there.
     pub arrived: Duration,
@@ -48,6 +51,8 @@
     pub earns: bool,
     /// Whether it may divide them among the entries of its own domain.
     pub divides: bool,
+    /// The workspace that asks, as the asking entry found it by its key.
+    pub workspace: Option<Arc<str>>,
     /// The services that hold the shards.
     pub shards: Vec<Arc<str>>,
 }
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -206,7 +206,7 @@
     pub fn step(&mut self, now: Duration, input: ForwardInput, out: &mut Vec<ForwardAction>) {
         self.clock = now;
         match input {
-            ForwardInput::Table(table) => self.adopt(table),
+            ForwardInput::Table(table) => self.adopt(table, now, out),
             ForwardInput::Notice(notice) => self.notice(notice, now, out),
             ForwardInput::Silent(id, silent) => self.set_silent(&id, silent, now),
             ForwardInput::Evacuated(domains) => self.set_evacuated(domains, now, out),
@@ -230,6 +230,11 @@
         self.timers.next()
     }
 
+    /// Returns the identity of this lifetime among the entries.
+    pub fn own(&self) -> &str {
+        &self.options.own
+    }
+
     /// Returns the table in force.
     pub fn table(&self) -> Option<&Arc<RouteTable>> {
         self.table.as_ref()
@@ -287,7 +292,7 @@
         }
     }
 
-    fn adopt(&mut self, table: Arc<RouteTable>) {
+    fn adopt(&mut self, table: Arc<RouteTable>, now: Duration, out: &mut Vec<ForwardAction>) {
         let have = self.table.as_ref().map_or(0, |table| table.version());
         if self.table.is_some() && table.version() <= have {
             return;
@@ -297,6 +302,7 @@
             self.upstreams[upstream].connections = service.connections.max(1);
             self.upstreams[upstream].cold_per_s = service.cold_per_s;
         }
+        self.end_keyless(&table, now, out);
         self.table = Some(table);
     }
 
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -4,6 +4,7 @@
 //! [`directory::ServerDirectory`] holds what upstream servers announced, in
 //! the control group and at the entries alike.
 
+mod access;
 mod admit;
 pub mod answer;
 mod around;
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -118,6 +118,7 @@
             attempts: loan.attempts,
             earns: state.earns && parts.iter().all(|part| state.parts[*part].arrivals == 0),
             divides,
+            workspace: state.workspace.clone(),
             shards: shards.collect(),
         };
         let send = AttemptSend {
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -148,6 +148,7 @@
         });
         state.sends += 1;
         let (tag, gathers) = (state.tag, state.gathers);
+        let workspace = state.workspace.clone();
         let until = state.plan.given_up.saturating_sub(SEND_MARGIN);
         for part in &send.parts {
             let part = &mut state.parts[*part];
@@ -203,6 +204,7 @@
             address,
             instance,
             until,
+            workspace,
             whole_head: !gathers,
             relay: send.relay,
         }));
--- a/crates/core/src/version/mod.rs
+++ b/crates/core/src/version/mod.rs
@@ -5,3 +5,4 @@
 pub mod row;
 pub mod snapshot;
 pub mod table;
+pub mod workspace;
--- a/crates/core/src/version/route_table.rs
+++ b/crates/core/src/version/route_table.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::finding::{did_you_mean, FindingList, FindingPlace};
+use crate::version::workspace::{WorkspaceBook, WorkspaceRule};
 
 /// A service with its weight in a split.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -62,6 +63,9 @@
     /// Regions in which its requests may be served; all, if it names none.
     #[serde(default)]
     pub homes: Vec<String>,
+    /// Whether its requests need no key.
+    #[serde(default)]
+    pub public: bool,
 }
 
 impl RouteRule {
@@ -135,12 +139,17 @@
     /// Its limits.
     #[serde(default)]
     pub limits: CallerLimits,
+    /// Its workspaces; if there are any, or an empty list, requests need a key.
+    #[serde(default)]
+    pub workspaces: Option<Vec<WorkspaceRule>>,
 }
 
 /// A checked route table.
 #[derive(Debug, Clone)]
 pub struct RouteTable {
     draft: RouteDraft,
+    /// The workspaces, if requests need a key.
+    workspaces: Option<WorkspaceBook>,
     /// Routes of a host, longest prefix first.
     hosts: HashMap<Box<str>, Vec<usize>>,
 }
@@ -151,8 +160,10 @@
     /// # Errors
     ///
     /// Returns all findings at once.
-    pub fn check(draft: RouteDraft) -> Result<RouteTable, FindingList> {
+    pub fn check(mut draft: RouteDraft) -> Result<RouteTable, FindingList> {
         let mut findings = FindingList::default();
+        let workspaces = draft.workspaces.take();
+        let workspaces = workspaces.map(|rules| WorkspaceBook::check(rules, &mut findings));
         let mut hosts: HashMap<Box<str>, Vec<usize>> = HashMap::new();
         for (index, route) in draft.routes.iter().enumerate() {
             check_route(&draft, index, route, &mut findings);
@@ -174,7 +185,11 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|index| std::cmp::Reverse(draft.routes[*index].prefix.len()));
         }
-        Ok(RouteTable { draft, hosts })
+        Ok(RouteTable {
+            draft,
+            workspaces,
+            hosts,
+        })
     }
 
     /// Returns its version.
@@ -197,6 +212,11 @@
         &self.draft.services
     }
 
+    /// Returns its workspaces, if requests need a key.
+    pub fn workspaces(&self) -> Option<&WorkspaceBook> {
+        self.workspaces.as_ref()
+    }
+
     /// Finds the route of a request, by its place in [`RouteTable::routes`].
     pub fn find(&self, host: &str, path: &str) -> Option<usize> {
         let routes = self.hosts.get(&*host_key(host))?;
--- a/crates/core/tests/forward/around.rs
+++ b/crates/core/tests/forward/around.rs
@@ -88,6 +88,7 @@
         attempts: 1,
         earns: true,
         divides: false,
+        workspace: None,
         shards: vec!["s0".into(), "s1".into()],
     };
     let call = harness.call_as("q", None, Some(order));
@@ -115,6 +116,7 @@
             attempts: 1,
             earns: true,
             divides: false,
+            workspace: None,
             shards: vec!["s0".into(), "s1".into()],
         };
         let call = harness.call_as("q", None, Some(order));
@@ -148,6 +150,7 @@
             attempts: 1,
             earns: true,
             divides: true,
+            workspace: None,
             shards: (0..30).map(|shard| format!("s{shard}").into()).collect(),
         };
         harness.meet_at_home(6);
@@ -305,6 +308,7 @@
         attempts: 1,
         earns: true,
         divides: false,
+        workspace: None,
         shards: vec!["s0".into(), "s1".into()],
     };
     let call = harness.call_as("q", None, Some(order));
--- a/crates/core/tests/forward/arrived.rs
+++ b/crates/core/tests/forward/arrived.rs
@@ -91,6 +91,7 @@
             attempts: 1,
             earns: true,
             divides: false,
+            workspace: None,
             shards: vec!["s0".into(), "s1".into()],
         });
         let tag = CallTag(1);
@@ -99,6 +100,7 @@
             host: HOST.into(),
             path: "/q/x".into(),
             mark: mark_of("/q/x"),
+            key: None,
             arrived,
             time_left: case.given.map(ms),
             relayed,
--- a/crates/core/tests/forward/bundles.rs
+++ b/crates/core/tests/forward/bundles.rs
@@ -142,6 +142,7 @@
         attempts: 1,
         earns: true,
         divides: true,
+        workspace: None,
         shards: vec!["s0".into(), "s1".into()],
     };
     let call = harness.call_as("q", None, Some(order));
@@ -167,6 +168,7 @@
         attempts: 1,
         earns: true,
         divides: true,
+        workspace: None,
         shards: vec!["s0".into()],
     };
     let call = harness.call_as("q", None, Some(order));
--- a/crates/core/tests/forward/cold.rs
+++ b/crates/core/tests/forward/cold.rs
@@ -57,6 +57,7 @@
         routes: checked.routes().to_vec(),
         services,
         limits: checked.limits(),
+        workspaces: None,
     };
     harness.obey(RouteTable::check(draft).expect("it is good").into());
     if knows_peers {
--- a/crates/core/tests/forward/divide.rs
+++ b/crates/core/tests/forward/divide.rs
@@ -71,6 +71,7 @@
             attempts: 1,
             earns: true,
             divides,
+            workspace: None,
             shards: (0..SHARDS)
                 .map(|shard| format!("s{shard}").into())
                 .collect(),
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -20,6 +20,7 @@
 use wheelmast_core::version::route_table::{
     CallerLimits, RouteDraft, RouteRule, RouteTable, RouteTarget, ServiceRule,
 };
+use wheelmast_core::version::workspace::KeyDigest;
 
 pub(crate) const HOST: &str = "shop.example";
 pub(crate) const HOME: &str = "here";
@@ -39,6 +40,7 @@
         top: 3,
         least_coverage: 0.5,
         homes: Vec::new(),
+        public: false,
     }
 }
 
@@ -58,6 +60,7 @@
         services: services.collect(),
         routes,
         limits: CallerLimits::default(),
+        workspaces: None,
     };
     Arc::new(RouteTable::check(draft).expect("a good table"))
 }
@@ -237,17 +240,41 @@
         time_left: Option<Duration>,
         relayed: Option<RelayOrder>,
     ) -> CallTag {
-        self.tags += 1;
-        let tag = CallTag(self.tags);
-        self.step(ForwardInput::Call(ForwardCall {
-            tag,
+        self.take_call(ForwardCall {
+            tag: CallTag(0),
             host: HOST.into(),
             path: format!("/{route}/x").into(),
             mark,
+            key: None,
             arrived: self.now,
             time_left,
             relayed,
-        }));
+        })
+    }
+
+    /// Makes a request with a key, or one that another entry passed on.
+    pub(crate) fn call_keyed(
+        &mut self,
+        route: &str,
+        key: Option<&str>,
+        relayed: Option<RelayOrder>,
+    ) -> CallTag {
+        self.take_call(ForwardCall {
+            tag: CallTag(0),
+            host: HOST.into(),
+            path: format!("/{route}/x").into(),
+            mark: mark_of(&format!("/{route}/{}", self.tags)),
+            key: key.map(|key| KeyDigest::of(key.as_bytes())),
+            arrived: self.now,
+            time_left: None,
+            relayed,
+        })
+    }
+
+    fn take_call(&mut self, call: ForwardCall) -> CallTag {
+        self.tags += 1;
+        let tag = CallTag(self.tags);
+        self.step(ForwardInput::Call(ForwardCall { tag, ..call }));
         tag
     }
 
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -14,6 +14,7 @@
 mod evacuate;
 mod hedges;
 mod homes;
+mod keys;
 mod merged;
 mod parts;
 mod pauses;
--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -236,6 +236,7 @@
             host: HOST.into(),
             path: format!("/{name}/x").into(),
             mark,
+            key: None,
             arrived: self.now,
             time_left: Some(left),
             relayed: None,
--- a/crates/fake/src/model/relay.rs
+++ b/crates/fake/src/model/relay.rs
@@ -102,6 +102,7 @@
             host: HOST.into(),
             path: format!("/{name}/x").into(),
             mark,
+            key: None,
             arrived: self.now,
             time_left: None,
             relayed: Some(order),
--- a/crates/fake/src/model/told.rs
+++ b/crates/fake/src/model/told.rs
@@ -38,6 +38,7 @@
             .map(|kind| route_of(kind, &shards))
             .collect(),
         limits: CallerLimits::default(),
+        workspaces: None,
     };
     RouteTable::check(draft).expect("the model's table is sound")
 }
@@ -56,6 +57,7 @@
         top: 5,
         least_coverage: kind.least_coverage,
         homes: Vec::new(),
+        public: false,
     }
 }
 
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -24,6 +24,7 @@
 use wheelmast_core::process::input::CallTag;
 use wheelmast_core::request::mark::{CallerMark, ContentMark, RequestMark};
 use wheelmast_core::version::route_table::CallerLimits;
+use wheelmast_core::version::workspace::KeyDigest;
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::connection::accept::next_stream;
@@ -173,8 +174,9 @@
     // What no clock can hold is no time.
     let time_left =
         time_left.and_then(|millis| Duration::try_from_secs_f64(millis.max(0.0) / 1000.0).ok());
-    let Ok(relayed) = relay_order(&parts.headers, arrived) else {
-        // An entry of another version: it asks the shards itself.
+    let Ok(relayed) = relay_order(entry, &parts.headers, arrived) else {
+        // An entry of another version, or one that means another lifetime of
+        // this entry: it asks the shards itself.
         return failure_response(ForwardFailure::NoServer, None);
     };
     let is_passed_on = relayed.is_some();
@@ -214,6 +216,7 @@
         host,
         path: parts.uri.path().into(),
         mark,
+        key: caller_key::<D>(&parts.headers),
         arrived,
         time_left,
         relayed,
@@ -260,13 +263,38 @@
     )
 }
 
+/// Returns the digest of the caller's key. One that is given twice is none that
+/// a workspace holds.
+fn caller_key<D: ForwardDialect>(headers: &HeaderMap) -> Option<KeyDigest> {
+    let mut keys = headers.get_all(D::HEADERS.key).iter();
+    let key = keys.next()?;
+    let key = if keys.next().is_none() {
+        key.as_bytes()
+    } else {
+        &[]
+    };
+    Some(KeyDigest::of(key))
+}
+
 /// Reads what another entry asks for, if one passed the request on.
-fn relay_order(headers: &HeaderMap, arrived: Duration) -> anyhow::Result<Option<RelayOrder>> {
+///
+/// Whoever names this lifetime of the entry heard of it from the control group,
+/// as its number is drawn at the start: callers can't pass requests on, and so
+/// can't name a workspace without its key.
+fn relay_order<D: ForwardDialect>(
+    entry: &EntryDuty<D>,
+    headers: &HeaderMap,
+    arrived: Duration,
+) -> anyhow::Result<Option<RelayOrder>> {
     let Some(value) = headers.get(RELAY_HEADER) else {
         return Ok(None);
     };
-    let text = value.to_str().ok();
-    let order = text.and_then(|text| read_order(text, arrived));
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let is_meant = text(D::HEADERS.expect).is_some_and(|expect| entry.is_named(expect));
+    anyhow::ensure!(is_meant, "could not tell who passed the request on");
+    let workspace = text(D::HEADERS.workspace);
+    let order = value.to_str().ok();
+    let order = order.and_then(|order| read_order(order, workspace, arrived));
     Ok(Some(
         order.context("could not read what an entry asks for")?,
     ))
@@ -313,6 +341,7 @@
 fn failure_response(failure: ForwardFailure, retry_after: Option<Duration>) -> FullResponse {
     let status = match failure {
         ForwardFailure::NoRoute => StatusCode::NOT_FOUND,
+        ForwardFailure::NoKey | ForwardFailure::KeyGone => StatusCode::UNAUTHORIZED,
         ForwardFailure::Late => StatusCode::GATEWAY_TIMEOUT,
         ForwardFailure::Failed => StatusCode::BAD_GATEWAY,
         _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Tells whether `identity` is that of this lifetime of the entry.
+    pub fn is_named(&self, identity: &str) -> bool {
+        *self.machine.borrow().own() == *identity
+    }
+
     /// Returns how far the entry is.
     pub fn phase(&self) -> EntryPhase {
         self.phase.get()
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -111,6 +111,9 @@
         let (left, expect) = (D::HEADERS.time_left, D::HEADERS.expect);
         // Writing to a vector cannot fail.
         let _ = write!(bytes, "{left}: {millis}\r\n{expect}: {instance}\r\n");
+        if let Some(workspace) = &order.workspace {
+            push_line(&mut bytes, D::HEADERS.workspace, workspace.as_bytes());
+        }
         let length = self.body.len();
         if let Some(relay) = &order.relay {
             let relay = render_order(relay, now);
@@ -173,7 +176,7 @@
 }
 
 /// Reads what another entry asks for in a request that came at `arrived`.
-pub fn read_order(text: &str, arrived: Duration) -> Option<RelayOrder> {
+pub fn read_order(text: &str, workspace: Option<&str>, arrived: Duration) -> Option<RelayOrder> {
     let mut fields = text.splitn(ORDER_FIELDS, ';');
     let version = fields.next()?.parse().ok()?;
     let millis = Duration::from_millis(fields.next()?.parse().ok()?);
@@ -187,6 +190,7 @@
         attempts,
         earns,
         divides,
+        workspace: workspace.map(Into::into),
         shards,
     })
 }
@@ -196,10 +200,13 @@
         D::HEADERS.request,
         D::HEADERS.time_left,
         D::HEADERS.expect,
+        D::HEADERS.key,
+        D::HEADERS.workspace,
         RELAY_HEADER,
         MARK_HEADER,
     ];
-    let text = name.as_str();
+    // Servers that read headers as variables take an underscore for a dash.
+    let text = &*name.as_str().replace('_', "-");
     let is_named = named
         .split(|byte| *byte == b',')
         .any(|part| part.trim_ascii() == text.as_bytes() && *name != HOST);
--- a/crates/node/tests/forward/harness.rs
+++ b/crates/node/tests/forward/harness.rs
@@ -181,6 +181,12 @@
         SocketAddr::new(self.address(number), self.ports + 3)
     }
 
+    /// Returns what an instance has logged.
+    pub(crate) fn log(&self, number: usize) -> String {
+        let path = self.folder.path().join(format!("n{number}.log"));
+        std::fs::read_to_string(path).expect("a log")
+    }
+
     pub(crate) fn data_folder(&self, number: usize) -> PathBuf {
         self.folder.path().join(format!("data{number}"))
     }
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -4,6 +4,7 @@
 #[path = "../support/guarded.rs"]
 mod guarded;
 mod harness;
+mod keyed;
 
 mod crashing;
 mod disks;
--- a/crates/node/tests/forward/news.rs
+++ b/crates/node/tests/forward/news.rs
@@ -29,7 +29,7 @@
 const FIRST_TIME: Duration = Duration::from_millis(500);
 
 /// Follows a control instance as an entry does.
-async fn follow(deployment: &Deployment, name: &str) -> TcpStream {
+pub(crate) async fn follow(deployment: &Deployment, name: &str) -> TcpStream {
     let mut stream = TcpStream::connect(deployment.peers(0)).await;
     let begin = Instant::now();
     while stream.is_err() && begin.elapsed() < PATIENCE {
@@ -51,7 +51,7 @@
     stream
 }
 
-async fn say<W: AsyncWriteExt + Unpin>(writer: &mut W, message: &GroupMessage) {
+pub(crate) async fn say<W: AsyncWriteExt + Unpin>(writer: &mut W, message: &GroupMessage) {
     let mut bytes = Vec::new();
     write_frame(message, &mut bytes).expect("a frame");
     writer.write_all(&bytes).await.expect("written");
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -133,6 +133,7 @@
                 content: ContentMark::of("GET", "h", path, &[]),
                 caller: CallerMark::of(b"caller"),
             },
+            key: None,
             arrived: self.now,
             time_left: Some(Duration::from_millis(900)),
             relayed: None,
--- a/crates/wire/src/dialect.rs
+++ b/crates/wire/src/dialect.rs
@@ -29,6 +29,10 @@
     pub parts: &'static str,
     /// Number of the shards left out of an answer.
     pub missing: &'static str,
+    /// A caller's key. It is passed on to nobody.
+    pub key: &'static str,
+    /// The workspace that asks, as servers are told it.
+    pub workspace: &'static str,
 }
 
 /// A call to the control group or to an entry's listener for its balancer.
--- a/crates/wire/src/native.rs
+++ b/crates/wire/src/native.rs
@@ -54,6 +54,8 @@
         not_run: "wheelmast-not-run",
         parts: "wheelmast-parts",
         missing: "wheelmast-missing",
+        key: "wheelmast-key",
+        workspace: "wheelmast-workspace",
     };
 
     fn call(method: &str, path: &str) -> Option<ControlCall> {
