--- a/crates/cli/src/app.rs
+++ b/crates/cli/src/app.rs
@@ -13,6 +13,7 @@
 use crate::cmd::load::LoadCommand;
 use crate::cmd::measure::MeasureCommand;
 use crate::cmd::query::QueryCommand;
+use crate::cmd::rollout::RolloutCommand;
 use crate::cmd::route::RouteCommand;
 use crate::cmd::table::TableCommand;
 use crate::cmd::watch::WatchCommand;
@@ -32,6 +33,7 @@
         .subcommand(RouteCommand::command())
         .subcommand(ControlCommand::command())
         .subcommand(DomainCommand::command())
+        .subcommand(RolloutCommand::command())
         .subcommand(DataCommand::command())
         .subcommand(ExplainCommand::command())
         .subcommand(WatchCommand::command())
@@ -53,6 +55,7 @@
         Some(("route", matches)) => RouteCommand::new(matches)?.run(),
         Some(("control", matches)) => Ok(ControlCommand::new(matches).run()),
         Some(("domain", matches)) => DomainCommand::new(matches)?.run(),
+        Some(("rollout", matches)) => RolloutCommand::new(matches)?.run(),
         Some(("data", matches)) => DataCommand::new(matches)?.run(),
         Some(("explain", matches)) => ExplainCommand::new(matches)?.run(),
         Some(("watch", matches)) => WatchCommand::new(matches)?.run(),
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -169,11 +169,13 @@
         address: SocketAddr,
         method: Method,
         path: &str,
+        body: &str,
     ) -> anyhow::Result<WholeResponse> {
+        let body = Bytes::copy_from_slice(body.as_bytes());
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
-            .body(Full::default())?;
+            .body(Full::new(body))?;
         self.send(request).await
     }
 
--- a/crates/cli/src/cmd/common.rs
+++ b/crates/cli/src/cmd/common.rs
@@ -1,9 +1,19 @@
 //! Arguments that several subcommands share.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use anyhow::Context;
+use anyhow::{bail, Context};
 use clap::{Arg, ArgAction, ArgMatches};
+use hyper::Method;
+
+use crate::client::{HttpClient, WholeResponse};
+
+/// Rounds over all instances before an order is given up: an election takes
+/// about a second.
+const ROUNDS: usize = 6;
+/// Pause between two rounds.
+const ROUND_PAUSE: Duration = Duration::from_millis(400);
 
 /// Returns the argument that names instances by the address they listen on.
 pub fn instance_arg(help: &'static str) -> Arg {
@@ -81,3 +91,38 @@
         .context("could not make a runtime")?
         .block_on(future)
 }
+
+/// Asks one control instance after the other until one says yes; a clear no ends
+/// it.
+///
+/// # Errors
+///
+/// Fails if none said yes.
+pub fn ask_one_of(
+    instances: &[SocketAddr],
+    method: Method,
+    path: &str,
+    body: &str,
+) -> anyhow::Result<WholeResponse> {
+    let client = HttpClient::default();
+    let mut last = None;
+    for round in 0..ROUNDS {
+        if round > 0 {
+            std::thread::sleep(ROUND_PAUSE);
+        }
+        for instance in instances {
+            let reply = block_on(client.order(*instance, method.clone(), path, body));
+            match reply {
+                Ok(reply) if reply.status.is_success() => return Ok(reply),
+                Ok(reply) if reply.status.is_client_error() => {
+                    let text = String::from_utf8_lossy(&reply.body);
+                    bail!("{instance} refused {method} {path}: {text}");
+                }
+                Ok(reply) => last = Some(format!("{instance} said {}", reply.status)),
+                Err(error) => last = Some(format!("{error:#}")),
+            }
+        }
+    }
+    let last = last.unwrap_or_else(|| "no instance named".to_string());
+    bail!("could not make {method} {path}: {last}")
+}
--- a/crates/cli/src/cmd/domain.rs
+++ b/crates/cli/src/cmd/domain.rs
@@ -2,22 +2,14 @@
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::time::Duration;
 
-use anyhow::{bail, Context};
+use anyhow::Context;
 use clap::{Arg, ArgMatches, Command};
 use hyper::Method;
 use serde::Deserialize;
 use wheelmast_wire::native::EVACUATIONS_PATH;
 
-use crate::client::{HttpClient, WholeResponse};
-use crate::cmd::common::{block_on, instance_arg, instances};
-
-/// Rounds over all instances before an order is given up: an election takes
-/// about a second.
-const ROUNDS: usize = 6;
-/// Pause between two rounds.
-const ROUND_PAUSE: Duration = Duration::from_millis(400);
+use crate::cmd::common::{ask_one_of, instance_arg, instances};
 
 /// What is to be done.
 enum DomainStep {
@@ -112,7 +104,8 @@
                 println!("{domain}: in use");
             }
             DomainStep::List => {
-                let list: EvacuatedList = self.ask(Method::GET, EVACUATIONS_PATH)?.json()?;
+                let list: EvacuatedList =
+                    ask_one_of(&self.instances, Method::GET, EVACUATIONS_PATH, "")?.json()?;
                 for domain in list.evacuated {
                     println!("{domain}");
                 }
@@ -122,32 +115,8 @@
     }
 
     fn order(&self, method: Method, domain: &str) -> anyhow::Result<()> {
-        self.ask(method, &format!("{EVACUATIONS_PATH}/{domain}"))?;
+        let path = format!("{EVACUATIONS_PATH}/{domain}");
+        ask_one_of(&self.instances, method, &path, "")?;
         Ok(())
     }
-
-    /// Asks one instance after the other until one says yes; a clear no ends it.
-    fn ask(&self, method: Method, path: &str) -> anyhow::Result<WholeResponse> {
-        let client = HttpClient::default();
-        let mut last = None;
-        for round in 0..ROUNDS {
-            if round > 0 {
-                std::thread::sleep(ROUND_PAUSE);
-            }
-            for instance in &self.instances {
-                let reply = block_on(client.order(*instance, method.clone(), path));
-                match reply {
-                    Ok(reply) if reply.status.is_success() => return Ok(reply),
-                    Ok(reply) if reply.status.is_client_error() => {
-                        let text = String::from_utf8_lossy(&reply.body);
-                        bail!("{instance} refused {method} {path}: {text}");
-                    }
-                    Ok(reply) => last = Some(format!("{instance} said {}", reply.status)),
-                    Err(error) => last = Some(format!("{error:#}")),
-                }
-            }
-        }
-        let last = last.unwrap_or_else(|| "no instance named".to_string());
-        bail!("could not make {method} {path}: {last}")
-    }
 }
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod measure;
 pub mod query;
+pub mod rollout;
 pub mod route;
 pub mod stories;
 pub mod table;
--- a/crates/core/src/process/control/mod.rs
+++ b/crates/core/src/process/control/mod.rs
@@ -15,4 +15,5 @@
 mod read;
 pub mod replica;
 mod replicate;
+pub mod rollout;
 pub mod state;
--- a/crates/core/src/process/control/state.rs
+++ b/crates/core/src/process/control/state.rs
@@ -9,6 +9,7 @@
 use crate::process::control::evacuation::{EvacuationBook, EvacuationChange, EvacuationOutcome};
 use crate::process::control::fence::{ClaimBook, ClaimEnd, ClaimOutcome, ClaimRequest};
 use crate::process::control::log::ReplicaId;
+use crate::process::control::rollout::{RolloutBook, RolloutChange, RolloutOutcome};
 
 /// Outcomes of changes that are kept, so that a resent change gets its first
 /// outcome. At 410 changes a day this is more than three weeks.
@@ -64,6 +65,8 @@
     },
     /// A failure domain is taken out of use, or back into use.
     Evacuate(EvacuationChange),
+    /// A roll-out of a service begins or goes on.
+    Rollout(RolloutChange),
 }
 
 impl ControlCommand {
@@ -74,6 +77,7 @@
             ControlCommand::Change { .. }
                 | ControlCommand::Route { .. }
                 | ControlCommand::Evacuate(_)
+                | ControlCommand::Rollout(_)
         )
     }
 
@@ -84,6 +88,9 @@
             ControlCommand::Route { text, .. } => text.len(),
             ControlCommand::EndClaim { end: Some(end), .. } => end.bytes(),
             ControlCommand::Evacuate(change) => change.domain.len(),
+            ControlCommand::Rollout(RolloutChange::Start {
+                service, target, ..
+            }) => service.len() + target.len(),
             _ => 0,
         };
         COMMAND_BYTES + text
@@ -103,6 +110,8 @@
     Route(RouteOutcome),
     /// What came of a change of a failure domain's use.
     Evacuate(EvacuationOutcome),
+    /// What came of a change of a roll-out.
+    Rollout(RolloutOutcome),
 }
 
 /// What came of a change of the route table.
@@ -162,6 +171,7 @@
     members: Vec<MemberRecord>,
     is_founded: bool,
     evacuations: EvacuationBook,
+    rollouts: RolloutBook,
 }
 
 impl ControlState {
@@ -193,6 +203,7 @@
             ControlCommand::Evacuate(change) => {
                 CommandOutcome::Evacuate(self.evacuations.apply(change))
             }
+            ControlCommand::Rollout(change) => CommandOutcome::Rollout(self.rollouts.apply(change)),
         }
     }
 
@@ -233,13 +244,19 @@
         &self.evacuations
     }
 
+    /// Returns the last roll-outs of the services.
+    pub fn rollouts(&self) -> &RolloutBook {
+        &self.rollouts
+    }
+
     /// Returns how far all that the group publishes has come: the table, the
-    /// route table, and the failure domains out of use.
-    pub(super) fn published_marks(&self) -> [u64; 3] {
+    /// route table, the failure domains out of use, and the roll-outs.
+    pub(super) fn published_marks(&self) -> [u64; 4] {
         [
             self.version,
             self.route_version,
             self.evacuations.revision(),
+            self.rollouts.revision(),
         ]
     }
 
--- a/crates/core/src/process/forward/access.rs
+++ b/crates/core/src/process/forward/access.rs
@@ -1,6 +1,7 @@
 //! Who may ask: the workspace of a request, and what becomes of requests whose
 //! key is taken away.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::process::forward::answer::{ForwardAction, ForwardFailure};
@@ -45,6 +46,16 @@
 }
 
 impl ForwardMachine {
+    /// Returns the workspace of a caller's request, if it has a cap. What another
+    /// entry passed on has its token.
+    pub fn capped_workspace(&self, call: &ForwardCall) -> Option<Arc<str>> {
+        let table = self.table.as_ref().filter(|_| call.relayed.is_none())?;
+        let book = table.workspaces()?;
+        let rule = book.rule(book.holder(call.key?)?);
+        table.find(&call.host, &call.path)?;
+        rule.cap.is_some().then(|| rule.name.as_str().into())
+    }
+
     /// Ends the requests at work whose key a new table gives to nobody, or to
     /// another workspace. What may not be repeated and was sent is finished: its
     /// caller would not learn whether it ran.
--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -41,6 +41,11 @@
     /// Its route needs a key, and no workspace holds the one it came with; it
     /// has not run.
     NoKey,
+    /// Its workspace has reached its cap; it has not run.
+    CapReached,
+    /// Whether its workspace has reached its cap could not be found out; it has
+    /// not run.
+    CapUnknown,
     /// Its key was taken away while it was at work; it may have run.
     KeyGone,
 }
@@ -82,6 +87,8 @@
             ForwardFailure::ServersEnded => "servers_ended",
             ForwardFailure::NoKey => "no_key",
             ForwardFailure::KeyGone => "key_gone",
+            ForwardFailure::CapReached => "cap_reached",
+            ForwardFailure::CapUnknown => "cap_unknown",
         }
     }
 }
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -12,6 +12,7 @@
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::place::PlaceStep;
 use crate::process::forward::server::ServerState;
+use crate::process::forward::version::VersionWish;
 use crate::process::rendezvous::rank;
 
 /// Largest part by which chance changes an expected time, so that entries that
@@ -81,13 +82,34 @@
 }
 
 impl ForwardMachine {
-    /// Chooses a server of a service out of those not in `tried`.
+    /// Chooses a server of a service out of those not in `tried`, of the version
+    /// that the request is to go to.
     pub(super) fn choose(
         &mut self,
         upstream: UpstreamKey,
         tried: &[ServerKey],
         times: ExpectedTimes,
         now: Duration,
+    ) -> Result<ServerChoice, NoChoice> {
+        match self.wish_version(upstream, !tried.is_empty(), now) {
+            VersionWish::Any => self.choose_of(upstream, None, tried, times, now),
+            VersionWish::Old => self.choose_of(upstream, Some(false), tried, times, now),
+            VersionWish::NewFirst => {
+                let new = self.choose_of(upstream, Some(true), tried, times, now);
+                new.or_else(|_| self.choose_of(upstream, Some(false), tried, times, now))
+            }
+        }
+    }
+
+    /// Chooses a server, of the version that is rolled out or of the others, if
+    /// that is said.
+    fn choose_of(
+        &mut self,
+        upstream: UpstreamKey,
+        target: Option<bool>,
+        tried: &[ServerKey],
+        times: ExpectedTimes,
+        now: Duration,
     ) -> Result<ServerChoice, NoChoice> {
         let mut best: Option<(PermittedServer, f64, Duration)> = None;
         let mut candidates = 0;
@@ -98,6 +120,9 @@
             if state.standing != ServerStanding::Ready || tried.contains(server) {
                 continue;
             }
+            if target.is_some_and(|target| target != self.is_target(*server)) {
+                continue;
+            }
             let Some(permitted) = times.homes.permit(*server, state) else {
                 continue;
             };
--- a/crates/core/src/process/forward/directory.rs
+++ b/crates/core/src/process/forward/directory.rs
@@ -39,6 +39,8 @@
     pub address: Option<SocketAddr>,
     /// Its failure domain.
     pub domain: Box<str>,
+    /// Version of its software; empty if it does not say.
+    pub version: Box<str>,
     /// Requests it works on at once.
     pub slots: u32,
     /// Whether it takes work.
@@ -82,6 +84,7 @@
             service: "".into(),
             address: None,
             domain: "".into(),
+            version: "".into(),
             slots: 0,
             standing,
             born: mark.born,
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -11,6 +11,7 @@
 use crate::process::forward::directory::ServerNotice;
 use crate::process::forward::suspect::record::SuspectRecord;
 use crate::process::input::CallTag;
+use crate::process::rollout::RolloutView;
 use crate::request::mark::RequestMark;
 use crate::version::route_table::RouteTable;
 use crate::version::workspace::KeyDigest;
@@ -146,6 +147,10 @@
     Silent(Box<str>, bool),
     /// The failure domains that are out of use, all of them.
     Evacuated(Vec<Box<str>>),
+    /// The last roll-outs of the services, all of them.
+    Rollouts(Vec<RolloutView>),
+    /// The control group said that it is there.
+    Heard,
     /// Number of entries that share the servers' limits.
     Entries(u32),
     /// The entries that take requests, this one among them.
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -31,7 +31,9 @@
 use crate::process::forward::suspect::alert::EndWatch;
 use crate::process::forward::suspect::book::SuspectBook;
 use crate::process::forward::timing::RouteTiming;
+use crate::process::forward::version::UpstreamRollout;
 use crate::process::input::CallTag;
+use crate::process::rollout::share::CanaryBound;
 use crate::process::timer::TimerHeap;
 use crate::version::route_table::RouteTable;
 
@@ -66,6 +68,8 @@
     pub extra: ExtraBound,
     /// Bound on what cold servers get.
     pub cold: ColdBound,
+    /// Bound on requests to a version that is rolled out and not proved good.
+    pub canary_bound: CanaryBound,
     /// Most requests at work.
     pub in_flight: usize,
     /// Seed of the random numbers.
@@ -88,6 +92,7 @@
             own: "".into(),
             extra: ExtraBound::default(),
             cold: ColdBound::default(),
+            canary_bound: CanaryBound::default(),
             in_flight: 512,
             seed: 1,
             records: true,
@@ -118,6 +123,8 @@
     pub(super) bundle_misses: FadingShare,
     /// Counts since the start.
     pub(super) counts: UpstreamCounts,
+    /// Its last roll-out.
+    pub(super) rollout: Option<UpstreamRollout>,
 }
 
 /// Decides for the forwarded requests of one instance.
@@ -161,6 +168,8 @@
     pub(super) probe_at: Duration,
     /// Until when the load is taken to shift between entries.
     pub(super) shifts_until: Duration,
+    /// When the control group last said that it is there.
+    pub(super) heard_at: Duration,
     /// Time of the step that is being taken.
     clock: Duration,
 }
@@ -197,6 +206,7 @@
             pause_vote: IntervalVote::default(),
             probe_at: Duration::ZERO,
             shifts_until: Duration::ZERO,
+            heard_at: Duration::ZERO,
             clock: Duration::ZERO,
         }
     }
@@ -210,6 +220,8 @@
             ForwardInput::Notice(notice) => self.notice(notice, now, out),
             ForwardInput::Silent(id, silent) => self.set_silent(&id, silent, now),
             ForwardInput::Evacuated(domains) => self.set_evacuated(domains, now, out),
+            ForwardInput::Rollouts(views) => self.set_rollouts(views, out),
+            ForwardInput::Heard => self.heard_at = now,
             ForwardInput::Entries(entries) => self.entries = entries.max(1),
             ForwardInput::Peers(peers) => self.set_peers(peers, now, out),
             ForwardInput::Suspects(records) => self.merge_suspects(&records, now, out),
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -39,3 +39,4 @@
 pub mod split;
 pub mod suspect;
 pub mod timing;
+mod version;
--- a/crates/core/src/process/forward/notices.rs
+++ b/crates/core/src/process/forward/notices.rs
@@ -77,12 +77,14 @@
         state.region = self.options.regions.region_of(&notice.domain);
         state.evacuated = self.evacuated.contains(&notice.domain);
         state.domain = notice.domain;
+        state.version = notice.version;
         state.slots = notice.slots;
         state.pace = ServerPace::new(self.options.pace);
         state.born = notice.born;
         state.warm_at = now + Duration::from_millis(notice.cold_ms);
         let server = self.servers.push(state);
         self.server_ids.insert(notice.id, server);
+        self.bar_version(server);
         self.upstreams[upstream].servers.push(server);
         self.serve_waiting(upstream, now, out);
     }
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -12,6 +12,7 @@
 use crate::process::forward::pause::{IntervalVote, PauseWay, LATE_BY};
 use crate::process::forward::relay::SILENT_REST;
 use crate::process::forward::server::ServerState;
+use crate::process::forward::version::AnswerVerdict;
 use crate::process::input::CallTag;
 
 /// Name of the request of an attempt that nobody waits for any more.
@@ -162,6 +163,7 @@
             self.broken_off(&state, now, out);
         }
         self.learn(attempt, &state, &end, meaning, now, out);
+        self.learn_version(&state, &end, meaning, now);
         let was_doubted = self.is_call_doubted(state.call);
         self.judge(&state, &end, now, out);
         self.settle(attempt, &state, end, meaning, now, out);
@@ -173,6 +175,32 @@
         self.serve_waiting(state.upstream, now, out);
     }
 
+    /// Counts an end for the version of its server.
+    fn learn_version(
+        &mut self,
+        state: &ForwardAttempt,
+        end: &AttemptEnd,
+        meaning: EndMeaning,
+        now: Duration,
+    ) {
+        if state.is_relay() || self.upstreams[state.upstream].rollout.is_none() {
+            return;
+        }
+        let way = self.servers[state.server].way();
+        let work = (now - state.sent_at).saturating_sub(way);
+        let verdict = match meaning {
+            EndMeaning::Final => AnswerVerdict::Answered(work.div_f64(queue_factor(end))),
+            EndMeaning::Failure => AnswerVerdict::Failed,
+            EndMeaning::Broken if state.cancelled => AnswerVerdict::Abandoned(work),
+            EndMeaning::Broken => AnswerVerdict::Failed,
+            EndMeaning::NotRun
+            | EndMeaning::Unsent
+            | EndMeaning::Withdrawn
+            | EndMeaning::Barred => return,
+        };
+        self.count_version(state.server, state.timing, state.typical, verdict);
+    }
+
     /// Takes note that a server broke off while it had a request.
     fn broken_off(&mut self, state: &ForwardAttempt, now: Duration, out: &mut Vec<ForwardAction>) {
         self.counters.broken += 1;
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -56,6 +56,10 @@
     pub place: PlaceStep,
     /// Its region.
     pub region: RegionKey,
+    /// Version of its software.
+    pub version: Box<str>,
+    /// Whether its version was rolled back.
+    pub barred: bool,
     /// Whether its failure domain was taken out of use.
     pub evacuated: bool,
     /// Whether it takes work.
@@ -102,6 +106,8 @@
             domain: "".into(),
             place: PlaceStep::Elsewhere,
             region: RegionKey::UNKNOWN,
+            version: "".into(),
+            barred: false,
             evacuated: false,
             standing: ServerStanding::Ready,
             silent: false,
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub mod action;
 mod admission;
 pub mod budget;
+pub mod cap;
 pub mod control;
 pub mod counters;
 pub mod cover;
@@ -20,6 +21,7 @@
 pub mod rendezvous;
 mod replies;
 mod rescue;
+pub mod rollout;
 pub mod roster;
 mod route;
 mod scatter;
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -72,6 +72,7 @@
         service: service.into(),
         address: Some(([127, 0, 0, 1], port).into()),
         domain: domain.into(),
+        version: "".into(),
         slots: 2,
         standing: ServerStanding::Ready,
         born: 0,
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -26,3 +26,4 @@
 mod silent;
 mod slowness;
 mod source;
+mod versions;
--- a/crates/fake/src/model/told.rs
+++ b/crates/fake/src/model/told.rs
@@ -101,6 +101,7 @@
         service: format!("s{shard}").into(),
         address: Some(([10, 0, domain as u8, shard as u8], 1000).into()),
         domain: DOMAINS[domain].into(),
+        version: "".into(),
         slots,
         standing: ServerStanding::Ready,
         born: 0,
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -32,6 +32,7 @@
 use crate::connection::http::{
     say_retry_after, serve_http, typed_response, FullResponse, PLAIN_TYPE,
 };
+use crate::process::forward::cap_gate::CapVerdict;
 use crate::process::forward::entry::{EntryDuty, EntryPhase};
 use crate::process::forward::grant::GrantReader;
 use crate::process::forward::image::{
@@ -230,6 +231,18 @@
     }
     let image = RequestImage::new::<D>(&parts.method, &parts.uri, &parts.headers, &id, body);
     let image = image.with_mark(mark);
+    let capped = entry.look(|machine| machine.capped_workspace(&call));
+    if let Some(workspace) = &capped {
+        match entry.caps.acquire(workspace).await {
+            CapVerdict::Taken => {}
+            CapVerdict::Reached(after) => {
+                return failure_response(ForwardFailure::CapReached, Some(after));
+            }
+            CapVerdict::Unheard(after) => {
+                return failure_response(ForwardFailure::CapUnknown, Some(after));
+            }
+        }
+    }
     let (tag, receiver) = entry.admit(image);
     let guard = CallGuard {
         entry: entry.clone(),
@@ -246,6 +259,11 @@
     }
     let answer = receiver.await;
     drop(guard);
+    if let (Some(workspace), Ok(ForwardAnswer::Failure { failure, .. })) = (&capped, &answer) {
+        if failure.is_unrun() {
+            entry.caps.give_back(workspace);
+        }
+    }
     match answer {
         Ok(ForwardAnswer::Failure { failure, .. }) if is_passed_on && failure.is_barred() => {
             barred_response(entry, failure, mark)
@@ -342,6 +360,7 @@
     let status = match failure {
         ForwardFailure::NoRoute => StatusCode::NOT_FOUND,
         ForwardFailure::NoKey | ForwardFailure::KeyGone => StatusCode::UNAUTHORIZED,
+        ForwardFailure::CapReached => StatusCode::TOO_MANY_REQUESTS,
         ForwardFailure::Late => StatusCode::GATEWAY_TIMEOUT,
         ForwardFailure::Failed => StatusCode::BAD_GATEWAY,
         _ => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -13,9 +13,11 @@
 use wheelmast_core::process::forward::machine::{ForwardMachine, ForwardOptions};
 use wheelmast_core::process::forward::suspect::record::SuspectRecord;
 use wheelmast_core::process::input::CallTag;
+use wheelmast_core::process::rollout::VersionTally;
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::process::clock::ProcessClock;
+use crate::process::forward::cap_gate::CapGate;
 use crate::process::forward::image::RequestImage;
 use crate::process::forward::measure::DriverCounts;
 use crate::process::forward::pool::{ServerPool, UpstreamOrder};
@@ -47,6 +49,8 @@
     machine: RefCell<ForwardMachine>,
     /// Connections to servers.
     pub pool: ServerPool,
+    /// Tokens of capped workspaces.
+    pub caps: CapGate,
     /// Ways to end attempts that nobody waits for.
     pub cancels: RefCell<HashMap<SlotKey, oneshot::Sender<()>>>,
     /// Ways to tell other entries what they are granted.
@@ -86,6 +90,7 @@
         EntryDuty {
             machine: RefCell::new(ForwardMachine::new(options)),
             pool: ServerPool::default(),
+            caps: CapGate::new(clock),
             cancels: RefCell::default(),
             grants: RefCell::default(),
             calls: RefCell::default(),
@@ -195,6 +200,11 @@
         }
     }
 
+    /// Takes what the control group is to be told of versions.
+    pub fn take_tallies(&self) -> Vec<VersionTally> {
+        self.machine.borrow_mut().take_tallies()
+    }
+
     /// Returns where it comes what another entry is granted.
     pub fn await_grant(&self, attempt: SlotKey) -> oneshot::Receiver<u32> {
         let (grant, receiver) = oneshot::channel();
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -19,6 +19,7 @@
 use wheelmast_core::process::forward::machine::ForwardMachine;
 use wheelmast_core::process::forward::suspect::record::SuspectRecord;
 use wheelmast_core::process::forward::suspect::NEWS_PAUSE;
+use wheelmast_core::process::rollout::RolloutView;
 use wheelmast_core::version::route_table::RouteTable;
 use wheelmast_wire::dialect::ForwardDialect;
 use wheelmast_wire::group::GroupMessage;
@@ -65,6 +66,8 @@
     newest: RefCell<Option<Arc<RouteTable>>>,
     /// Revision of the failure domains out of use that the entry obeys.
     evacuations: Cell<u64>,
+    /// Revision of the roll-outs that the entry obeys.
+    rollouts: Cell<u64>,
     /// The version that a quorum has confirmed to be the newest; nothing older
     /// is obeyed.
     confirmed: Cell<Option<u64>>,
@@ -83,6 +86,7 @@
             fetching: Cell::new(0),
             newest: RefCell::default(),
             evacuations: Cell::new(0),
+            rollouts: Cell::new(0),
             confirmed: Cell::new(None),
             entry,
         }
@@ -159,12 +163,27 @@
                     if clock.elapsed() > last + QUIET_TIME && self.is_source(address) {
                         self.reconsider();
                     }
-                    send(&mut writer, &GroupMessage::Ping).await?;
+                    let sign = self.sign_of_life(address);
+                    send(&mut writer, &sign).await?;
                 }
             }
         }
     }
 
+    /// Returns what is sent as a sign of life. The source is told at once what
+    /// is to be told of versions.
+    fn sign_of_life(&self, address: SocketAddr) -> GroupMessage {
+        if !self.is_source(address) {
+            return GroupMessage::Ping;
+        }
+        let tallies = self.entry.take_tallies();
+        if tallies.is_empty() {
+            GroupMessage::Ping
+        } else {
+            GroupMessage::Tallies(tallies)
+        }
+    }
+
     fn take(self: &Rc<Self>, address: SocketAddr, message: GroupMessage) {
         self.lines.borrow_mut().heard(address);
         match message {
@@ -184,6 +203,8 @@
                 self.take_evacuations(revision, domains);
             }
             GroupMessage::Confirmed { version } => self.confirm(version),
+            GroupMessage::Rollouts { revision, views } => self.take_rollouts(revision, views),
+            GroupMessage::Caps { tag, grants } => self.entry.caps.told(tag, &grants),
             GroupMessage::Members {
                 entries,
                 joined,
@@ -209,6 +230,9 @@
                     is_fresh: fresh,
                     version,
                 };
+                if settled && self.is_source(address) {
+                    self.entry.step(ForwardInput::Heard);
+                }
                 if self.lines.borrow_mut().take_state(address, state) {
                     self.reconsider();
                 }
@@ -250,6 +274,17 @@
         }
     }
 
+    /// Passes questions for tokens of capped workspaces on to the source, until
+    /// the entry ends.
+    pub async fn ask_caps(self: Rc<Self>) {
+        let Some(mut orders) = self.entry.caps.take_orders() else {
+            return;
+        };
+        while let Some(order) = orders.recv().await {
+            self.lines.borrow().tell_source(order);
+        }
+    }
+
     /// Takes which entries take requests now, and which no longer do.
     fn take_peers(&self, joined: Vec<EntryPeer>, left: &[Box<str>]) {
         let mut peers = self.peers.borrow_mut();
@@ -355,6 +390,16 @@
         self.entry.step(ForwardInput::Evacuated(domains));
     }
 
+    /// Takes over the roll-outs, unless they are older than what is known.
+    fn take_rollouts(&self, revision: u64, views: Vec<RolloutView>) {
+        if revision <= self.rollouts.get() {
+            return;
+        }
+        self.rollouts.set(revision);
+        tracing::info!(target: "entry", revision, rollouts = views.len(), "rollout: obeyed");
+        self.entry.step(ForwardInput::Rollouts(views));
+    }
+
     /// Takes a quorum's word that no version above this one was acknowledged.
     /// The table itself may come later.
     fn confirm(self: &Rc<Self>, version: u64) {
--- a/crates/node/src/process/forward/lines.rs
+++ b/crates/node/src/process/forward/lines.rs
@@ -18,7 +18,7 @@
 /// Time after the start in which a source is chosen only if it is settled.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Wishes that may wait for a connection.
-const WISH_RING: usize = 16;
+const WISH_RING: usize = 64;
 
 /// What a control instance says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -167,6 +167,15 @@
         }
     }
 
+    /// Tells the source.
+    pub fn tell_source(&self, message: GroupMessage) {
+        let line = self.source.and_then(|source| self.lines.get(&source));
+        if let Some(line) = line {
+            // A full ring: the connection stands still and will end.
+            let _ = line.wishes.offer(message);
+        }
+    }
+
     /// Asks the nearest instance that has a version, and was not tried, for its
     /// table. Returns whether there is one.
     pub fn fetch(&self, version: u64, have: u64, tried: &mut HashSet<SocketAddr>) -> bool {
--- a/crates/node/src/process/forward/mod.rs
+++ b/crates/node/src/process/forward/mod.rs
@@ -5,6 +5,7 @@
 //! is in `docs/design/platform.md`.
 
 pub mod callers;
+pub mod cap_gate;
 pub mod entry;
 pub mod feed;
 pub mod grant;
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -62,6 +62,7 @@
         own: peer.id(),
         extra: settings.extra.with_reserve(),
         cold: settings.cold,
+        canary_bound: settings.canary,
         pace: settings.pace,
         pauses: settings.pauses,
         seed: rand::random(),
@@ -75,6 +76,7 @@
     }
     tokio::task::spawn_local(entry.clone().keep_time());
     tokio::task::spawn_local(feed.clone().tell_suspects());
+    tokio::task::spawn_local(feed.clone().ask_caps());
     tokio::task::spawn_local(answer_balancer(entry.clone(), ready));
     if let Some(address) = settings.metrics {
         let measured = entry.clone();
--- a/crates/node/src/process/group/answer.rs
+++ b/crates/node/src/process/group/answer.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, StatusCode};
 use tokio::net::TcpListener;
 use wheelmast_core::process::control::evacuation::EvacuationOutcome;
+use wheelmast_core::process::control::rollout::RolloutOutcome;
 use wheelmast_core::process::control::state::{CommandOutcome, ControlCommand, RouteOutcome};
 use wheelmast_core::process::forward::directory::ServerNotice;
 use wheelmast_core::version::route_table::RouteTable;
@@ -76,6 +77,8 @@
         ControlCall::Evacuate(domain) => evacuate(&node, &domain, true).await,
         ControlCall::EndEvacuation(domain) => evacuate(&node, &domain, false).await,
         ControlCall::ListEvacuations => list_evacuations(&node).await,
+        ControlCall::StartRollout => start_rollout::<D>(&node, &body).await,
+        ControlCall::GetRollout(service) => get_rollout::<D>(&node, &service).await,
         ControlCall::Ready => text_response(StatusCode::OK, TAKEN.to_string()),
     }
 }
@@ -165,6 +168,57 @@
     }
 }
 
+/// Rolls a service out to a new version.
+async fn start_rollout<D: ForwardDialect>(node: &Rc<GroupNode>, body: &[u8]) -> FullResponse {
+    let order = match D::read_rollout(body) {
+        Ok(order) => order,
+        Err(findings) => return text_response(StatusCode::BAD_REQUEST, findings.to_string()),
+    };
+    if order.target.is_empty() || order.duration.is_zero() {
+        let text = "a roll-out needs a version and a time above 0".to_string();
+        return text_response(StatusCode::BAD_REQUEST, text);
+    }
+    if !node.knows_service(&order.service) {
+        if node.state.borrow().published.version == 0 {
+            return unavailable("no table is in force here");
+        }
+        let text = format!("no service {}", order.service);
+        return text_response(StatusCode::NOT_FOUND, text);
+    }
+    let outcome = node.start_rollout(&order).await;
+    tracing::info!(target: "group", service = order.service, version = order.target, ?outcome, "rollout: asked for");
+    match outcome {
+        Some(RolloutOutcome::Stands(_)) => taken(),
+        Some(RolloutOutcome::Busy(target)) => {
+            let text = format!("a roll-out of {} to {target} is going on", order.service);
+            text_response(StatusCode::CONFLICT, text)
+        }
+        Some(RolloutOutcome::Full) => text_response(
+            StatusCode::INSUFFICIENT_STORAGE,
+            "too many roll-outs are remembered".to_string(),
+        ),
+        Some(RolloutOutcome::Passed) | None => unavailable("no quorum answered"),
+    }
+}
+
+/// Tells how far the last roll-out of a service is.
+async fn get_rollout<D: ForwardDialect>(node: &Rc<GroupNode>, service: &str) -> FullResponse {
+    let GroupTell::Mark(mark) = node.read().await else {
+        return unavailable("no quorum answered");
+    };
+    if !node.wait_published(mark).await {
+        return unavailable("not in force here yet");
+    }
+    let state = node.state.borrow();
+    let mut views = state.rollouts.views.iter();
+    let Some(view) = views.find(|view| *view.service == *service) else {
+        let text = format!("no roll-out of {service}");
+        return text_response(StatusCode::NOT_FOUND, text);
+    };
+    let text = D::rollout(&view.target, view.state);
+    typed_response(StatusCode::OK, JSON_TYPE, text)
+}
+
 /// Tells which failure domains are out of use.
 async fn list_evacuations(node: &Rc<GroupNode>) -> FullResponse {
     let GroupTell::Mark(mark) = node.read().await else {
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -107,6 +107,7 @@
             answer(node, peer, GroupMessage::Kept(tag));
         }
         GroupMessage::Suspects(records) => node.take_suspects(records),
+        GroupMessage::Tallies(tallies) => node.take_tallies(tallies, false),
         GroupMessage::Kept(tag) => node.count_keep(tag),
         GroupMessage::Renewals(servers) => {
             let now = node.now();
@@ -121,6 +122,7 @@
                 let tell = match ask {
                     GroupAsk::Propose(command) => node.propose_here(command).await,
                     GroupAsk::Read => node.read_here().await,
+                    GroupAsk::Caps(asks) => node.grant_here(&asks),
                 };
                 answer(&node, peer, GroupMessage::Told { tag, tell });
             });
@@ -216,6 +218,7 @@
 fn take_wish(node: &Rc<GroupNode>, key: u64, message: GroupMessage) {
     match message {
         GroupMessage::Suspects(records) => node.take_suspects(records),
+        GroupMessage::Tallies(tallies) => node.take_tallies(tallies, true),
         GroupMessage::Leaving => leave(node, key),
         GroupMessage::Whole { have } => {
             let messages = all_known(node, key, have);
@@ -224,6 +227,13 @@
         GroupMessage::Urgent => {
             tell_one(node, key, Vec::new(), |subscriber| subscriber.whole = false);
         }
+        GroupMessage::AskCaps { tag, asks } => {
+            let node = node.clone();
+            tokio::task::spawn_local(async move {
+                let grants = node.grant_caps(asks).await;
+                tell_one(&node, key, vec![GroupMessage::Caps { tag, grants }], |_| ());
+            });
+        }
         GroupMessage::Fetch { have } => {
             let messages = newer_table(node, have);
             tell_one(node, key, messages, |_| ());
@@ -265,6 +275,9 @@
     let leavers = node.late_leavers(LEAVER_TIME);
     let state = node.state.borrow();
     let mut messages = vec![node.here(&state), state.evacuations.message()];
+    if state.rollouts.revision > 0 {
+        messages.push(state.rollouts.message());
+    }
     messages.push(node.all_suspects());
     messages.push(GroupMessage::Control(state.told_control.clone()));
     if !leavers.is_empty() {
--- a/crates/node/src/process/group/mod.rs
+++ b/crates/node/src/process/group/mod.rs
@@ -5,6 +5,7 @@
 //! sync keeps neither heartbeats nor announcements waiting.
 
 pub mod answer;
+pub mod caps;
 pub mod disk;
 mod evacuate;
 pub mod inbound;
@@ -12,6 +13,7 @@
 pub mod measure;
 pub mod node;
 pub mod replica;
+pub mod rollouts;
 pub mod run;
 pub mod servers;
 pub mod state;
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -8,8 +8,10 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use wheelmast_core::finding::FindingList;
 use wheelmast_core::process::control::replica::ReplicaMachine;
 use wheelmast_core::process::control::state::MemberRecord;
+use wheelmast_core::version::route_table::RouteDraft;
 use wheelmast_wire::group::GroupMessage;
 
 use crate::process::clock::ProcessClock;
@@ -33,6 +35,9 @@
 /// others know.
 const FRESH_TIME: Duration = Duration::from_secs(3);
 
+/// Reads a route table as an operator sent it.
+pub type TableReader = fn(&[u8]) -> Result<RouteDraft, FindingList>;
+
 /// One control instance.
 #[derive(Debug)]
 pub struct GroupNode {
@@ -54,6 +59,10 @@
     pub suspects_changed: Notify,
     /// The same, to be told.
     pub suspects_heard: Notify,
+    /// Tells that tokens of capped workspaces were asked for.
+    pub caps_used: Notify,
+    /// Reads a route table, in the dialect of the operators.
+    pub read_table: TableReader,
     /// The time since the process started.
     pub clock: ProcessClock,
     tags: Cell<u64>,
@@ -70,6 +79,7 @@
         state: GroupState,
         disk: SyncSender<DiskOrder>,
         clock: ProcessClock,
+        read_table: TableReader,
     ) -> GroupNode {
         GroupNode {
             calls: settings.control.unwrap_or(me.address),
@@ -81,6 +91,8 @@
             published: Notify::new(),
             suspects_changed: Notify::new(),
             suspects_heard: Notify::new(),
+            caps_used: Notify::new(),
+            read_table,
             clock,
             tags: Cell::new(1),
             seeds: RefCell::default(),
--- a/crates/node/src/process/group/replica.rs
+++ b/crates/node/src/process/group/replica.rs
@@ -11,6 +11,7 @@
 use wheelmast_core::process::control::replica::{ReplicaMachine, ReplicaRules, ReplicaStart};
 use wheelmast_core::process::control::state::ControlCommand;
 use wheelmast_wire::group::{ControlMark, GroupAsk, GroupMessage, GroupTell};
+use wheelmast_wire::pack::unpack;
 
 use crate::process::group::disk::{DiskNote, DiskOrder};
 use crate::process::group::node::GroupNode;
@@ -132,6 +133,10 @@
             ReplicaAction::Changed => self.publish(),
             ReplicaAction::Role { term, leads } => {
                 tracing::info!(target: "group", term, leads, "replica: role changed");
+                if leads {
+                    let now = self.now();
+                    self.state.borrow_mut().cap_owner.begin_empty(now);
+                }
             }
             ReplicaAction::KeepHard(_)
             | ReplicaAction::KeepEntry(_)
@@ -150,6 +155,7 @@
     /// Puts in force what the replica has and tells the entries.
     pub fn publish(&self) {
         self.publish_evacuations();
+        self.publish_rollouts();
         self.publish_routes();
         self.published.notify_waiters();
     }
@@ -199,6 +205,29 @@
         state.tell_whole(routes);
         let here = self.here(&state);
         state.tell_urgent(here);
+        let packed = state.published.packed.clone();
+        drop(state);
+        self.adopt_table(&packed);
+    }
+
+    /// Takes over the services and caps of a table in force, as it was sent and
+    /// packed.
+    fn adopt_table(&self, packed: &[u8]) {
+        let table = unpack(packed).ok();
+        let table = table.and_then(|text| (self.read_table)(&text).ok());
+        let Some(table) = table else {
+            return;
+        };
+        let services = table.services.iter();
+        let services = services.map(|service| service.name.as_str().into());
+        self.state.borrow_mut().services = services.collect();
+        let workspaces = table.workspaces.unwrap_or_default();
+        let capped = workspaces.into_iter().filter_map(|workspace| {
+            let cap = workspace.cap?;
+            Some((workspace.name.into(), cap))
+        });
+        let caps: Vec<_> = capped.collect();
+        self.adopt_caps(&caps);
     }
 
     /// Waits until what is in force here has come as far as `mark`, for a short
@@ -226,13 +255,14 @@
         self.ask_leader(GroupAsk::Read).await
     }
 
-    async fn ask_leader(self: &Rc<Self>, ask: GroupAsk) -> GroupTell {
+    pub(super) async fn ask_leader(self: &Rc<Self>, ask: GroupAsk) -> GroupTell {
         let wait = async {
             loop {
                 if self.leads() {
                     return match ask {
                         GroupAsk::Propose(command) => self.propose_here(command).await,
                         GroupAsk::Read => self.read_here().await,
+                        GroupAsk::Caps(asks) => self.grant_here(&asks),
                     };
                 }
                 if let Some(answer) = self.ask_over_link(&ask) {
@@ -245,7 +275,7 @@
         told.unwrap_or(GroupTell::Unknown)
     }
 
-    fn leads(&self) -> bool {
+    pub(super) fn leads(&self) -> bool {
         let state = self.state.borrow();
         let replica = state.replica.as_ref();
         replica.is_some_and(ReplicaMachine::is_leader)
--- a/crates/node/src/process/group/run.rs
+++ b/crates/node/src/process/group/run.rs
@@ -7,6 +7,7 @@
 use anyhow::Context;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::LocalSet;
+use wheelmast_core::process::cap::stock::CapStock;
 use wheelmast_core::process::control::message::ReplicaInput;
 use wheelmast_core::process::control::state::MemberRecord;
 use wheelmast_wire::dialect::ForwardDialect;
@@ -74,6 +75,7 @@
     let line = start_disk(store, data, &settings.instance)?;
     let state = GroupState {
         replica: Some(replica),
+        cap_stock: CapStock::new(settings.caps),
         ..GroupState::default()
     };
     let control = settings.control.context("could not find listen.control")?;
@@ -81,7 +83,14 @@
     let peers = listen(settings.peer_address()).await?;
     let seeds = settings.seed_peers();
     let founds = settings.first_start && seeds.iter().min() == Some(&me.address);
-    let node = Rc::new(GroupNode::new(settings, me, state, line.orders, clock));
+    let node = Rc::new(GroupNode::new(
+        settings,
+        me,
+        state,
+        line.orders,
+        clock,
+        D::read_table,
+    ));
     node.remember(servers);
     node.remember_suspects(suspects);
     node.publish();
@@ -91,6 +100,8 @@
     tokio::task::spawn_local(node.clone().keep_house());
     tokio::task::spawn_local(node.clone().keep_suspects());
     tokio::task::spawn_local(node.clone().tell_suspects());
+    tokio::task::spawn_local(node.clone().keep_caps());
+    tokio::task::spawn_local(node.clone().keep_rollouts());
     tokio::task::spawn_local(accept_peers(node.clone(), peers));
     tokio::task::spawn_local(accept_calls::<D>(node.clone(), calls));
     let seeded = node.clone();
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
+use wheelmast_core::process::cap::owner::CapOwner;
+use wheelmast_core::process::cap::stock::CapStock;
 use wheelmast_core::process::control::log::ReplicaId;
 use wheelmast_core::process::control::message::ReplicaAction;
 use wheelmast_core::process::control::replica::ReplicaMachine;
@@ -18,6 +20,7 @@
 
 use crate::connection::frame::write_frame;
 use crate::process::group::disk::DiskOrder;
+use crate::process::group::rollouts::PublishedRollouts;
 use crate::ring::RingSender;
 
 /// Time that an entry which is no longer subscribed keeps its part of the
@@ -169,6 +172,10 @@
     pub published: PublishedTable,
     /// The failure domains out of use.
     pub evacuations: PublishedEvacuations,
+    /// The last roll-outs of the services.
+    pub rollouts: PublishedRollouts,
+    /// Services that the route table in force names.
+    pub services: HashSet<Box<str>>,
     /// Servers known.
     pub directory: ServerDirectory,
     /// Whether servers came or went since they were last kept.
@@ -195,6 +202,10 @@
     pub asks: HashMap<u64, oneshot::Sender<GroupTell>>,
     /// News that wait to be held by others.
     pub keeps: HashMap<u64, KeepWait>,
+    /// The tokens of all capped workspaces, while this instance leads.
+    pub cap_owner: CapOwner,
+    /// The tokens that this instance holds.
+    pub cap_stock: CapStock,
     /// Requests under which servers ended.
     pub suspects: SuspectBook,
     /// Those of them of which there is news to tell.
@@ -219,13 +230,16 @@
         ControlMark {
             version: self.published.version,
             evacuations: self.evacuations.revision,
+            rollouts: self.rollouts.revision,
         }
     }
 
     /// Tells whether what is in force here has come as far as `mark`.
     pub fn has_reached(&self, mark: ControlMark) -> bool {
         let here = self.mark();
-        here.version >= mark.version && here.evacuations >= mark.evacuations
+        here.version >= mark.version
+            && here.evacuations >= mark.evacuations
+            && here.rollouts >= mark.rollouts
     }
 
     /// Returns the number of entries that share the servers' limits.
--- a/crates/node/src/settings/role.rs
+++ b/crates/node/src/settings/role.rs
@@ -6,11 +6,13 @@
 
 use jsonc_parser::ast::Object;
 use wheelmast_core::finding::{FindingList, FindingPlace};
+use wheelmast_core::process::cap::CapBound;
 use wheelmast_core::process::forward::cold::ColdBound;
 use wheelmast_core::process::forward::extra::ExtraBound;
 use wheelmast_core::process::forward::pace::PaceWay;
 use wheelmast_core::process::forward::pause::PauseWay;
 use wheelmast_core::process::forward::place::RegionMap;
+use wheelmast_core::process::rollout::share::CanaryBound;
 
 use crate::settings::reader::ObjectReader;
 
@@ -78,6 +80,10 @@
     pub extra: ExtraBound,
     /// Bound on what cold servers get.
     pub cold: ColdBound,
+    /// Bound on requests to a version that is rolled out and not proved good.
+    pub canary: CanaryBound,
+    /// How far usage caps may be exceeded.
+    pub caps: CapBound,
     /// How an entry estimates how fast a server is.
     pub pace: PaceWay,
     /// How an entry meets pauses of servers.
@@ -144,6 +150,10 @@
     let extra = extra.map(|extra| read_extra(extra, findings));
     let cold = reader.object("cold_load", findings);
     let cold = cold.map(|cold| read_cold(cold, findings));
+    let canary = reader.object("rollouts", findings);
+    let canary = canary.map(|canary| read_canary(canary, findings));
+    let caps = reader.object("usage_caps", findings);
+    let caps = caps.map(|caps| read_caps(caps, findings));
     let listen = reader.object("listen", findings);
     let listen = listen.map(|listen| read_listen(listen, findings));
     let listen = listen.unwrap_or_default();
@@ -168,6 +178,8 @@
         tolerate: tolerate.unwrap_or(0) as usize,
         extra: extra.unwrap_or_default(),
         cold: cold.unwrap_or_default(),
+        caps: caps.unwrap_or_default(),
+        canary: canary.unwrap_or_default(),
         pace: pace.map(PaceWay::of_word).unwrap_or_default(),
         pauses: pauses.map(PauseWay::of_word).unwrap_or_default(),
         lease: lease.map_or(Duration::from_secs(5), millis),
@@ -224,6 +236,30 @@
     }
 }
 
+fn read_canary(mut reader: ObjectReader<'_, '_>, findings: &mut FindingList) -> CanaryBound {
+    let default = CanaryBound::default();
+    let share = reader.decimal("share", findings);
+    let slack = reader.decimal("slack", findings);
+    reader.finish(findings);
+    CanaryBound {
+        share: share.unwrap_or(default.share),
+        slack: slack.unwrap_or(default.slack),
+    }
+}
+
+fn read_caps(mut reader: ObjectReader<'_, '_>, findings: &mut FindingList) -> CapBound {
+    let default = CapBound::default();
+    let excess = reader.decimal("excess", findings);
+    let slack = reader.decimal("slack", findings);
+    let window = reader.decimal("window_s", findings);
+    reader.finish(findings);
+    CapBound {
+        excess: excess.unwrap_or(default.excess),
+        slack: slack.unwrap_or(default.slack),
+        window: window.map_or(default.window, Duration::from_secs_f64),
+    }
+}
+
 fn read_extra(mut reader: ObjectReader<'_, '_>, findings: &mut FindingList) -> ExtraBound {
     let default = ExtraBound::default();
     let ratio = reader.decimal("ratio", findings);
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -205,6 +205,7 @@
             service: "s".into(),
             address: Some(([127, 0, 0, 1], 9).into()),
             domain: "here".into(),
+            version: "".into(),
             slots: 2,
             standing: ServerStanding::Ready,
             born: 0,
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -13,5 +13,6 @@
 mod fragile;
 mod news;
 mod relayed;
+mod rolled_out;
 mod serve;
 mod soak;
--- a/crates/node/tests/stories.rs
+++ b/crates/node/tests/stories.rs
@@ -100,6 +100,7 @@
                 service: service.into(),
                 address: Some(([127, 0, 0, 1], port).into()),
                 domain: "oulu".into(),
+                version: "".into(),
                 slots: 2,
                 standing: ServerStanding::Ready,
                 born: 0,
--- a/crates/wire/src/dialect.rs
+++ b/crates/wire/src/dialect.rs
@@ -5,8 +5,10 @@
 //! another platform's.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use wheelmast_core::finding::FindingList;
+use wheelmast_core::process::control::rollout::RolloutState;
 use wheelmast_core::process::forward::directory::ServerNotice;
 use wheelmast_core::version::route_table::RouteDraft;
 
@@ -52,10 +54,25 @@
     EndEvacuation(String),
     /// An operator asks which failure domains are out of use.
     ListEvacuations,
+    /// An operator rolls a service out to a new version.
+    StartRollout,
+    /// An operator asks how far the last roll-out of this service is.
+    GetRollout(String),
     /// The balancer asks whether the instance takes requests.
     Ready,
 }
 
+/// An operator's order to roll a service out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutOrder {
+    /// The service.
+    pub service: String,
+    /// The version that its requests are to go to.
+    pub target: String,
+    /// Time that it may take.
+    pub duration: Duration,
+}
+
 /// Names, formats and calls.
 pub trait ForwardDialect: std::fmt::Debug + Copy + Default + Send + Sync + 'static {
     /// Names of the headers.
@@ -71,6 +88,16 @@
     /// Returns all findings at once.
     fn read_table(text: &[u8]) -> Result<RouteDraft, FindingList>;
 
+    /// Reads the order of a roll-out.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings at once.
+    fn read_rollout(text: &[u8]) -> Result<RolloutOrder, FindingList>;
+
+    /// Writes how far a roll-out is.
+    fn rollout(target: &str, state: RolloutState) -> String;
+
     /// Writes the answer to an announcement: where the server should make its
     /// next ones, if that is elsewhere.
     fn announced(next: Option<SocketAddr>) -> String;
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -5,12 +5,14 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use wheelmast_core::process::cap::{CapAsk, CapGrant};
 use wheelmast_core::process::control::log::ReplicaId;
 use wheelmast_core::process::control::message::ReplicaMessage;
 use wheelmast_core::process::control::state::{CommandOutcome, ControlCommand, MemberRecord};
 use wheelmast_core::process::forward::directory::{LifeMark, ServerNotice};
 use wheelmast_core::process::forward::input::EntryPeer;
 use wheelmast_core::process::forward::suspect::record::SuspectRecord;
+use wheelmast_core::process::rollout::{RolloutView, VersionTally};
 
 /// Largest frame, in bytes.
 pub const FRAME_BYTES: usize = 8 * 1024 * 1024;
@@ -142,6 +144,30 @@
     Suspects(Vec<SuspectRecord>),
     /// A sign of life.
     Ping,
+    /// The last roll-outs of the services. To every entry, when it subscribes and
+    /// at each change.
+    Rollouts {
+        /// Grows with each change.
+        revision: u64,
+        /// All of them.
+        views: Vec<RolloutView>,
+    },
+    /// How the versions of services that are rolled out answered at an entry.
+    Tallies(Vec<VersionTally>),
+    /// An entry asks its source for tokens of capped workspaces.
+    AskCaps {
+        /// The sender's name for it.
+        tag: u64,
+        /// What it asks for.
+        asks: Vec<CapAsk>,
+    },
+    /// The answer to [`GroupMessage::AskCaps`].
+    Caps {
+        /// The asker's name for it.
+        tag: u64,
+        /// What is granted, in the order of the questions.
+        grants: Vec<CapGrant>,
+    },
 }
 
 /// How far the state that the control group agreed on has come.
@@ -151,6 +177,8 @@
     pub version: u64,
     /// Revision of the failure domains out of use; 0 for none yet.
     pub evacuations: u64,
+    /// Revision of the roll-outs; 0 for none yet.
+    pub rollouts: u64,
 }
 
 /// A question to the leader.
@@ -160,6 +188,8 @@
     Propose(ControlCommand),
     /// What is in force for sure?
     Read,
+    /// Which of these tokens are granted?
+    Caps(Vec<CapAsk>),
 }
 
 /// The leader's answer.
@@ -171,4 +201,6 @@
     Mark(ControlMark),
     /// It cannot be said now.
     Unknown,
+    /// What is granted, in the order of the questions.
+    Caps(Vec<CapGrant>),
 }
--- a/crates/wire/src/native.rs
+++ b/crates/wire/src/native.rs
@@ -1,13 +1,15 @@
 //! The product's own names, formats and calls of the forwarded conversations.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use wheelmast_core::finding::FindingList;
+use wheelmast_core::process::control::rollout::RolloutState;
 use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
 use wheelmast_core::version::route_table::RouteDraft;
 
-use crate::dialect::{unreadable, ControlCall, ForwardDialect, HeaderNames};
+use crate::dialect::{unreadable, ControlCall, ForwardDialect, HeaderNames, RolloutOrder};
 
 /// Path of a server's announcement, before its id.
 const UPSTREAM_PATH: &str = "/v1/servers/";
@@ -15,6 +17,8 @@
 pub const ROUTES_PATH: &str = "/v1/routes";
 /// Path of the failure domains that are out of use.
 pub const EVACUATIONS_PATH: &str = "/v1/evacuations";
+/// Path of roll-outs.
+pub const ROLLOUTS_PATH: &str = "/v1/rollouts";
 /// Path of the balancer's question.
 const READY_PATH: &str = "/ready";
 
@@ -28,6 +32,8 @@
     service: Box<str>,
     address: SocketAddr,
     failure_domain: Box<str>,
+    #[serde(default)]
+    version: Box<str>,
     slots: u32,
     draining: bool,
     sequence: u64,
@@ -37,6 +43,14 @@
     born: u64,
 }
 
+/// The order of a roll-out as JSON.
+#[derive(Debug, Deserialize)]
+struct RolloutBody {
+    service: String,
+    version: String,
+    duration_ms: u64,
+}
+
 /// What a server says when it leaves.
 #[derive(Debug, Deserialize)]
 struct WithdrawalBody {
@@ -63,12 +77,16 @@
             ("GET", READY_PATH) => return Some(ControlCall::Ready),
             ("GET", ROUTES_PATH) => return Some(ControlCall::GetTable),
             ("PUT", ROUTES_PATH) => return Some(ControlCall::PutTable),
+            ("POST", ROLLOUTS_PATH) => return Some(ControlCall::StartRollout),
             ("GET", EVACUATIONS_PATH) => return Some(ControlCall::ListEvacuations),
             _ => {}
         }
         if let Some(call) = evacuation_call(method, path) {
             return Some(call);
         }
+        if let Some(call) = rollout_call(method, path) {
+            return Some(call);
+        }
         let id = path.strip_prefix(UPSTREAM_PATH)?;
         match method {
             "PUT" => Some(ControlCall::Announce(id.to_string())),
@@ -77,6 +95,25 @@
         }
     }
 
+    fn read_rollout(text: &[u8]) -> Result<RolloutOrder, FindingList> {
+        let body: RolloutBody = serde_json::from_slice(text).map_err(|error| unreadable(&error))?;
+        Ok(RolloutOrder {
+            service: body.service,
+            target: body.version,
+            duration: Duration::from_millis(body.duration_ms),
+        })
+    }
+
+    fn rollout(target: &str, state: RolloutState) -> String {
+        let state = match state {
+            RolloutState::Trying => "trying",
+            RolloutState::Moving => "moving",
+            RolloutState::Completed => "completed",
+            RolloutState::RolledBack => "rolled_back",
+        };
+        serde_json::json!({ "version": target, "state": state }).to_string()
+    }
+
     fn announced(next: Option<SocketAddr>) -> String {
         let next = next.map(|next| next.to_string());
         serde_json::json!({ "next": next }).to_string()
@@ -98,6 +135,7 @@
             service: body.service,
             address: Some(body.address),
             domain: body.failure_domain,
+            version: body.version,
             slots: body.slots,
             standing,
             born: body.born,
@@ -116,6 +154,12 @@
     }
 }
 
+/// Tells whether a method and a path ask for a roll-out.
+fn rollout_call(method: &str, path: &str) -> Option<ControlCall> {
+    let service = path.strip_prefix(ROLLOUTS_PATH)?.strip_prefix('/')?;
+    (method == "GET" && !service.is_empty()).then(|| ControlCall::GetRollout(service.to_string()))
+}
+
 /// Tells which call concerning a failure domain a method and a path are.
 fn evacuation_call(method: &str, path: &str) -> Option<ControlCall> {
     let domain = path.strip_prefix(EVACUATIONS_PATH)?.strip_prefix('/')?;
