Take the time that several callers gave for the usual one

Change: of the last 16 times given, the longest that two gave counts, else the longest; what is over the route's limit says nothing of others.

--- a/crates/core/src/process/forward/timing.rs
+++ b/crates/core/src/process/forward/timing.rs
@@ -1,5 +1,6 @@
 //! What is known of a route's times, and when a request should be answered.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::process::latency::LatencyWindow;
@@ -22,6 +23,10 @@
 /// Work time before there are samples, as a part of the objective.
 const FIRST_WORK: f64 = 0.15;
 
+/// Callers whose times are remembered.
+const GIVEN_KEPT: usize = 16;
+/// Least number of them that gave what counts as usual.
+const LEAST_SAME: usize = 2;
 /// Time that another entry takes before there are samples.
 const FIRST_RELAY: Duration = Duration::from_millis(60);
 
@@ -29,8 +34,36 @@
 #[derive(Debug, Clone, Default)]
 pub struct RouteTiming {
     work: LatencyWindow,
-    /// The longest time that callers have given.
-    usual_limit: Duration,
+    given: GivenTimes,
+}
+
+/// The times that the last callers gave.
+#[derive(Debug, Clone, Default)]
+struct GivenTimes {
+    last: VecDeque<Duration>,
+}
+
+impl GivenTimes {
+    /// Adds the time that a caller gave, and returns what callers usually give:
+    /// the longest time that several of the last gave, if any did. A caller that
+    /// comes back has less, each time another. What is over the route's limit
+    /// says nothing of the others.
+    fn usual(&mut self, given: Duration, limit: Duration) -> Duration {
+        if given > limit {
+            return given;
+        }
+        if self.last.len() == GIVEN_KEPT {
+            self.last.pop_front();
+        }
+        self.last.push_back(given);
+        let is_usual = |time: &&Duration| {
+            let same = self.last.iter().filter(|other| other == time);
+            same.count() >= LEAST_SAME
+        };
+        let usual = self.last.iter().filter(is_usual).max();
+        let usual = usual.or_else(|| self.last.iter().max());
+        usual.copied().unwrap_or(given).max(given)
+    }
 }
 
 impl RouteTiming {
@@ -69,10 +102,9 @@
         now: Duration,
     ) -> AnswerPlan {
         let given = time_left.unwrap_or_else(|| route.time_limit());
-        self.usual_limit = self.usual_limit.max(given);
         // A repeat of the caller comes with less time than usual: what is
         // gone counts against the objective.
-        let spent = self.usual_limit - given;
+        let spent = self.given.usual(given, route.time_limit()) - given;
         let objective = route.objective().saturating_sub(spent);
         let margin = LEAST_MARGIN + route.objective().mul_f64(MARGIN);
         let limit = given.min(route.time_limit());
