Give the constant allowance of repeats to the entries that ask

Cause: the bound's constant part was divided evenly among all entries. Where shards are divided among the entries of a failure domain, a shard is asked by one entry there: of 1,040 repeats in ten seconds 983 entries had one each, and the six that ask had six. The part that can be used shrinks with the fleet.

Change: half is divided evenly; a quarter goes to the entry of each failure domain that a shard falls to, twice if two views of the entries are held at once.

Ruled out: by the number of domains with servers of the shard (entries see that differently during a release, and the sum could exceed the bound).

Measured: core/tests/forward/holders.rs: a holder can make 40 repeats or more at 6 to 2,382 entries, all together keep the bound.

--- a/crates/core/src/process/forward/bundle.rs
+++ b/crates/core/src/process/forward/bundle.rs
@@ -29,7 +29,7 @@
 /// Near shards above which they are divided.
 pub(super) const DIVIDE_ABOVE: usize = 24;
 /// Shards of a route that fall to one entry together.
-const SHARE: usize = 12;
+pub(super) const SHARE: usize = 12;
 /// Ways that differ by less than this part of the objective count as equal.
 const WAY_STEP: f64 = 0.05;
 /// Connections to another entry, at most.
--- a/crates/core/src/process/forward/extra.rs
+++ b/crates/core/src/process/forward/extra.rs
@@ -2,6 +2,11 @@
 //!
 //! The bound holds for the sum over all entries in a sliding window. Each entry
 //! earns by its own requests, and has its part of the constant allowance.
+//!
+//! Where many shards are divided among the entries of a failure domain, one entry
+//! there asks for most of what a shard is asked. In equal parts it would have a
+//! fraction of the allowance that shrinks with the number of entries, and those
+//! that never ask the shard the rest. So a part goes to these holders.
 
 use std::time::Duration;
 
@@ -13,6 +18,12 @@
 /// servers then rejected requests, all of them together were 0.7 to 1.0 in 100
 /// over it on one of 40 days.
 const RESERVE: f64 = 0.03;
+/// Part of the constant allowance that all entries have equal parts of, where one
+/// entry of each failure domain holds a shard.
+const EVEN_PART: f64 = 0.5;
+/// Part of it that the holders have. Two views of who the entries are may be held
+/// at once, so that a shard may have two holders in each failure domain.
+const HOLDER_PART: f64 = 0.25;
 /// Part of what a window earns that half of it may spend while the load shifts.
 const HALF_PART: f64 = 0.5;
 
@@ -49,6 +60,45 @@
     }
 }
 
+/// What an entry knows of those that share the bound with it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExtraView {
+    /// Entries that share it.
+    pub entries: u32,
+    /// Failure domains that they stand in.
+    pub domains: u32,
+    /// Whether this entry holds the shard in its failure domain; `None` if the
+    /// service is no shard that is divided.
+    pub holds: Option<bool>,
+}
+
+impl ExtraView {
+    /// Returns this entry's part of the constant allowance.
+    fn slack(self, bound: &ExtraBound) -> f64 {
+        let even = bound.slack / f64::from(self.entries.max(1));
+        let Some(holds) = self.holds else {
+            return even;
+        };
+        let held = if holds {
+            bound.slack * HOLDER_PART / f64::from(self.domains.max(1))
+        } else {
+            0.0
+        };
+        even * EVEN_PART + held
+    }
+}
+
+/// The view of an entry of a service that is not divided.
+impl From<u32> for ExtraView {
+    fn from(entries: u32) -> ExtraView {
+        ExtraView {
+            entries,
+            domains: 1,
+            holds: None,
+        }
+    }
+}
+
 /// How quickly the bound may be spent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SpendPace {
@@ -80,17 +130,19 @@
         self.slot(bound, now).requests += 1;
     }
 
-    /// Takes one extra arrival if the bound leaves room, for one of `entries`.
+    /// Takes one extra arrival if the bound leaves room for an entry with this
+    /// view.
     pub fn take(
         &mut self,
         bound: &ExtraBound,
-        entries: u32,
+        view: impl Into<ExtraView>,
         pace: SpendPace,
         now: Duration,
     ) -> bool {
-        let (allowed, spent) = self.account(bound, entries, now);
+        let view = view.into();
+        let (allowed, spent) = self.account(bound, view, now);
         let has_room = spent + 1.0 <= allowed;
-        let keeps_pace = pace == SpendPace::Any || self.spends_slowly(bound, entries, allowed, now);
+        let keeps_pace = pace == SpendPace::Any || self.spends_slowly(bound, view, allowed, now);
         if !has_room || !keeps_pace {
             return false;
         }
@@ -100,8 +152,14 @@
 
     /// Tells whether one more in the newer half of the window is within half of
     /// what is earned.
-    fn spends_slowly(&self, bound: &ExtraBound, entries: u32, allowed: f64, now: Duration) -> bool {
-        let part = bound.slack / f64::from(entries.max(1));
+    fn spends_slowly(
+        &self,
+        bound: &ExtraBound,
+        view: ExtraView,
+        allowed: f64,
+        now: Duration,
+    ) -> bool {
+        let part = view.slack(bound);
         let newer = step_of(bound, now).saturating_sub(STEPS as u64 / 2);
         let live = self.steps.iter().filter(|count| count.step > newer);
         let recent: u32 = live.map(|count| count.extras).sum();
@@ -110,21 +168,26 @@
     }
 
     /// Returns how many extra arrivals the bound leaves room for.
-    pub fn room(&self, bound: &ExtraBound, entries: u32, now: Duration) -> f64 {
-        let (allowed, spent) = self.account(bound, entries, now);
+    pub fn room(&self, bound: &ExtraBound, view: impl Into<ExtraView>, now: Duration) -> f64 {
+        let (allowed, spent) = self.account(bound, view.into(), now);
         allowed - spent
     }
 
     /// Returns the fraction of what the bound allows that is spent, from 0 to
     /// 1.
-    pub fn spent_share(&self, bound: &ExtraBound, entries: u32, now: Duration) -> f64 {
-        let (allowed, spent) = self.account(bound, entries, now);
+    pub fn spent_share(
+        &self,
+        bound: &ExtraBound,
+        view: impl Into<ExtraView>,
+        now: Duration,
+    ) -> f64 {
+        let (allowed, spent) = self.account(bound, view.into(), now);
         (spent / allowed.max(1.0)).min(1.0)
     }
 
     /// Returns the extra arrivals that the bound allows in the window, and
     /// those that there were.
-    fn account(&self, bound: &ExtraBound, entries: u32, now: Duration) -> (f64, f64) {
+    fn account(&self, bound: &ExtraBound, view: ExtraView, now: Duration) -> (f64, f64) {
         let current = step_of(bound, now);
         let oldest = current.saturating_sub(STEPS as u64);
         let live = self.steps.iter().filter(|count| count.step >= oldest);
@@ -136,8 +199,7 @@
                 requests += f64::from(count.requests);
             }
         }
-        let part = bound.slack / f64::from(entries.max(1));
-        (bound.ratio * requests + part, extras)
+        (bound.ratio * requests + view.slack(bound), extras)
     }
 
     fn slot(&mut self, bound: &ExtraBound, now: Duration) -> &mut StepCount {
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -206,14 +206,14 @@
             return true;
         }
         let (tag, upstream) = (state.tag, state.parts[part].upstream);
-        let (bound, entries) = (self.options.extra, self.entries);
+        let (bound, view) = (self.options.extra, self.extra_view(upstream));
         let budget = &mut self.upstreams[upstream].budget;
         let pace = if now < self.shifts_until {
             SpendPace::Halved
         } else {
             SpendPace::Any
         };
-        if budget.take(&bound, entries, pace, now) {
+        if budget.take(&bound, view, pace, now) {
             return true;
         }
         self.counters.unaffordable += 1;
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -123,6 +123,11 @@
     pub(super) bundle_misses: FadingShare,
     /// Counts since the start.
     pub(super) counts: UpstreamCounts,
+    /// What the entries of a failure domain divide it by, if it is a shard that
+    /// they divide.
+    pub(super) share_key: Option<Box<str>>,
+    /// Whether it falls to this entry among those of its failure domain.
+    pub(super) holds: bool,
     /// Its last roll-out.
     pub(super) rollout: Option<UpstreamRollout>,
 }
@@ -274,8 +279,8 @@
         now: Duration,
     ) -> impl Iterator<Item = (&str, UpstreamCounts, usize, f64)> {
         let bound = self.options.extra;
-        self.upstreams.iter().map(move |(_, upstream)| {
-            let room = upstream.budget.room(&bound, self.entries, now);
+        self.upstreams.iter().map(move |(key, upstream)| {
+            let room = upstream.budget.room(&bound, self.extra_view(key), now);
             (
                 &*upstream.name,
                 upstream.counts,
@@ -314,6 +319,7 @@
             self.upstreams[upstream].connections = service.connections.max(1);
             self.upstreams[upstream].cold_per_s = service.cold_per_s;
         }
+        self.find_shares(&table);
         self.end_keyless(&table, now, out);
         self.table = Some(table);
     }
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -35,6 +35,7 @@
 pub mod roll;
 mod send;
 pub mod server;
+mod share;
 pub mod source;
 pub mod split;
 pub mod suspect;
--- a/crates/core/src/process/forward/place.rs
+++ b/crates/core/src/process/forward/place.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Returns the number of failure domains.
+    pub fn domain_count(&self) -> usize {
+        self.regions.len()
+    }
+
     /// Returns the region of a failure domain.
     pub fn region_of(&self, domain: &str) -> RegionKey {
         let place = self.regions.get(domain);
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -2,6 +2,7 @@
 //! Which these are is planned in [`crate::process::forward::bundle`]; what is
 //! done about an entry that is late, in [`crate::process::forward::around`].
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use crate::arena::{SlotKey, UpstreamKey};
@@ -52,16 +53,18 @@
             }
             wanted.push(id);
         }
+        let wanted: HashSet<Box<str>> = wanted.into_iter().collect();
         for upstream in known {
             for server in self.upstreams[upstream].servers.clone() {
                 let id = self.servers[server].id.clone();
-                if !wanted.iter().any(|other| **other == *id) {
+                if !wanted.contains(&*id) {
                     self.server_ids.remove(&*id);
                     self.end_watch.note_lost_entry(now);
                     self.set_standing(server, ServerStanding::Gone, out);
                 }
             }
         }
+        self.find_held();
     }
 
     fn add_peer(&mut self, peer: &EntryPeer, id: Box<str>) {
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -13,6 +13,7 @@
 mod ends;
 mod evacuate;
 mod hedges;
+mod holders;
 mod homes;
 mod keys;
 mod merged;
