Tell once who hears a server, not each time that it is heard

Each instance told all others each server that it heard, twice a second: servers times instances.

Change: an instance tells when it begins to hear a server and when the server falls silent; the others take a server for heard while the instance that hears it is in contact. A digest in the greeting tells whether something was missed.

--- a/crates/core/src/process/forward/directory.rs
+++ b/crates/core/src/process/forward/directory.rs
@@ -4,11 +4,12 @@
 //! a later start. Within it the standing only ever goes from ready to draining
 //! to gone, so that late and doubled news undo nothing, whatever way they took.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How long a server that left is remembered, so that late news of it are
 /// known to be old.
@@ -126,6 +127,17 @@
     Changed,
 }
 
+/// Which control instance hears a server, and says when it falls silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerKeeper {
+    /// This one.
+    Own,
+    /// Another one, by its listener for other instances.
+    Peer(SocketAddr),
+    /// Not known.
+    Unknown,
+}
+
 /// A server as it is known.
 #[derive(Debug, Clone)]
 pub struct DirectoryRecord {
@@ -137,6 +149,25 @@
     pub silent: bool,
     /// Whether it was known before a restart and not heard of since.
     pub remembered: bool,
+    /// Who hears it.
+    pub keeper: ServerKeeper,
+}
+
+impl DirectoryRecord {
+    fn new(notice: ServerNotice, now: Duration) -> DirectoryRecord {
+        DirectoryRecord {
+            notice,
+            heard: now,
+            silent: false,
+            remembered: false,
+            keeper: ServerKeeper::Unknown,
+        }
+    }
+
+    /// Tells whether it takes work and is heard of.
+    fn lives(&self) -> bool {
+        self.notice.standing == ServerStanding::Ready && !self.silent
+    }
 }
 
 /// All servers known.
@@ -149,24 +180,14 @@
     /// Takes a notice.
     pub fn apply(&mut self, notice: ServerNotice, now: Duration) -> NoticeEffect {
         let Some(record) = self.records.get_mut(&notice.id) else {
-            let record = DirectoryRecord {
-                heard: now,
-                silent: false,
-                remembered: false,
-                notice: notice.clone(),
-            };
-            self.records.insert(notice.id, record);
+            let id = notice.id.clone();
+            self.records.insert(id, DirectoryRecord::new(notice, now));
             return NoticeEffect::Changed;
         };
         let known = &mut record.notice;
         if notice.born > known.born {
             // It started again under its id: nothing of before holds.
-            *record = DirectoryRecord {
-                heard: now,
-                silent: false,
-                remembered: false,
-                notice,
-            };
+            *record = DirectoryRecord::new(notice, now);
             return NoticeEffect::Changed;
         }
         if notice.born != 0 && notice.born < known.born {
@@ -204,10 +225,8 @@
     pub fn remember(&mut self, notice: ServerNotice, now: Duration) {
         let id = notice.id.clone();
         self.records.entry(id).or_insert(DirectoryRecord {
-            notice,
-            heard: now,
-            silent: false,
             remembered: true,
+            ..DirectoryRecord::new(notice, now)
         });
     }
 
@@ -215,9 +234,7 @@
     /// of: what to remember over a restart.
     pub fn living(&self) -> impl Iterator<Item = &ServerNotice> {
         let records = self.records.values();
-        let living = records.filter(|record| {
-            record.notice.standing == ServerStanding::Ready && !record.silent && !record.remembered
-        });
+        let living = records.filter(|record| record.lives() && !record.remembered);
         living.map(|record| &record.notice)
     }
 
@@ -236,9 +253,75 @@
         }
     }
 
+    /// Takes over that this instance hears a server. Returns whether another one
+    /// did before.
+    pub fn keep(&mut self, id: &str) -> bool {
+        let Some(record) = self.records.get_mut(id) else {
+            return false;
+        };
+        let was_own = record.keeper == ServerKeeper::Own;
+        record.keeper = ServerKeeper::Own;
+        !was_own
+    }
+
+    /// Takes over that another instance hears a server.
+    pub fn keep_at(&mut self, id: &str, peer: SocketAddr) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.keeper = ServerKeeper::Peer(peer);
+        }
+    }
+
+    /// Takes over that another instance hears these servers and no others.
+    /// Those that it heard before have a whole lease from now on.
+    pub fn keep_only(&mut self, peer: SocketAddr, ids: &HashSet<Box<str>>, now: Duration) {
+        for (id, record) in &mut self.records {
+            if record.keeper == ServerKeeper::Peer(peer) && !ids.contains(id) {
+                record.keeper = ServerKeeper::Unknown;
+                record.heard = now;
+            }
+        }
+    }
+
+    /// Iterates over the servers that this instance hears, with how new that is.
+    pub fn kept(&self) -> impl Iterator<Item = (&str, LifeMark)> {
+        let own = self.records.iter();
+        let own = own.filter(|(_, record)| record.keeper == ServerKeeper::Own && record.lives());
+        own.map(|(id, record)| (&**id, record.notice.mark()))
+    }
+
+    /// Returns a digest of the servers that a control instance hears. It does not
+    /// depend on how new that is.
+    pub fn digest(&self, keeper: ServerKeeper) -> u64 {
+        let kept = self.records.iter();
+        let kept = kept.filter(|(_, record)| record.keeper == keeper && record.lives());
+        let digests = kept.map(|(id, _)| xxh3_64(id.as_bytes()));
+        digests.fold(0, u64::wrapping_add)
+    }
+
+    /// Takes another instance's word that it does not hear a server any more.
+    /// Returns whether that is news.
+    pub fn lapse(&mut self, id: &str, mark: LifeMark, peer: SocketAddr) -> bool {
+        let Some(record) = self.records.get_mut(id) else {
+            return false;
+        };
+        let is_its = record.keeper == ServerKeeper::Peer(peer);
+        if !is_its || record.notice.born != mark.born || !record.lives() {
+            return false;
+        }
+        record.notice.sequence = record.notice.sequence.max(mark.sequence);
+        record.silent = true;
+        true
+    }
+
     /// Marks servers that were not heard of for `lease` as silent and returns
-    /// those that newly are; forgets what left long ago.
-    pub fn sweep(&mut self, now: Duration, lease: Duration) -> Vec<Box<str>> {
+    /// those that newly are; forgets what left long ago. A server that another
+    /// instance hears counts as heard of while that one is (`heard_peer`).
+    pub fn sweep(
+        &mut self,
+        now: Duration,
+        lease: Duration,
+        heard_peer: impl Fn(&SocketAddr) -> Option<Duration>,
+    ) -> Vec<Box<str>> {
         self.records.retain(|_, record| {
             let lives = record.notice.standing == ServerStanding::Ready && !record.silent;
             lives || now < record.heard + REMEMBER_TIME
@@ -250,7 +333,11 @@
             } else {
                 lease
             };
-            let is_late = now > record.heard + lease;
+            let heard = match record.keeper {
+                ServerKeeper::Peer(peer) => heard_peer(&peer).unwrap_or(Duration::ZERO),
+                ServerKeeper::Own | ServerKeeper::Unknown => Duration::ZERO,
+            };
+            let is_late = now > record.heard.max(heard) + lease;
             if is_late && !record.silent && record.notice.standing == ServerStanding::Ready {
                 record.silent = true;
                 silent.push(id.clone());
--- a/crates/core/tests/forward/remember.rs
+++ b/crates/core/tests/forward/remember.rs
@@ -1,9 +1,11 @@
 //! Servers that were known before a restart.
 
+use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use wheelmast_core::process::forward::directory::{
-    NoticeEffect, ServerDirectory, ServerNotice, ServerStanding, BELIEVE_TIME,
+    NoticeEffect, ServerDirectory, ServerKeeper, ServerNotice, ServerStanding, BELIEVE_TIME,
 };
 
 use crate::harness::{notice, HOME};
@@ -27,8 +29,10 @@
 #[test]
 fn who_is_not_heard_of_is_soon_silent() {
     let mut directory = remembering();
-    assert!(directory.sweep(START + BELIEVE_TIME, LEASE).is_empty());
-    let silent = directory.sweep(START + BELIEVE_TIME * 2, LEASE);
+    assert!(directory
+        .sweep(START + BELIEVE_TIME, LEASE, |_| None)
+        .is_empty());
+    let silent = directory.sweep(START + BELIEVE_TIME * 2, LEASE, |_| None);
     assert_eq!(silent, ["desk-0".into()]);
 }
 
@@ -40,7 +44,7 @@
     let mut renewed = remembering();
     renewed.renew("desk-0", later(2).mark(), now);
     for mut directory in [announced, renewed] {
-        assert!(directory.sweep(now + LEASE, LEASE).is_empty());
+        assert!(directory.sweep(now + LEASE, LEASE, |_| None).is_empty());
         assert_eq!(directory.living().count(), 1);
     }
 }
@@ -60,3 +64,59 @@
     let directory = remembering();
     assert_eq!(directory.living().count(), 0);
 }
+
+/// A server that another control instance hears.
+fn kept_elsewhere() -> (ServerDirectory, SocketAddr) {
+    let mut directory = ServerDirectory::default();
+    let peer = ([10, 0, 0, 1], 7380).into();
+    directory.apply(later(2), START);
+    directory.keep_at("desk-0", peer);
+    (directory, peer)
+}
+
+#[test]
+fn a_server_is_heard_of_while_the_instance_that_hears_it_is() {
+    let (mut directory, _) = kept_elsewhere();
+    let now = START + LEASE * 10;
+    let heard = |at: Duration| move |_: &SocketAddr| Some(at);
+    assert!(directory.sweep(now, LEASE, heard(now)).is_empty());
+    assert!(directory.sweep(now + LEASE, LEASE, heard(now)).is_empty());
+    let late = now + LEASE + Duration::from_millis(1);
+    assert_eq!(directory.sweep(late, LEASE, heard(now)), ["desk-0".into()]);
+}
+
+#[test]
+fn who_hears_a_server_says_when_it_falls_silent_and_nobody_else() {
+    let other = ([10, 0, 0, 2], 7380).into();
+    let (mut directory, peer) = kept_elsewhere();
+    assert!(!directory.lapse("desk-0", later(9).mark(), other));
+    assert!(directory.lapse("desk-0", later(9).mark(), peer));
+    assert!(!directory.lapse("desk-0", later(9).mark(), peer));
+    // What it said before that, and what comes late, is old.
+    assert_eq!(directory.apply(later(8), START), NoticeEffect::Stale);
+    assert_eq!(directory.apply(later(10), START), NoticeEffect::Changed);
+    assert_eq!(directory.living().count(), 1);
+}
+
+#[test]
+fn an_instance_that_was_restarted_hears_only_what_it_says() {
+    let (mut directory, peer) = kept_elsewhere();
+    let now = START + LEASE * 10;
+    assert_ne!(directory.digest(ServerKeeper::Peer(peer)), 0);
+    directory.keep_only(peer, &HashSet::new(), now);
+    assert_eq!(directory.digest(ServerKeeper::Peer(peer)), 0);
+    let heard = |_: &SocketAddr| Some(now + LEASE * 2);
+    assert!(directory.sweep(now + LEASE, LEASE, heard).is_empty());
+    let late = now + LEASE + Duration::from_millis(1);
+    assert_eq!(directory.sweep(late, LEASE, heard), ["desk-0".into()]);
+}
+
+#[test]
+fn a_server_that_announces_itself_elsewhere_changes_hands() {
+    let (mut directory, peer) = kept_elsewhere();
+    directory.apply(later(3), START);
+    assert!(directory.keep("desk-0"));
+    assert!(!directory.keep("desk-0"));
+    assert_eq!(directory.kept().count(), 1);
+    assert!(!directory.lapse("desk-0", later(9).mark(), peer));
+}
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use wheelmast_core::process::control::message::ReplicaInput;
 use wheelmast_core::process::control::state::MemberRecord;
+use wheelmast_core::process::forward::directory::ServerKeeper;
 use wheelmast_core::process::forward::input::EntryPeer;
 use wheelmast_wire::group::{GroupAsk, GroupMessage, GroupTell};
 
@@ -58,16 +59,14 @@
                 learns,
                 known,
                 followers,
+                servers,
             } => {
                 peer = Some(from.address);
                 let place = ControlPlace { domain, calls };
                 node.state.borrow_mut().places.insert(from.address, place);
                 let address = from.address;
                 take_hello(node, from, learns, known);
-                let is_current = node.state.borrow().followers.is_current(address, followers);
-                if !is_current {
-                    answer(node, peer, GroupMessage::AskFollowers);
-                }
+                ask_missed(node, address, followers, servers);
             }
             GroupMessage::Subscribe { peer, confirm } => {
                 return serve_entry(node, reader, &mut writer, peer, confirm).await;
@@ -99,6 +98,25 @@
     }
 }
 
+/// Asks another control instance for all, if what is known of the entries that
+/// follow it or of the servers that it hears has not these digests.
+fn ask_missed(node: &Rc<GroupNode>, peer: SocketAddr, followers: u64, servers: u64) {
+    let (knows_followers, knows_servers) = {
+        let state = node.state.borrow();
+        let known = state.directory.digest(ServerKeeper::Peer(peer));
+        (
+            state.followers.is_current(peer, followers),
+            known == servers,
+        )
+    };
+    if !knows_followers {
+        answer(node, Some(peer), GroupMessage::AskFollowers);
+    }
+    if !knows_servers {
+        answer(node, Some(peer), GroupMessage::AskRenewals);
+    }
+}
+
 /// Takes a message of another control instance.
 fn take(node: &Rc<GroupNode>, peer: Option<SocketAddr>, message: GroupMessage) {
     match message {
@@ -133,11 +151,18 @@
             }
         }
         GroupMessage::Kept(tag) => node.count_keep(tag),
-        GroupMessage::Renewals(servers) => {
-            let now = node.now();
-            let mut state = node.state.borrow_mut();
-            for (id, mark) in servers {
-                state.directory.renew(&id, mark, now);
+        GroupMessage::Renewals { whole, servers } => {
+            if let Some(peer) = peer {
+                node.take_renewals(peer, whole, servers);
+            }
+        }
+        GroupMessage::AskRenewals => {
+            let message = node.whole_renewals();
+            answer(node, peer, message);
+        }
+        GroupMessage::Lapsed(servers) => {
+            if let Some(peer) = peer {
+                node.take_lapsed(peer, &servers);
             }
         }
         GroupMessage::Ask { tag, ask } => {
--- a/crates/node/src/process/group/link.rs
+++ b/crates/node/src/process/group/link.rs
@@ -62,6 +62,7 @@
     write_frame(&GroupMessage::Notices(node.all_notices()), &mut bytes)?;
     write_frame(&node.all_suspects(), &mut bytes)?;
     write_frame(&node.state.borrow().followers.whole(), &mut bytes)?;
+    write_frame(&node.whole_renewals(), &mut bytes)?;
     tokio::time::timeout(WRITE_TIME, stream.write_all(&bytes)).await??;
     let (mut reader, mut writer) = stream.split();
     let mut messages = Vec::with_capacity(BATCH);
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -11,6 +11,7 @@
 use wheelmast_core::finding::FindingList;
 use wheelmast_core::process::control::replica::ReplicaMachine;
 use wheelmast_core::process::control::state::MemberRecord;
+use wheelmast_core::process::forward::directory::ServerKeeper;
 use wheelmast_core::process::forward::source::ControlSite;
 use wheelmast_core::version::route_table::RouteDraft;
 use wheelmast_wire::group::GroupMessage;
@@ -157,6 +158,7 @@
             learns: replica.is_some_and(ReplicaMachine::asks_to_learn),
             known,
             followers: state.followers.digest(),
+            servers: state.directory.digest(ServerKeeper::Own),
         }
     }
 
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -6,7 +6,9 @@
 
 use metrics::counter;
 use tokio::sync::oneshot;
-use wheelmast_core::process::forward::directory::{NoticeEffect, ServerNotice, ServerStanding};
+use wheelmast_core::process::forward::directory::{
+    LifeMark, NoticeEffect, ServerKeeper, ServerNotice, ServerStanding,
+};
 use wheelmast_wire::group::GroupMessage;
 
 use crate::process::group::disk::DiskOrder;
@@ -112,18 +114,16 @@
         let (id, mark) = (notice.id.clone(), notice.mark());
         let leaves = notice.standing != ServerStanding::Ready;
         let effect = self.take_notice(notice.clone());
+        let is_news = matches!(effect, NoticeEffect::Changed | NoticeEffect::Renewed);
+        if is_news && !leaves && self.state.borrow_mut().directory.keep(&id) {
+            self.state.borrow_mut().renewals.insert(id, mark);
+        }
         if leaves {
             return self.keep_leaving(notice).await;
         }
-        match effect {
-            NoticeEffect::Changed => {
-                let message = GroupMessage::Notices(vec![notice]);
-                self.state.borrow().tell_control(&message);
-            }
-            NoticeEffect::Renewed => {
-                self.state.borrow_mut().renewals.insert(id, mark);
-            }
-            NoticeEffect::Stale | NoticeEffect::Foreign => {}
+        if effect == NoticeEffect::Changed {
+            let message = GroupMessage::Notices(vec![notice]);
+            self.state.borrow().tell_control(&message);
         }
         let contacts = self.state.borrow().count_contacts(self.now());
         contacts >= self.settings.tolerate
@@ -163,17 +163,59 @@
         }
     }
 
-    /// Tells the other control instances which servers were heard of here.
+    /// Tells the other control instances which servers this one hears now and did
+    /// not before.
     pub fn tell_renewals(&self) {
         let mut state = self.state.borrow_mut();
         if state.renewals.is_empty() {
             return;
         }
         let renewals = std::mem::take(&mut state.renewals);
-        let message = GroupMessage::Renewals(renewals.into_iter().collect());
+        let message = GroupMessage::Renewals {
+            whole: false,
+            servers: renewals.into_iter().collect(),
+        };
         state.tell_control(&message);
     }
 
+    /// Returns all servers that this instance hears.
+    pub fn whole_renewals(&self) -> GroupMessage {
+        let state = self.state.borrow();
+        let kept = state.directory.kept();
+        GroupMessage::Renewals {
+            whole: true,
+            servers: kept.map(|(id, mark)| (id.into(), mark)).collect(),
+        }
+    }
+
+    /// Takes over which servers another control instance hears.
+    pub fn take_renewals(&self, peer: SocketAddr, whole: bool, servers: Vec<(Box<str>, LifeMark)>) {
+        let now = self.now();
+        let directory = &mut self.state.borrow_mut().directory;
+        for (id, mark) in &servers {
+            directory.renew(id, *mark, now);
+            directory.keep_at(id, peer);
+        }
+        if whole {
+            let ids = servers.into_iter().map(|(id, _)| id).collect();
+            directory.keep_only(peer, &ids, now);
+        }
+    }
+
+    /// Takes another control instance's word that servers are silent.
+    pub fn take_lapsed(&self, peer: SocketAddr, servers: &[(Box<str>, LifeMark)]) {
+        let mut state = self.state.borrow_mut();
+        let directory = &mut state.directory;
+        let lapsed = servers.iter();
+        let lapsed = lapsed.filter(|(id, mark)| directory.lapse(id, *mark, peer));
+        let lapsed: Vec<_> = lapsed.map(|(id, _)| (id.clone(), true)).collect();
+        if lapsed.is_empty() {
+            return;
+        }
+        state.servers_changed = true;
+        state.tell_whole(GroupMessage::Silent(lapsed));
+    }
+
     /// Has the disk keep which servers live, if that changed.
     pub fn keep_servers(&self) {
         let mut state = self.state.borrow_mut();
@@ -210,7 +252,10 @@
         if state.count_contacts(now) < self.settings.tolerate {
             return;
         }
-        let silent = state.directory.sweep(now, self.settings.lease);
+        let state = &mut *state;
+        let contacts = &state.contacts;
+        let heard_peer = |peer: &SocketAddr| contacts.get(peer).copied();
+        let silent = state.directory.sweep(now, self.settings.lease, heard_peer);
         if silent.is_empty() {
             return;
         }
@@ -218,6 +263,12 @@
         for id in &silent {
             tracing::warn!(target: "group", server = %id, "server: silent");
         }
+        let own = silent.iter().filter_map(|id| {
+            let record = state.directory.get(id)?;
+            (record.keeper == ServerKeeper::Own).then(|| (id.clone(), record.notice.mark()))
+        });
+        let lapsed = GroupMessage::Lapsed(own.collect());
+        state.tell_control(&lapsed);
         let silent = silent.into_iter().map(|id| (id, true)).collect();
         state.tell_whole(GroupMessage::Silent(silent));
     }
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -35,6 +35,8 @@
         known: Vec<SocketAddr>,
         /// Digest of the entries that follow it.
         followers: u64,
+        /// Digest of the servers that it hears.
+        servers: u64,
     },
     /// A message between replicas.
     Replica {
@@ -56,8 +58,18 @@
     },
     /// The news of this tag are held.
     Kept(u64),
-    /// Servers heard of, with how new that is.
-    Renewals(Vec<(Box<str>, LifeMark)>),
+    /// Servers that the sender hears from now on, with how new that is: all of
+    /// them when a connection is made, then what changes.
+    Renewals {
+        /// Whether it names all.
+        whole: bool,
+        /// The servers.
+        servers: Vec<(Box<str>, LifeMark)>,
+    },
+    /// A control instance asks another one for all the servers that it hears.
+    AskRenewals,
+    /// Servers that the sender heard and does not hear any more.
+    Lapsed(Vec<(Box<str>, LifeMark)>),
     /// Servers that are silent, or no longer.
     Silent(Vec<(Box<str>, bool)>),
     /// A question to the leader.
@@ -194,7 +206,9 @@
             GroupMessage::Notices(_) => "notices",
             GroupMessage::Keep { .. } => "keep",
             GroupMessage::Kept(_) => "kept",
-            GroupMessage::Renewals(_) => "renewals",
+            GroupMessage::Renewals { .. } => "renewals",
+            GroupMessage::AskRenewals => "ask_renewals",
+            GroupMessage::Lapsed(_) => "lapsed",
             GroupMessage::Silent(_) => "silent",
             GroupMessage::Ask { .. } => "ask",
             GroupMessage::Told { .. } => "told",
