--- a/crates/core/src/process/cap/mod.rs
+++ b/crates/core/src/process/cap/mod.rs
@@ -21,11 +21,11 @@
 /// Part of the excess by which the owner's bucket is larger than the cap. The
 /// order in which requests reach the owner is not that in which callers sent
 /// them.
-const OWNER_PART: f64 = 0.25;
+const OWNER_PART: f64 = 0.4;
 /// Part of the excess that lies unused at control instances.
-const STOCK_PART: f64 = 0.35;
+const STOCK_PART: f64 = 0.3;
 /// Part of the excess that control instances give out without the leader.
-const FLOOR_PART: f64 = 0.25;
+const FLOOR_PART: f64 = 0.2;
 
 /// How far the requests of a workspace may exceed its cap in any window, all
 /// entries taken together.
