--- a/crates/core/tests/caps.rs
+++ b/crates/core/tests/caps.rs
@@ -428,3 +428,82 @@
         }
     }
 }
+
+/// Part of a cap that entries without demand have, in equal parts.
+const IDLE_PART: f64 = 0.05;
+/// Time between two rounds in which shares are set.
+const ROUND: Duration = Duration::from_secs(1);
+
+/// Plays the other way: shares of the cap that follow what each entry was asked in
+/// the last second. Returns the requests that ran.
+fn play_shares(case: &CapCase, seed: u64) -> Played {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let entries = case.entries;
+    let part = IDLE_PART / entries as f64;
+    let mut shares = vec![1.0 / entries as f64; entries];
+    let mut levels = vec![case.cap.burst / entries as f64; entries];
+    let mut filled = vec![Duration::ZERO; entries];
+    let mut demand = vec![0.0; entries];
+    let (mut runs, mut came, mut messages) = (Vec::new(), Vec::new(), 0);
+    let (mut now, mut round) = (Duration::ZERO, ROUND);
+    while now < LENGTH {
+        let rate = case.cap.per_s * case.load;
+        now += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / rate);
+        while now >= round {
+            let all: f64 = demand.iter().sum();
+            messages += 2 * demand.iter().filter(|asked| **asked > 0.0).count() as u64;
+            for (share, asked) in shares.iter_mut().zip(&demand) {
+                *share = part + (1.0 - IDLE_PART) * asked / all.max(1.0);
+            }
+            demand.fill(0.0);
+            round += ROUND;
+        }
+        let entry = rng.random_range(0..if case.at_one { 1 } else { entries });
+        came.push(now);
+        demand[entry] += 1.0;
+        let passed = (now - filled[entry]).as_secs_f64();
+        let most = (case.cap.burst * shares[entry]).max(1.0);
+        levels[entry] = (levels[entry] + passed * case.cap.per_s * shares[entry]).min(most);
+        filled[entry] = now;
+        if levels[entry] >= 1.0 {
+            levels[entry] -= 1.0;
+            runs.push(now);
+        }
+    }
+    Played {
+        runs,
+        came,
+        messages,
+    }
+}
+
+#[test]
+fn tokens_of_one_owner_serve_more_than_shares_that_follow_demand() {
+    for case in CASES
+        .iter()
+        .filter(|case| case.cut.is_none() && case.lowered.is_none())
+    {
+        let (mut leased, mut shared, mut most, mut asked) = (0.0, 0.0, 0, (0, 0));
+        for seed in 0..8 {
+            let tokens = play(case, seed);
+            let shares = play_shares(case, seed);
+            leased += tokens.runs.len() as f64 / owed(case, &tokens.came) / 8.0;
+            shared += shares.runs.len() as f64 / owed(case, &shares.came) / 8.0;
+            most = most.max(most_in_window(&shares.runs, (0.0, LENGTH.as_secs_f64())));
+            asked.0 += tokens.messages / 8;
+            asked.1 += shares.messages / 8;
+        }
+        println!(
+            "{}: served {leased:.3} with tokens, {shared:.3} with shares, which had {most} in a window of {:.0}; {} and {} messages",
+            case.name,
+            allowed(case.cap),
+            asked.0,
+            asked.1,
+        );
+        assert!(
+            leased >= shared - 0.02,
+            "{}: {leased} and {shared}",
+            case.name
+        );
+    }
+}
