Let reads that come together share a round of messages

Each sure read began a round of its own, to all 23 others, also to those that have no vote.

Change: a read that comes while a round is out waits for the next one, which all such reads share; rounds of reads go to replicas with a vote.

Also wheelmast measure fleet: messages and bytes by kind at 30 to 2,382 entries, and tests by count.

--- a/crates/cli/src/cmd/measure.rs
+++ b/crates/cli/src/cmd/measure.rs
@@ -10,6 +10,7 @@
 use crate::cmd::common::block_on;
 use crate::measure::capacity::{measure_slopes, message_sizes};
 use crate::measure::control::{measure_start, MeasuredGroup};
+use crate::measure::fleet::{FleetModel, FleetSize};
 use crate::measure::gossip::measure_gossip;
 
 /// Changes whose way to all instances is measured.
@@ -26,9 +27,25 @@
     (150, 710),
     (570, 0),
 ];
+/// Sizes at which messages between entries and control instances are counted.
+const FLEET_SIZES: [FleetSize; 5] = [
+    fleet(30, 6, 290),
+    fleet(100, 6, 970),
+    fleet(300, 12, 2_900),
+    fleet(1_000, 24, 10_000),
+    fleet(2_382, 24, 23_000),
+];
 /// Length of a measurement of submissions.
 const CLAIM_TIME: Duration = Duration::from_secs(3);
 
+const fn fleet(entries: usize, control: usize, servers: usize) -> FleetSize {
+    FleetSize {
+        entries,
+        control,
+        servers,
+    }
+}
+
 /// The subcommand with its arguments.
 pub struct MeasureCommand {
     what: String,
@@ -57,6 +74,10 @@
                 Command::new("gossip")
                     .about("Messages, bytes and time of members, by their number"),
             )
+            .subcommand(
+                Command::new("fleet")
+                    .about("Messages and bytes between entries and control, by kind and size"),
+            )
             .subcommand(
                 Command::new("control")
                     .about("The control group: spread, elections, claims, start")
@@ -89,6 +110,7 @@
         match self.what.as_str() {
             "capacity" => print_capacity()?,
             "gossip" => print_gossip()?,
+            "fleet" => print_fleet()?,
             _ => self.print_control()?,
         }
         Ok(ExitCode::SUCCESS)
@@ -131,6 +153,33 @@
     Ok(())
 }
 
+fn print_fleet() -> anyhow::Result<()> {
+    println!("event            entries control servers kind           messages        bytes  between regions");
+    for size in FLEET_SIZES {
+        let model = FleetModel::new(size);
+        let events = [
+            ("a second", model.idle_second()?),
+            ("a server leaves", model.server_leaves()?),
+            ("a server comes", model.server_comes()?),
+            ("an entry joins", model.entry_joins()?),
+        ];
+        for (event, counts) in events {
+            for (kind, count) in counts {
+                println!(
+                    "{event:<16} {:>7} {:>7} {:>7} {kind:<12} {:>10.0} {:>12.0} {:>16.0}",
+                    size.entries,
+                    size.control,
+                    size.servers,
+                    count.messages,
+                    count.bytes,
+                    count.far_bytes
+                );
+            }
+        }
+    }
+    Ok(())
+}
+
 fn print_capacity() -> anyhow::Result<()> {
     for slope in measure_slopes()? {
         println!("{} ({} by {}):", slope.name, slope.unit, slope.per);
--- /dev/null
+++ b/crates/cli/src/measure/fleet.rs
@@ -0,0 +1,323 @@
+//! What entries and control instances say to each other at a size, by kind of
+//! message: counted from the choices and the encoding that instances use, without
+//! a network.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use wheelmast_core::process::control::log::LogPlace;
+use wheelmast_core::process::control::message::ReplicaMessage;
+use wheelmast_core::process::control::state::MemberRecord;
+use wheelmast_core::process::forward::directory::{ServerNotice, ServerStanding};
+use wheelmast_core::process::forward::input::EntryPeer;
+use wheelmast_core::process::forward::place::{PlaceStep, RegionMap};
+use wheelmast_core::process::forward::roll::view_of;
+use wheelmast_core::process::forward::source::{choose_lines, LineCandidate};
+use wheelmast_wire::group::GroupMessage;
+use wheelmast_wire::peer::encode;
+
+/// Failure domains, and the region of each.
+const DOMAINS: [(&str, &str); 6] = [
+    ("north-1", "north"),
+    ("middle-1", "middle"),
+    ("south-1", "south"),
+    ("north-2", "north"),
+    ("middle-2", "middle"),
+    ("south-2", "south"),
+];
+/// Bytes before each message.
+const FRAME_HEAD: usize = 4;
+/// Signs of life a second that an entry sends on a connection.
+const PINGS_PER_S: f64 = 1.25;
+/// Signs of life a second that a control instance sends on a connection.
+const HERES_PER_S: f64 = 1.0;
+/// Greetings a second to another control instance.
+const HELLOS_PER_S: f64 = 0.5;
+/// Heartbeats a second of the leader to each other replica.
+const HEARTBEATS_PER_S: f64 = 8.3;
+
+/// A size of the deployment.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetSize {
+    /// Entries.
+    pub entries: usize,
+    /// Control instances.
+    pub control: usize,
+    /// Servers.
+    pub servers: usize,
+}
+
+/// Messages of one kind, and how many bytes of them cross regions.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct KindCount {
+    /// Messages.
+    pub messages: f64,
+    /// Bytes, as encoded.
+    pub bytes: f64,
+    /// Bytes between regions among them.
+    pub far_bytes: f64,
+}
+
+/// What an event, or a second without any, costs.
+pub type EventCounts = BTreeMap<&'static str, KindCount>;
+
+/// A deployment at one size.
+pub struct FleetModel {
+    size: FleetSize,
+    regions: RegionMap,
+    entries: Vec<EntryPeer>,
+    control: Vec<(SocketAddr, &'static str)>,
+    /// Control instances that each entry is connected to; the first is its source.
+    lines: Vec<Vec<usize>>,
+}
+
+impl FleetModel {
+    /// Lays a deployment out and lets each entry choose its connections.
+    pub fn new(size: FleetSize) -> FleetModel {
+        let regions = DOMAINS.map(|(domain, region)| (domain.into(), region.into()));
+        let regions = RegionMap::new(regions);
+        let control: Vec<_> = (0..size.control)
+            .map(|place| (address(place), domain_of(place)))
+            .collect();
+        let entries: Vec<EntryPeer> = (0..size.entries).map(entry).collect();
+        let lines = entries.iter().map(|entry| {
+            let candidates = control.iter().map(|(address, domain)| LineCandidate {
+                address: *address,
+                place: Some((*domain, regions.step(&entry.domain, domain))),
+                strikes: 0,
+            });
+            let candidates: Vec<_> = candidates.collect();
+            let chosen = choose_lines(&entry.id(), &candidates);
+            let place = |chosen| control.iter().position(|(address, _)| *address == chosen);
+            chosen.into_iter().filter_map(place).collect()
+        });
+        let lines = lines.collect();
+        FleetModel {
+            size,
+            regions,
+            entries,
+            control,
+            lines,
+        }
+    }
+
+    /// Counts a second in which nothing happens.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a message can't be encoded.
+    pub fn idle_second(&self) -> anyhow::Result<EventCounts> {
+        let mut counts = EventCounts::new();
+        let here = GroupMessage::Here {
+            domain: DOMAINS[0].0.into(),
+            settled: true,
+            fresh: false,
+            version: 40,
+        };
+        self.to_entries(&mut counts, &GroupMessage::Ping, PINGS_PER_S)?;
+        self.to_entries(&mut counts, &here, HERES_PER_S)?;
+        let known = self.control.iter().map(|(address, _)| *address);
+        let hello = GroupMessage::Hello {
+            from: member(0),
+            domain: DOMAINS[0].0.into(),
+            calls: address(0),
+            learns: false,
+            known: known.collect(),
+            followers: u64::MAX,
+            servers: u64::MAX,
+        };
+        self.to_control(&mut counts, &hello, HELLOS_PER_S * self.size.control as f64)?;
+        let heartbeat = GroupMessage::Replica {
+            from: u64::MAX,
+            to: u64::MAX,
+            message: ReplicaMessage::Append {
+                term: 4,
+                previous: LogPlace {
+                    term: 4,
+                    index: 400,
+                },
+                entries: Vec::new(),
+                commit: 400,
+                round: 4000,
+            },
+        };
+        // Each is answered.
+        self.to_control(&mut counts, &heartbeat, HEARTBEATS_PER_S * 2.0)?;
+        Ok(counts)
+    }
+
+    /// Counts that a server leaves.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a message can't be encoded.
+    pub fn server_leaves(&self) -> anyhow::Result<EventCounts> {
+        let mut counts = EventCounts::new();
+        let notice = ServerNotice {
+            standing: ServerStanding::Draining,
+            ..server(1)
+        };
+        let urgent = GroupMessage::Notices(vec![notice.urgent()]);
+        self.to_entries(&mut counts, &urgent, 1.0)?;
+        let keep = GroupMessage::Keep {
+            tag: 400,
+            notice: Box::new(notice),
+        };
+        self.to_control(&mut counts, &keep, 1.0)?;
+        self.to_control(&mut counts, &GroupMessage::Kept(400), 1.0)?;
+        Ok(counts)
+    }
+
+    /// Counts that a server comes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a message can't be encoded.
+    pub fn server_comes(&self) -> anyhow::Result<EventCounts> {
+        let mut counts = EventCounts::new();
+        let notice = server(1);
+        let renewal = GroupMessage::Renewals {
+            whole: false,
+            servers: vec![(notice.id.clone(), notice.mark())],
+        };
+        let notices = GroupMessage::Notices(vec![notice]);
+        for (entry, lines) in self.entries.iter().zip(&self.lines) {
+            self.count(&mut counts, &notices, &entry.domain, lines.first(), 1.0)?;
+        }
+        self.to_control(&mut counts, &notices, 1.0)?;
+        self.to_control(&mut counts, &renewal, 1.0)?;
+        Ok(counts)
+    }
+
+    /// Counts that an entry joins.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a message can't be encoded.
+    pub fn entry_joins(&self) -> anyhow::Result<EventCounts> {
+        let mut counts = EventCounts::new();
+        let (Some(joined), Some(lines)) = (self.entries.first(), self.lines.first()) else {
+            return Ok(counts);
+        };
+        let members = |joined: Vec<EntryPeer>| GroupMessage::Members {
+            entries: self.size.entries as u32,
+            joined,
+            left: Vec::new(),
+        };
+        let notices = (0..self.size.servers).map(server).collect();
+        let view = view_of(joined, &self.entries);
+        let whole = [
+            members(view.into_iter().cloned().collect()),
+            GroupMessage::Notices(notices),
+        ];
+        for message in &whole {
+            self.count(&mut counts, message, &joined.domain, lines.first(), 1.0)?;
+        }
+        // The others of its failure domain are told of it; of other domains some.
+        let news = members(vec![joined.clone()]);
+        for (entry, lines) in self.entries.iter().zip(&self.lines).skip(1) {
+            let hears = view_of(entry, &self.entries).contains(&joined);
+            if hears || entry.domain == joined.domain {
+                self.count(&mut counts, &news, &entry.domain, lines.first(), 1.0)?;
+            }
+        }
+        let followers = GroupMessage::Followers {
+            whole: false,
+            joined: vec![(joined.clone(), true)],
+            left: Vec::new(),
+        };
+        self.to_control(&mut counts, &followers, lines.len() as f64)?;
+        Ok(counts)
+    }
+
+    /// Counts messages on all connections of entries.
+    fn to_entries(
+        &self,
+        counts: &mut EventCounts,
+        message: &GroupMessage,
+        times: f64,
+    ) -> anyhow::Result<()> {
+        for (entry, lines) in self.entries.iter().zip(&self.lines) {
+            for line in lines {
+                self.count(counts, message, &entry.domain, Some(line), times)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Counts messages of one control instance to all others.
+    fn to_control(
+        &self,
+        counts: &mut EventCounts,
+        message: &GroupMessage,
+        times: f64,
+    ) -> anyhow::Result<()> {
+        for place in 1..self.control.len() {
+            self.count(counts, message, DOMAINS[0].0, Some(&place), times)?;
+        }
+        Ok(())
+    }
+
+    /// Counts a message between a failure domain and a control instance.
+    fn count(
+        &self,
+        counts: &mut EventCounts,
+        message: &GroupMessage,
+        domain: &str,
+        line: Option<&usize>,
+        times: f64,
+    ) -> anyhow::Result<()> {
+        let Some((_, other)) = line.and_then(|line| self.control.get(*line)) else {
+            return Ok(());
+        };
+        let bytes = times * (encode(message)?.len() + FRAME_HEAD) as f64;
+        let count = counts.entry(message.kind()).or_default();
+        count.messages += times;
+        count.bytes += bytes;
+        if self.regions.step(domain, other) == PlaceStep::Elsewhere {
+            count.far_bytes += bytes;
+        }
+        Ok(())
+    }
+}
+
+fn domain_of(place: usize) -> &'static str {
+    DOMAINS[place % DOMAINS.len()].0
+}
+
+fn address(place: usize) -> SocketAddr {
+    let [high, low] = (place as u16).to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7380))
+}
+
+fn entry(place: usize) -> EntryPeer {
+    EntryPeer {
+        instance: format!("entry-{}-{place}", domain_of(place)).into(),
+        lifetime: u64::MAX - place as u64,
+        domain: domain_of(place).into(),
+        address: address(place),
+    }
+}
+
+fn member(place: usize) -> MemberRecord {
+    MemberRecord {
+        id: u64::MAX,
+        instance: format!("control-{}-{place}", domain_of(place)).into(),
+        address: address(place),
+    }
+}
+
+fn server(place: usize) -> ServerNotice {
+    ServerNotice {
+        id: format!("i-{place:010x}").into(),
+        service: format!("service{}", place / 21).into(),
+        address: Some(address(place)),
+        domain: domain_of(place).into(),
+        version: "v1".into(),
+        slots: 3,
+        standing: ServerStanding::Ready,
+        born: 1_780_000_000_000,
+        sequence: 40,
+        cold_ms: 0,
+    }
+}
--- a/crates/cli/src/measure/mod.rs
+++ b/crates/cli/src/measure/mod.rs
@@ -4,4 +4,5 @@
 pub mod control;
 pub mod cpu;
 pub mod fit;
+pub mod fleet;
 pub mod gossip;
--- a/crates/core/src/process/control/read.rs
+++ b/crates/core/src/process/control/read.rs
@@ -1,4 +1,8 @@
 //! Reads that are sure: a quorum confirms that nobody else leads.
+//!
+//! A read is confirmed by a round of heartbeats that began after it came. Reads
+//! that come while such a round is out share the next one, so that their number
+//! does not multiply with that of the replicas.
 
 use std::time::Duration;
 
@@ -11,7 +15,8 @@
 pub(super) struct PendingRead {
     /// The driver's name for it.
     pub(super) tag: u64,
-    round: u64,
+    /// Its round; `None` while an earlier one is out.
+    round: Option<u64>,
 }
 
 impl ReplicaMachine {
@@ -24,33 +29,49 @@
             });
             return;
         }
+        let is_out = self.reads.iter().any(|read| read.round.is_some());
+        self.reads.push(PendingRead { tag, round: None });
+        if !is_out {
+            self.begin_round(now, out);
+        }
+        self.confirm_reads(now, out);
+    }
+
+    /// Begins a round for all reads that wait for one. Replicas without a vote
+    /// confirm nothing and are not asked.
+    fn begin_round(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
         self.round += 1;
-        let round = self.round;
-        self.reads.push(PendingRead { tag, round });
-        self.send_all(now, out);
-        self.confirm_reads(out);
+        for read in &mut self.reads {
+            read.round.get_or_insert(self.round);
+        }
+        self.send_voters(now, out);
     }
 
-    /// Ends the reads whose round a quorum has answered.
+    /// Ends the reads whose round a quorum has answered, and begins a round for
+    /// those that waited for that.
     ///
     /// A new leader knows what is committed only once an entry of its own term
     /// is.
-    pub(super) fn confirm_reads(&mut self, out: &mut Vec<ReplicaAction>) {
+    pub(super) fn confirm_reads(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
         let is_current = self.log.term_at(self.commit) == Some(self.hard.term);
         if self.reads.is_empty() || !is_current {
             return;
         }
         let reached = self.quorum_reach(self.round, |peer| peer.round);
         let reached = reached.unwrap_or(0);
-        let (done, open) = self
+        let is_done = |read: &PendingRead| read.round.is_some_and(|round| round <= reached);
+        let (done, open): (Vec<PendingRead>, Vec<PendingRead>) = self
             .reads
             .iter()
-            .partition(|read| read.round <= reached || !self.rules.confirmed_reads);
+            .partition(|read| is_done(read) || !self.rules.confirmed_reads);
         self.reads = open;
-        let done: Vec<PendingRead> = done;
         out.extend(done.into_iter().map(|read| ReplicaAction::End {
             tag: read.tag,
             end: ProposalEnd::Done(CommandOutcome::Done),
         }));
+        let is_out = self.reads.iter().any(|read| read.round.is_some());
+        if !self.reads.is_empty() && !is_out {
+            self.begin_round(now, out);
+        }
     }
 }
--- a/crates/core/src/process/control/replicate.rs
+++ b/crates/core/src/process/control/replicate.rs
@@ -30,6 +30,21 @@
         }
     }
 
+    /// Sends the replicas that have a vote what they lack, or a heartbeat.
+    pub(super) fn send_voters(&mut self, now: Duration, out: &mut Vec<ReplicaAction>) {
+        let ReplicaRole::Leader(peers) = &self.role else {
+            return;
+        };
+        let members = &self.members;
+        let voters = peers.keys().filter(|peer| members.contains(peer));
+        let voters: Vec<ReplicaId> = voters.copied().collect();
+        for peer in voters {
+            if !self.send_entries(peer, now, out) {
+                self.send_beat(peer, out);
+            }
+        }
+    }
+
     /// Sends a follower that waits for the whole state a heartbeat alone.
     fn send_beat(&self, peer: ReplicaId, out: &mut Vec<ReplicaAction>) {
         out.push(ReplicaAction::Send {
@@ -217,7 +232,7 @@
             self.note_known(from, index, round);
         }
         self.advance_commit(out);
-        self.confirm_reads(out);
+        self.confirm_reads(now, out);
         if lacks {
             self.send_entries(from, now, out);
         }
--- a/crates/core/tests/trio/harness.rs
+++ b/crates/core/tests/trio/harness.rs
@@ -4,7 +4,7 @@
 
 use wheelmast_core::process::control::log::ReplicaId;
 use wheelmast_core::process::control::message::{
-    ReplicaAction, ReplicaInput, ReplicaMessage, ReplicaTiming,
+    ProposalEnd, ReplicaAction, ReplicaInput, ReplicaMessage, ReplicaTiming,
 };
 use wheelmast_core::process::control::replica::{ReplicaMachine, ReplicaRules, ReplicaStart};
 
@@ -21,6 +21,10 @@
     pub(crate) largest: usize,
     /// Whole states sent to a replica that was away.
     pub(crate) wasted: usize,
+    /// Messages.
+    pub(crate) messages: usize,
+    /// Reads and proposals that were confirmed.
+    pub(crate) confirmed: usize,
 }
 
 pub(crate) struct Trio {
@@ -64,13 +68,19 @@
         let from = machine.id();
         out.iter().for_each(|action| disk.keep(action));
         for action in out {
-            if let ReplicaAction::Send { to, message } = action {
-                self.send(from, to, message);
+            match action {
+                ReplicaAction::Send { to, message } => self.send(from, to, message),
+                ReplicaAction::End {
+                    end: ProposalEnd::Done(_),
+                    ..
+                } => self.sent.confirmed += 1,
+                _ => {}
             }
         }
     }
 
     fn send(&mut self, from: ReplicaId, to: ReplicaId, message: ReplicaMessage) {
+        self.sent.messages += 1;
         let is_away = self.away.is_some_and(|away| REPLICAS[away] == to);
         match &message {
             ReplicaMessage::Append { entries, .. } => {
--- a/crates/core/tests/trio/main.rs
+++ b/crates/core/tests/trio/main.rs
@@ -8,3 +8,4 @@
 mod busy;
 mod election;
 mod large_changes;
+mod many_reads;
