Derive the lease of servers from how often they announce themselves

On all earlier deployments the interval is 1.2 s.

Change: the interval is a setting, filled in from the platform's; the lease is two intervals and 1.5 s, 5 s at least, as before at 1.2 s.

--- a/crates/core/src/process/forward/directory.rs
+++ b/crates/core/src/process/forward/directory.rs
@@ -14,9 +14,24 @@
 /// How long a server that left is remembered, so that late news of it are
 /// known to be old.
 pub const REMEMBER_TIME: Duration = Duration::from_secs(180);
-/// How long a server that was known before a restart is believed to live,
-/// unless it is heard of.
-pub const BELIEVE_TIME: Duration = Duration::from_millis(2500);
+/// Part of a lease for which a server that was known before a restart is believed
+/// to live, unless it is heard of.
+const BELIEVE_PART: f64 = 0.5;
+/// Announcements that a server may miss in a row before it counts as silent, where
+/// they come seldom.
+const MISSED_ANNOUNCEMENTS: u32 = 1;
+/// How late an announcement may come.
+const LATE_ANNOUNCEMENT: Duration = Duration::from_millis(1500);
+/// Least lease: with announcements each second, one that comes seconds late is
+/// nothing unusual.
+const LEAST_LEASE: Duration = Duration::from_secs(5);
+
+/// Returns the time without an announcement after which a server counts as silent,
+/// where one comes in each `interval`.
+pub fn lease_for(interval: Duration) -> Duration {
+    let missed = interval * (MISSED_ANNOUNCEMENTS + 1) + LATE_ANNOUNCEMENT;
+    missed.max(LEAST_LEASE)
+}
 
 /// Whether a server takes work. The order is that of a lifetime.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -329,7 +344,7 @@
         let mut silent = Vec::new();
         for (id, record) in &mut self.records {
             let lease = if record.remembered {
-                lease.min(BELIEVE_TIME)
+                lease.mul_f64(BELIEVE_PART)
             } else {
                 lease
             };
--- a/crates/node/src/settings/role.rs
+++ b/crates/node/src/settings/role.rs
@@ -8,6 +8,7 @@
 use wheelmast_core::finding::{FindingList, FindingPlace};
 use wheelmast_core::process::cap::CapBound;
 use wheelmast_core::process::forward::cold::ColdBound;
+use wheelmast_core::process::forward::directory::lease_for;
 use wheelmast_core::process::forward::extra::ExtraBound;
 use wheelmast_core::process::forward::pace::PaceWay;
 use wheelmast_core::process::forward::pause::PauseWay;
@@ -22,6 +23,8 @@
 const DEFAULT_PLAIN_EVERY: u32 = 64;
 /// Least levels of log lines.
 const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+/// Time between two announcements of a server, unless the settings name one.
+const DEFAULT_ANNOUNCE: Duration = Duration::from_millis(1200);
 /// Time for a graceful end, unless the settings name one.
 const DEFAULT_GRACE: Duration = Duration::from_secs(6);
 
@@ -141,6 +144,7 @@
     let data_folder = reader.text("data_folder", findings).map(PathBuf::from);
     let tolerate = reader.number("tolerate", 0, 3, findings);
     let lease = reader.number("lease_ms", 100, 600_000, findings);
+    let announce = reader.number("announce_ms", 100, 600_000, findings);
     let grace = reader.number("grace_ms", 100, 600_000, findings);
     let plain_every = reader.number("log_plain_every", 1, 1_000_000, findings);
     let pace = reader.word("server_pace", &PaceWay::WORDS, findings);
@@ -160,6 +164,7 @@
     check_listeners(role, &listen, reader.whole_place(), findings);
     reader.finish(findings);
     let millis = |millis: u32| Duration::from_millis(u64::from(millis));
+    let announce = announce.map_or(DEFAULT_ANNOUNCE, millis);
     Some(RoleSettings {
         role,
         instance: instance?,
@@ -182,7 +187,7 @@
         canary: canary.unwrap_or_default(),
         pace: pace.map(PaceWay::of_word).unwrap_or_default(),
         pauses: pauses.map(PauseWay::of_word).unwrap_or_default(),
-        lease: lease.map_or(Duration::from_secs(5), millis),
+        lease: lease.map_or_else(|| lease_for(announce), millis),
         grace: grace.map_or(DEFAULT_GRACE, millis),
         log_level: log_level.unwrap_or("info").to_string(),
         log_plain_every: plain_every.unwrap_or(DEFAULT_PLAIN_EVERY),
