Tell an entry that comes back what differs, by a source of its own region

Change: an entry tells digests of the servers that it knows, by 64 parts, and is told of the parts that differ. It waits up to 1.5 s for an instance of its region that is about to be connected before it makes a farther one its source. How far off a control instance stands goes by the entry's own failure domain.

Also: an answer counts against a new version only above a tenth of the route's objective.

Ruled out: waiting for a second after each start (entries started later: the process tests of roll-outs saw 503).

Measured: core/tests/forward/remember.rs: of 4,000 servers under 400 are told where three changed; core/tests/forward/versions.rs.

--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -245,6 +245,8 @@
     pub sent_at: Duration,
     /// Time the server typically takes.
     pub typical: Duration,
+    /// Time after which an answer counts against the version of its server.
+    pub slow_after: Duration,
     /// What is expected of a server; none of another entry.
     pub basis: Option<ExpectationBasis>,
     /// Why it was sent.
--- a/crates/core/src/process/forward/directory.rs
+++ b/crates/core/src/process/forward/directory.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// How long a server that left is remembered, so that late news of it are
 /// known to be old.
 pub const REMEMBER_TIME: Duration = Duration::from_secs(180);
+/// Parts that ids are divided into for digests.
+const DIGEST_PARTS: usize = 64;
 /// Part of a lease for which a server that was known before a restart is believed
 /// to live, unless it is heard of.
 const BELIEVE_PART: f64 = 0.5;
@@ -26,6 +28,11 @@
 /// nothing unusual.
 const LEAST_LEASE: Duration = Duration::from_secs(5);
 
+/// Returns the part that an id falls to.
+fn part_of(id: &str) -> usize {
+    xxh3_64(id.as_bytes()) as usize % DIGEST_PARTS
+}
+
 /// Returns the time without an announcement after which a server counts as silent,
 /// where one comes in each `interval`.
 pub fn lease_for(interval: Duration) -> Duration {
@@ -361,6 +368,35 @@
         silent
     }
 
+    /// Returns digests of the servers that take work, by part of their ids. Two
+    /// directories that have a digest in common know the same servers there.
+    pub fn part_digests(&self) -> Vec<u64> {
+        let mut digests = vec![0_u64; DIGEST_PARTS];
+        for (id, record) in &self.records {
+            if record.notice.standing == ServerStanding::Ready {
+                let digest = xxh3_64_with_seed(id.as_bytes(), record.notice.born);
+                let part = &mut digests[part_of(id)];
+                *part = part.wrapping_add(digest);
+            }
+        }
+        digests
+    }
+
+    /// Iterates over the records that another directory with these digests may
+    /// lack.
+    pub fn lacking<'a>(
+        &'a self,
+        digests: &'a [u64],
+    ) -> impl Iterator<Item = &'a DirectoryRecord> + 'a {
+        let own = self.part_digests();
+        let records = self.records.iter();
+        let lacking = records.filter(move |(id, _)| {
+            let part = part_of(id);
+            digests.get(part) != Some(&own[part])
+        });
+        lacking.map(|(_, record)| record)
+    }
+
     /// Returns the record of a server.
     pub fn get(&self, id: &str) -> Option<&DirectoryRecord> {
         self.records.get(id)
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -252,6 +252,15 @@
         &self.options.own
     }
 
+    /// Returns digests of the servers known, by part of their ids; none if no
+    /// server is known.
+    pub fn server_digests(&self) -> Vec<u64> {
+        if self.directory.is_empty() {
+            return Vec::new();
+        }
+        self.directory.part_digests()
+    }
+
     /// Returns the table in force.
     pub fn table(&self) -> Option<&Arc<RouteTable>> {
         self.table.as_ref()
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -198,7 +198,7 @@
             | EndMeaning::Withdrawn
             | EndMeaning::Barred => return,
         };
-        self.count_version(state.server, state.timing, state.typical, verdict);
+        self.count_version(state.server, state.timing, state.slow_after, verdict);
     }
 
     /// Takes note that a server broke off while it had a request.
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -10,6 +10,7 @@
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::server::OutstandingAttempt;
 use crate::process::forward::suspect::book::SuspectStanding;
+use crate::process::forward::version::slow_after;
 
 /// Time kept for the way back when a server is told its time.
 const SEND_MARGIN: Duration = Duration::from_millis(3);
@@ -119,6 +120,7 @@
         let is_known = self.suspects.standing(state.mark, now) != SuspectStanding::Clear;
         let on_trial = state.is_doubted() || (is_known && !state.gathers);
         let typical = self.timings[send.timing].typical(state.rule());
+        let slow_after = slow_after(typical, state.rule().objective());
         let key = choice.server.key();
         let server = &mut self.servers[key];
         let attempt = self.attempts.insert(ForwardAttempt {
@@ -129,6 +131,7 @@
             upstream: server.upstream,
             sent_at: now,
             typical,
+            slow_after,
             basis: send
                 .relay
                 .is_none()
--- a/crates/core/src/process/forward/version.rs
+++ b/crates/core/src/process/forward/version.rs
@@ -17,6 +17,15 @@
 const TOUCH_TIME: Duration = Duration::from_secs(2);
 /// How many times the typical time a bad answer takes at least.
 const SLOW_TIMES: f64 = 2.5;
+/// Part of the objective that a bad answer takes at least: where answers take a
+/// millisecond, a machine that is busy for a moment makes them many times slower.
+const SLOW_PART: f64 = 0.1;
+
+/// Returns the time after which an answer counts against the version of its server.
+pub(super) fn slow_after(typical: Duration, objective: Duration) -> Duration {
+    let typical = typical.mul_f64(SLOW_TIMES);
+    typical.max(objective.mul_f64(SLOW_PART))
+}
 
 /// The roll-out of a service, as an entry knows it.
 #[derive(Debug)]
@@ -133,7 +142,7 @@
         &mut self,
         server: ServerKey,
         timing: usize,
-        typical: Duration,
+        slow_after: Duration,
         verdict: AnswerVerdict,
     ) {
         let is_target = self.is_target(server);
@@ -144,11 +153,10 @@
         if !rollout.view.state.is_open() {
             return;
         }
-        let longest = typical.mul_f64(SLOW_TIMES);
         let is_bad = match verdict {
-            AnswerVerdict::Answered(after) => after > longest,
+            AnswerVerdict::Answered(after) => after > slow_after,
             AnswerVerdict::Failed => true,
-            AnswerVerdict::Abandoned(after) if after > longest => true,
+            AnswerVerdict::Abandoned(after) if after > slow_after => true,
             AnswerVerdict::Abandoned(_) => return,
         };
         let count = rollout.counts.entry((timing, is_target)).or_default();
--- a/crates/core/tests/forward/remember.rs
+++ b/crates/core/tests/forward/remember.rs
@@ -147,3 +147,35 @@
         assert_eq!(silent.len(), 1, "{interval:?}");
     }
 }
+
+#[test]
+fn an_entry_that_comes_back_is_told_only_of_the_servers_that_changed() {
+    let server = |number: usize| {
+        let id = format!("desk-{number}");
+        notice(&id, "desk", HOME, 1 + number as u16)
+    };
+    let (mut entry, mut group) = (ServerDirectory::default(), ServerDirectory::default());
+    for number in 0..4000 {
+        entry.apply(server(number), START);
+        group.apply(server(number), START);
+    }
+    assert_eq!(group.lacking(&entry.part_digests()).count(), 0);
+    assert_eq!(group.lacking(&[]).count(), 4000);
+    // One leaves, one comes, and one starts again.
+    group.apply(ServerNotice::gone("desk-7", 0), START);
+    group.apply(server(4000), START);
+    let again = ServerNotice {
+        born: 5,
+        ..server(8)
+    };
+    group.apply(again, START);
+    let lacking: Vec<ServerNotice> = group
+        .lacking(&entry.part_digests())
+        .map(|record| record.notice.clone())
+        .collect();
+    assert!(lacking.len() < 400, "{}", lacking.len());
+    for notice in lacking {
+        entry.apply(notice, START);
+    }
+    assert_eq!(group.lacking(&entry.part_digests()).count(), 0);
+}
--- a/crates/core/tests/forward/versions.rs
+++ b/crates/core/tests/forward/versions.rs
@@ -176,3 +176,28 @@
     assert_eq!((new[0].answers, new[0].bad), (3, 2), "{tallies:?}");
     assert!(harness.machine.take_tallies().is_empty());
 }
+
+/// What operators saw: beside a busy machine a good version was rolled back, as
+/// answers that usually take a millisecond took a few.
+#[test]
+fn an_answer_that_is_far_within_the_objective_is_not_slow() {
+    let mut harness = world();
+    // The route's usual time becomes a millisecond.
+    for _ in 0..200 {
+        let send = harness.sends.len();
+        harness.call("q");
+        harness.pass(1);
+        harness.end_well(send, b"done");
+    }
+    harness.step(ForwardInput::Heard);
+    harness.step(view(RolloutState::Moving, 1));
+    for _ in 0..20 {
+        let send = harness.sends.len();
+        harness.call("q");
+        harness.pass(8);
+        harness.end_well(send, b"done");
+    }
+    let tallies = harness.machine.take_tallies();
+    let bad: u32 = tallies.iter().map(|tally| tally.bad).sum();
+    assert_eq!(bad, 0, "{tallies:?}");
+}
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -103,13 +103,21 @@
             let mut lines = self.lines.borrow_mut();
             lines.forget_sites(&sites);
             for site in sites {
-                let place = self.entry.look(|machine| machine.place_of(&site.domain));
+                let place = self.place_of(&site.domain);
                 lines.learn_site(site.address, Some((site.domain, place)));
             }
         }
         self.plan_lines();
     }
 
+    /// Returns how far off a failure domain is.
+    fn place_of(&self, domain: &str) -> PlaceStep {
+        if *domain == *self.peer.domain {
+            return PlaceStep::Domain;
+        }
+        self.entry.look(|machine| machine.place_of(domain))
+    }
+
     /// Chooses the control instances to be connected to, and follows the new
     /// ones.
     fn plan_lines(self: &Rc<Self>) {
@@ -184,6 +192,9 @@
                     if clock.elapsed() > last + SILENT_TIME {
                         bail!("silent");
                     }
+                    if !self.has_source() {
+                        self.reconsider();
+                    }
                     if clock.elapsed() > last + QUIET_TIME {
                         self.plan_lines();
                         if self.is_source(address) {
@@ -247,7 +258,7 @@
                 fresh,
                 version,
             } => {
-                let place = self.entry.look(|machine| machine.place_of(&domain));
+                let place = self.place_of(&domain);
                 let is_near = place == PlaceStep::Domain;
                 let place = Some((domain, place));
                 self.lines.borrow_mut().learn_site(address, place);
@@ -345,12 +356,17 @@
 
     fn choose(&self) {
         let have = self.newest_version().unwrap_or(0);
-        if self.lines.borrow_mut().choose(have) {
+        let servers = || self.entry.look(|machine| machine.server_digests());
+        if self.lines.borrow_mut().choose(have, servers) {
             // The new source tells of all entries anew.
             self.peers.borrow_mut().clear();
         }
     }
 
+    fn has_source(&self) -> bool {
+        self.lines.borrow().source().is_some()
+    }
+
     fn is_source(&self, address: SocketAddr) -> bool {
         self.lines.borrow().source() == Some(address)
     }
--- a/crates/node/src/process/forward/lines.rs
+++ b/crates/node/src/process/forward/lines.rs
@@ -18,6 +18,8 @@
 /// Time without a message after which an instance is no good source: it says
 /// how it is once a second.
 pub const QUIET_TIME: Duration = Duration::from_millis(1500);
+/// Longest time to wait for a source of the own region.
+const NEAR_TIME: Duration = Duration::from_millis(1500);
 /// Time after the start in which a source is chosen only if it is settled.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Tries without success after which an instance that nobody names is forgotten.
@@ -70,6 +72,8 @@
     sites: BTreeMap<SocketAddr, KnownSite>,
     lines: HashMap<SocketAddr, FeedLine>,
     source: Option<SocketAddr>,
+    /// Since when a source is looked for.
+    lacking_since: Option<Duration>,
     clock: ProcessClock,
 }
 
@@ -82,6 +86,7 @@
             sites: BTreeMap::new(),
             lines: HashMap::new(),
             source: None,
+            lacking_since: None,
             clock,
         }
     }
@@ -234,7 +239,7 @@
 
     /// Chooses the source, for an entry that has a table of version `have`.
     /// Returns whether there is another one now.
-    pub fn choose(&mut self, have: u64) -> bool {
+    pub fn choose(&mut self, have: u64, servers: impl FnOnce() -> Vec<u64>) -> bool {
         let now = self.clock.elapsed();
         let peers: Vec<ControlPeer> = self
             .lines
@@ -254,7 +259,11 @@
         if source == former {
             return false;
         }
+        if source.is_some_and(|source| self.awaits_nearer(source, now)) {
+            return false;
+        }
         self.source = source;
+        self.lacking_since = None;
         if let Some(line) = former.and_then(|former| self.lines.get(&former)) {
             // A full ring: the connection stands still and will end.
             let _ = line.wishes.offer(GroupMessage::Urgent);
@@ -262,7 +271,10 @@
         let Some(line) = source.and_then(|source| self.lines.get(&source)) else {
             return false;
         };
-        let _ = line.wishes.offer(GroupMessage::Whole { have });
+        let _ = line.wishes.offer(GroupMessage::Whole {
+            have,
+            servers: servers(),
+        });
         let ControlPeer {
             address,
             is_near,
@@ -273,6 +285,26 @@
         true
     }
 
+    /// Tells whether an instance of another region is not to be the source yet, as
+    /// one of the own region is about to be connected: all that is known of the
+    /// servers would cross regions, and be told again by the nearer one.
+    fn awaits_nearer(&mut self, source: SocketAddr, now: Duration) -> bool {
+        let lacking_since = *self.lacking_since.get_or_insert(now);
+        let is_in_region = |site: &KnownSite| {
+            let place = site.place.as_ref();
+            place.is_some_and(|(_, place)| *place <= PlaceStep::Region)
+        };
+        let is_near = self.sites.get(&source).is_some_and(is_in_region);
+        if is_near || now > lacking_since + NEAR_TIME {
+            return false;
+        }
+        let mut sites = self.sites.iter();
+        sites.any(|(address, site)| {
+            let is_coming = site.is_wanted && site.failures == 0;
+            is_coming && is_in_region(site) && !self.lines.contains_key(address)
+        })
+    }
+
     /// Tells all instances.
     pub fn tell_all(&self, message: &GroupMessage) {
         for line in self.lines.values() {
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -273,8 +273,8 @@
         }
         GroupMessage::Tallies(tallies) => node.take_tallies(tallies, true),
         GroupMessage::Leaving => leave(node, key),
-        GroupMessage::Whole { have } => {
-            let messages = all_known(node, key, have);
+        GroupMessage::Whole { have, servers } => {
+            let messages = all_known(node, key, have, &servers);
             tell_one(node, key, messages, |subscriber| subscriber.whole = true);
         }
         GroupMessage::Urgent => {
@@ -342,9 +342,10 @@
     messages
 }
 
-/// Returns all that is known, for an entry that has a table of version `have`.
-fn all_known(node: &Rc<GroupNode>, key: u64, have: u64) -> Vec<GroupMessage> {
-    let notices = node.all_notices();
+/// Returns all that is known, for an entry that has a table of version `have` and
+/// servers with these digests.
+fn all_known(node: &Rc<GroupNode>, key: u64, have: u64, servers: &[u64]) -> Vec<GroupMessage> {
+    let notices = node.lacking_notices(servers);
     let mut messages = newer_table(node, have);
     let mut state = node.state.borrow_mut();
     messages.extend(state.first_members(key));
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -25,8 +25,14 @@
     /// Returns all that is known of servers, what was heard of last at the end:
     /// of two lifetimes at an address that is the later one.
     pub fn all_notices(&self) -> Vec<ServerNotice> {
+        self.lacking_notices(&[])
+    }
+
+    /// Returns what is known of servers, in the same order, but for the parts of
+    /// them that have one of these digests.
+    pub fn lacking_notices(&self, digests: &[u64]) -> Vec<ServerNotice> {
         let state = self.state.borrow();
-        let mut records: Vec<_> = state.directory.iter().collect();
+        let mut records: Vec<_> = state.directory.lacking(digests).collect();
         records.sort_by_key(|record| record.heard);
         let notices = records.into_iter().map(|record| record.notice.clone());
         notices.collect()
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -99,6 +99,8 @@
     Whole {
         /// Version of the route table it has; 0 for none.
         have: u64,
+        /// Digests of the servers that it knows, by part; none if it knows none.
+        servers: Vec<u64>,
     },
     /// An entry asks for no more than what is urgent from now on.
     Urgent,
