--- a/crates/core/src/process/rollout/judge.rs
+++ b/crates/core/src/process/rollout/judge.rs
@@ -2,8 +2,8 @@
 //!
 //! Each answer of the new version is good or bad. The test weighs whether bad
 //! ones come as often as with the old version under the same load, or much more
-//! often ([`RouteEvidence`]). It never stops, as a version may turn bad later:
-//! what speaks for a version is counted up to a limit.
+//! often. It never stops, as a version may turn bad later: what speaks for a
+//! version is counted up to a limit.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
