--- a/crates/node/tests/held_up/main.rs
+++ b/crates/node/tests/held_up/main.rs
@@ -255,6 +255,7 @@
     let head = format!(
         "GET /q/x HTTP/1.1\r\nhost: h\r\nwheelmast-request: {id}\r\n\
          wheelmast-time-left-ms: {left}\r\nwheelmast-relayed: 1;{left};1;1;0;s\r\n\
+         wheelmast-expect-server: own#1\r\n\
          expect: 100-continue\r\ncontent-length: 1\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).expect("written");
