Keep what a shard is divided by when a newer table lacks it

Cause, by reading: a service that a new table no longer gathers fell back to equal parts of the constant allowance at entries with that table, while entries with the older one spent holders' parts: up to a half more than the bound in sum, for repeats of requests that began with the older table.

Change: a service that was a shard keeps its key.

Measured: core/tests/forward/holders.rs plays tables that lose shards; with the key forgotten those shards have no holder.

--- a/crates/core/src/process/forward/share.rs
+++ b/crates/core/src/process/forward/share.rs
@@ -9,11 +9,10 @@
 use crate::version::route_table::{RouteTable, RouteTarget};
 
 impl ForwardMachine {
-    /// Takes over what the shards of a table are divided by.
+    /// Takes over what the shards of a table are divided by. A service that was a
+    /// shard stays one: while some entries have the new table and others not, equal
+    /// parts beside holders' parts would exceed the bound.
     pub(super) fn find_shares(&mut self, table: &RouteTable) {
-        for (_, upstream) in self.upstreams.iter_mut() {
-            upstream.share_key = None;
-        }
         for route in table.routes() {
             let RouteTarget::Gather(names) = &route.target else {
                 continue;
--- a/crates/core/tests/forward/holders.rs
+++ b/crates/core/tests/forward/holders.rs
@@ -54,8 +54,9 @@
     (0..count).map(peer).collect()
 }
 
-/// Returns the services whose repeats this entry of many has more room for.
-fn held_by(number: usize, peers: &[EntryPeer]) -> Vec<String> {
+/// Returns the services whose repeats this entry of many has more room for, after
+/// tables over so many shards each.
+fn held_by(number: usize, peers: &[EntryPeer], tables: &[usize]) -> Vec<String> {
     let regions = ["here", "beside", "far"].map(|domain| (domain.into(), "west".into()));
     let mut machine = ForwardMachine::new(ForwardOptions {
         domain: HOME.into(),
@@ -66,12 +67,14 @@
     });
     let now = Duration::from_secs(1);
     let mut out = Vec::new();
-    let inputs = [
-        ForwardInput::Table(table(1, vec![route("q", shards(60))])),
+    let tables = (1..).zip(tables).map(|(version, count)| {
+        ForwardInput::Table(table(version, vec![route("q", shards(*count))]))
+    });
+    let known = [
         ForwardInput::Entries(peers.len() as u32),
         ForwardInput::Peers(peers.to_vec()),
     ];
-    for input in inputs {
+    for input in tables.chain(known) {
         machine.step(now, input, &mut out);
     }
     let even = BOUND.slack / peers.len() as f64;
@@ -83,11 +86,13 @@
 #[test]
 fn each_shard_has_one_holder_among_the_entries_of_a_domain() {
     let peers = peers(40);
-    let mut held: Vec<String> = (0..peers.len())
-        .flat_map(|number| held_by(number, &peers))
-        .collect();
-    held.sort();
     let mut wanted: Vec<String> = (0..60).map(|shard| format!("s{shard}")).collect();
     wanted.sort();
-    assert_eq!(held, wanted);
+    // Also while requests of an older table are at work.
+    for tables in [&[60][..], &[60, 30], &[60, 12]] {
+        let held = (0..peers.len()).flat_map(|number| held_by(number, &peers, tables));
+        let mut held: Vec<String> = held.collect();
+        held.sort();
+        assert_eq!(held, wanted, "{tables:?}");
+    }
 }
