Read once more: one way to an entry, one test of what falls to an entry

The change had written again what stood already: whether a key falls to this entry (cold servers and shares), the workspace of a request (caps and access), sending to an entry with its count in four places, of which one, the word that a table is confirmed, was not counted; waiting for what a quorum confirmed; two constants. Each is one piece of code now. A control instance works out its greeting, with digests over all servers, only when it sends it, not four times a second. Tests make their calls in one way; their assertions are as they were.

Ruled out: taking the book's lookups of access.rs and still_allows together, as they differ for requests that were passed on.

--- a/crates/core/src/process/forward/access.rs
+++ b/crates/core/src/process/forward/access.rs
@@ -50,9 +50,9 @@
     /// entry passed on has its token.
     pub fn capped_workspace(&self, call: &ForwardCall) -> Option<Arc<str>> {
         let table = self.table.as_ref().filter(|_| call.relayed.is_none())?;
-        let book = table.workspaces()?;
-        let rule = book.rule(book.holder(call.key?)?);
-        table.find(&call.host, &call.path)?;
+        let route = &table.routes()[table.find(&call.host, &call.path)?];
+        let workspace = asking_workspace(table, route, call).ok()??;
+        let rule = table.workspaces()?.rule(workspace);
         rule.cap.is_some().then(|| rule.name.as_str().into())
     }
 
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -13,7 +13,6 @@
 use crate::process::forward::place::PlaceStep;
 use crate::process::forward::server::ServerState;
 use crate::process::forward::version::VersionWish;
-use crate::process::rendezvous::rank;
 
 /// Largest part by which chance changes an expected time, so that entries that
 /// know the same do not all choose the same.
@@ -197,16 +196,7 @@
     /// Tells whether a server falls to this entry among the entries of the
     /// server's failure domain. Before it has heard of the others none does.
     fn holds(&self, state: &ServerState) -> bool {
-        if state.place != PlaceStep::Domain || !self.knows_peers {
-            return false;
-        }
-        let own = rank(&state.id, &self.options.own);
-        let mut domains = self.peer_domains.iter();
-        let Some((_, entries)) = domains.find(|(name, _)| *name == self.options.domain) else {
-            return true;
-        };
-        let mut others = self.upstreams[*entries].servers.iter();
-        others.all(|other| rank(&state.id, &self.servers[*other].id) < own)
+        state.place == PlaceStep::Domain && self.falls_here(&state.id)
     }
 
     /// Returns how many connections this entry may have to a server: its part
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -38,7 +38,7 @@
         self.near_entries = (near.count() as u32).max(1);
         let known = self.peer_domains.iter();
         let known: Vec<UpstreamKey> = known.map(|(_, upstream)| *upstream).collect();
-        let mut wanted = Vec::with_capacity(peers.len());
+        let mut wanted = HashSet::with_capacity(peers.len());
         for peer in &peers {
             let id = peer.id();
             if id == self.options.own {
@@ -51,9 +51,8 @@
                     self.shifts_until = now + self.options.extra.window;
                 }
             }
-            wanted.push(id);
+            wanted.insert(id);
         }
-        let wanted: HashSet<Box<str>> = wanted.into_iter().collect();
         for upstream in known {
             for server in self.upstreams[upstream].servers.clone() {
                 let id = self.servers[server].id.clone();
--- a/crates/core/src/process/forward/share.rs
+++ b/crates/core/src/process/forward/share.rs
@@ -1,7 +1,9 @@
 //! Which entry of a failure domain a shard falls to, where many shards are divided
 //! among the entries.
 
-use crate::arena::{ServerKey, UpstreamKey};
+use std::collections::HashMap;
+
+use crate::arena::UpstreamKey;
 use crate::process::forward::bundle::{DIVIDE_ABOVE, SHARE};
 use crate::process::forward::extra::ExtraView;
 use crate::process::forward::machine::ForwardMachine;
@@ -31,35 +33,36 @@
         self.find_held();
     }
 
-    /// Finds out which shards fall to this entry among those of its failure
-    /// domain that are known. Before it has heard of them none does.
+    /// Finds out which shards fall to this entry.
     pub(super) fn find_held(&mut self) {
-        let own_domain = &self.options.domain;
-        let mut domains = self.peer_domains.iter();
-        let entries = domains.find(|(name, _)| name == own_domain);
-        let others: Vec<ServerKey> = entries
-            .map(|(_, entries)| self.upstreams[*entries].servers.clone())
-            .unwrap_or_default();
-        let (own, servers) = (&self.options.own, &self.servers);
-        let is_held = |key: &str| {
-            let rank_of = |id: &str| rank(key, id);
-            let own_rank = rank_of(own);
-            let mut others = others.iter();
-            others.all(|other| rank_of(&servers[*other].id) < own_rank)
-        };
-        let knows_peers = self.knows_peers;
-        let mut last: Option<(Box<str>, bool)> = None;
-        for (_, upstream) in self.upstreams.iter_mut() {
+        let mut held: HashMap<Box<str>, bool> = HashMap::new();
+        for (_, upstream) in self.upstreams.iter() {
             let Some(key) = &upstream.share_key else {
                 continue;
             };
-            let holds = match &last {
-                Some((known, holds)) if known == key => *holds,
-                _ => knows_peers && is_held(key),
-            };
-            upstream.holds = holds;
-            last = Some((key.clone(), holds));
+            if !held.contains_key(key) {
+                held.insert(key.clone(), self.falls_here(key));
+            }
         }
+        for (_, upstream) in self.upstreams.iter_mut() {
+            let key = upstream.share_key.as_ref();
+            upstream.holds = key.is_some_and(|key| held.get(key) == Some(&true));
+        }
+    }
+
+    /// Tells whether a key falls to this entry among those of its failure domain
+    /// that are known. Before it has heard of them none does.
+    pub(super) fn falls_here(&self, key: &str) -> bool {
+        if !self.knows_peers {
+            return false;
+        }
+        let own = rank(key, &self.options.own);
+        let mut domains = self.peer_domains.iter();
+        let Some((_, entries)) = domains.find(|(name, _)| *name == self.options.domain) else {
+            return true;
+        };
+        let mut others = self.upstreams[*entries].servers.iter();
+        others.all(|other| rank(key, &self.servers[*other].id) < own)
     }
 
     /// Returns what is known of those that share a service's bound on extra load.
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -242,14 +242,9 @@
         relayed: Option<RelayOrder>,
     ) -> CallTag {
         self.take_call(ForwardCall {
-            tag: CallTag(0),
-            host: HOST.into(),
-            path: format!("/{route}/x").into(),
-            mark,
-            key: None,
-            arrived: self.now,
             time_left,
             relayed,
+            ..self.plain_call(route, mark)
         })
     }
 
@@ -260,16 +255,25 @@
         key: Option<&str>,
         relayed: Option<RelayOrder>,
     ) -> CallTag {
+        let mark = mark_of(&format!("/{route}/{}", self.tags));
         self.take_call(ForwardCall {
+            key: key.map(|key| KeyDigest::of(key.as_bytes())),
+            relayed,
+            ..self.plain_call(route, mark)
+        })
+    }
+
+    fn plain_call(&self, route: &str, mark: RequestMark) -> ForwardCall {
+        ForwardCall {
             tag: CallTag(0),
             host: HOST.into(),
             path: format!("/{route}/x").into(),
-            mark: mark_of(&format!("/{route}/{}", self.tags)),
-            key: key.map(|key| KeyDigest::of(key.as_bytes())),
+            mark,
+            key: None,
             arrived: self.now,
             time_left: None,
-            relayed,
-        })
+            relayed: None,
+        }
     }
 
     fn take_call(&mut self, call: ForwardCall) -> CallTag {
--- a/crates/node/src/process/group/answer.rs
+++ b/crates/node/src/process/group/answer.rs
@@ -203,11 +203,8 @@
 
 /// Tells how far the last roll-out of a service is.
 async fn get_rollout<D: ForwardDialect>(node: &Rc<GroupNode>, service: &str) -> FullResponse {
-    let GroupTell::Mark(mark) = node.read().await else {
-        return unavailable("no quorum answered");
-    };
-    if !node.wait_published(mark).await {
-        return unavailable("not in force here yet");
+    if let Some(refusal) = refuse_unconfirmed(node).await {
+        return refusal;
     }
     let state = node.state.borrow();
     let mut views = state.rollouts.views.iter();
@@ -221,17 +218,24 @@
 
 /// Tells which failure domains are out of use.
 async fn list_evacuations(node: &Rc<GroupNode>) -> FullResponse {
-    let GroupTell::Mark(mark) = node.read().await else {
-        return unavailable("no quorum answered");
-    };
-    if !node.wait_published(mark).await {
-        return unavailable("not in force here yet");
+    if let Some(refusal) = refuse_unconfirmed(node).await {
+        return refusal;
     }
     let domains = node.state.borrow().evacuations.domains.clone();
     let text = serde_json::json!({ "evacuated": domains }).to_string();
     typed_response(StatusCode::OK, JSON_TYPE, text)
 }
 
+/// Waits until what a quorum has confirmed is in force here. Returns the refusal
+/// of a question about it, if that can't be had now.
+async fn refuse_unconfirmed(node: &Rc<GroupNode>) -> Option<FullResponse> {
+    let GroupTell::Mark(mark) = node.read().await else {
+        return Some(unavailable("no quorum answered"));
+    };
+    let is_here = node.wait_published(mark).await;
+    (!is_here).then(|| unavailable("not in force here yet"))
+}
+
 fn unavailable(text: &'static str) -> FullResponse {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let mut response = typed_response(status, PLAIN_TYPE, text);
--- a/crates/node/src/process/group/evacuate.rs
+++ b/crates/node/src/process/group/evacuate.rs
@@ -1,17 +1,12 @@
 //! Taking failure domains out of use, at whatever instance the order comes.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use wheelmast_core::process::control::evacuation::{EvacuationChange, EvacuationOutcome};
 use wheelmast_core::process::control::state::{CommandOutcome, ControlCommand};
 use wheelmast_wire::group::GroupTell;
 
-use crate::process::group::node::GroupNode;
-
-/// Longest time that an order may take: its operator gives up after a second
-/// and sends it elsewhere.
-const ORDER_TIME: Duration = Duration::from_millis(900);
+use crate::process::group::node::{GroupNode, ORDER_TIME};
 
 impl GroupNode {
     /// Takes a failure domain out of use, or back into use. None if no quorum
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -18,7 +18,6 @@
 use crate::process::group::node::GroupNode;
 use crate::process::group::state::{ControlPlace, OutFrame, Subscriber};
 use crate::process::group::suspects::SuspectSource;
-use crate::process::group::traffic::TrafficTarget;
 use crate::ring::bounded_ring;
 
 /// Messages that may wait for an entry.
@@ -208,22 +207,22 @@
     let key = node.next_tag();
     let instance = peer.instance.clone();
     tracing::info!(target: "group", %instance, "entry: follows");
-    for frame in greeting(node).iter().filter_map(OutFrame::new) {
-        let traffic = &mut node.state.borrow_mut().traffic;
-        traffic.add(TrafficTarget::Entry, frame.kind, frame.bytes.len());
-        // The ring has room: it is new.
-        let _ = sender.offer(frame);
+    let subscriber = Subscriber {
+        peer,
+        leaving: false,
+        whole: false,
+        told: HashSet::new(),
+        sender,
+    };
+    let greeting = greeting(node);
+    {
+        let mut state = node.state.borrow_mut();
+        for frame in greeting.iter().filter_map(OutFrame::new) {
+            // The ring has room: it is new.
+            subscriber.offer(frame, &mut state.traffic);
+        }
+        state.subscribers.insert(key, subscriber);
     }
-    node.state.borrow_mut().subscribers.insert(
-        key,
-        Subscriber {
-            peer,
-            leaving: false,
-            whole: false,
-            told: HashSet::new(),
-            sender,
-        },
-    );
     let confirming = asks_quorum.then(|| tokio::task::spawn_local(confirm(node.clone(), key)));
     let result = async {
         let mut frames = Vec::with_capacity(BATCH);
@@ -308,9 +307,7 @@
     };
     change(subscriber);
     for frame in messages.iter().filter_map(OutFrame::new) {
-        let bytes = frame.bytes.len();
-        state.traffic.add(TrafficTarget::Entry, frame.kind, bytes);
-        if subscriber.sender.offer(frame).is_err() {
+        if !subscriber.offer(frame, &mut state.traffic) {
             // It does not keep up: it is let go and asks again.
             state.subscribers.remove(&key);
             return;
@@ -370,7 +367,8 @@
     loop {
         if let GroupTell::Mark(mark) = node.read().await {
             if node.wait_published(mark).await {
-                let state = node.state.borrow();
+                let mut state = node.state.borrow_mut();
+                let state = &mut *state;
                 if let Some(subscriber) = state.subscribers.get(&key) {
                     // Which failure domains are out of use stands before it
                     // in the same ring.
@@ -378,7 +376,7 @@
                     let message = GroupMessage::Confirmed { version };
                     if let Some(frame) = OutFrame::new(&message) {
                         // Full: it is let go and asks again.
-                        let _ = subscriber.sender.offer(frame);
+                        subscriber.offer(frame, &mut state.traffic);
                     }
                 }
                 return;
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -23,6 +23,9 @@
 use crate::ring::bounded_ring;
 use crate::settings::role::RoleSettings;
 
+/// Longest time that an order may take: its operator gives up after a second
+/// and sends it elsewhere.
+pub(super) const ORDER_TIME: Duration = Duration::from_millis(900);
 /// Messages that may wait for another control instance.
 const LINK_RING: usize = 1024;
 /// Interval at which the instance looks after what it holds.
@@ -37,7 +40,7 @@
 const TRAFFIC_TICKS: u32 = 40;
 /// Time after the start in which the instance may not know yet what the
 /// others know.
-const FRESH_TIME: Duration = Duration::from_secs(3);
+pub(super) const FRESH_TIME: Duration = Duration::from_secs(3);
 
 /// Reads a route table as an operator sent it.
 pub type TableReader = fn(&[u8]) -> Result<RouteDraft, FindingList>;
@@ -148,14 +151,13 @@
     /// Returns the greeting of this instance.
     pub fn hello(&self) -> GroupMessage {
         let state = self.state.borrow();
-        let replica = state.replica.as_ref();
         let mut known: Vec<SocketAddr> = state.links.keys().copied().collect();
         known.sort_unstable();
         GroupMessage::Hello {
             from: self.me.clone(),
             domain: self.settings.domain.as_str().into(),
             calls: self.calls,
-            learns: replica.is_some_and(ReplicaMachine::asks_to_learn),
+            learns: self.learns(),
             known,
             followers: state.followers.digest(),
             servers: state.directory.digest(ServerKeeper::Own),
@@ -189,13 +191,19 @@
     }
 
     fn greet(&self, ticks: u32) {
-        let hello = self.hello();
-        let learns = matches!(hello, GroupMessage::Hello { learns: true, .. });
-        if learns || ticks.is_multiple_of(HELLO_TICKS) {
+        if self.learns() || ticks.is_multiple_of(HELLO_TICKS) {
+            let hello = self.hello();
             self.state.borrow().tell_control(&hello);
         }
     }
 
+    /// Tells whether this instance asks to be kept up to date.
+    fn learns(&self) -> bool {
+        let state = self.state.borrow();
+        let replica = state.replica.as_ref();
+        replica.is_some_and(ReplicaMachine::asks_to_learn)
+    }
+
     /// Returns what this instance says of itself to entries.
     pub fn here(&self, state: &GroupState) -> GroupMessage {
         let now = self.now();
--- a/crates/node/src/process/group/rollouts.rs
+++ b/crates/node/src/process/group/rollouts.rs
@@ -14,16 +14,10 @@
 use wheelmast_wire::dialect::RolloutOrder;
 use wheelmast_wire::group::{GroupMessage, GroupTell};
 
-use crate::process::group::node::GroupNode;
+use crate::process::group::node::{GroupNode, FRESH_TIME, ORDER_TIME};
 
 /// Interval at which the leader looks at the roll-outs.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(200);
-/// Longest time that an order may take: its operator gives up after a second
-/// and sends it elsewhere.
-const ORDER_TIME: Duration = Duration::from_millis(900);
-/// Time after the start in which what is in force may be older than this
-/// lifetime.
-const FRESH_TIME: Duration = Duration::from_secs(3);
 
 /// The roll-outs in force, and what is known of them here.
 #[derive(Debug, Default)]
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -95,6 +95,12 @@
 }
 
 impl Subscriber {
+    /// Gives it a frame and counts that. Returns whether it keeps up.
+    pub fn offer(&self, frame: Rc<OutFrame>, traffic: &mut TrafficBook) -> bool {
+        traffic.add(TrafficTarget::Entry, frame.kind, frame.bytes.len());
+        self.sender.offer(frame).is_ok()
+    }
+
     /// Returns the message that brings it from what it was told to `roll`, if
     /// there is anything to tell.
     fn catch_up(&mut self, roll: &GroupRoll, entries_changed: bool) -> Option<GroupMessage> {
@@ -338,13 +344,8 @@
             return;
         };
         let traffic = &mut self.traffic;
-        self.subscribers.retain(|_, subscriber| {
-            if !wants(subscriber) {
-                return true;
-            }
-            traffic.add(TrafficTarget::Entry, frame.kind, frame.bytes.len());
-            subscriber.sender.offer(frame.clone()).is_ok()
-        });
+        self.subscribers
+            .retain(|_, subscriber| !wants(subscriber) || subscriber.offer(frame.clone(), traffic));
     }
 
     /// Takes over who the entries are, and tells those that hear everything
@@ -363,10 +364,7 @@
             }
             let news = subscriber.catch_up(roll, entries_changed);
             let frame = news.and_then(|news| OutFrame::new(&news));
-            frame.is_none_or(|frame| {
-                traffic.add(TrafficTarget::Entry, frame.kind, frame.bytes.len());
-                subscriber.sender.offer(frame).is_ok()
-            })
+            frame.is_none_or(|frame| subscriber.offer(frame, traffic))
         });
     }
 
