--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -35,7 +35,7 @@
 use crate::process::input::CallTag;
 use crate::process::rollout::share::CanaryBound;
 use crate::process::timer::TimerHeap;
-use crate::version::route_table::RouteTable;
+use crate::version::route_table::{RouteTable, RouteTarget, WeightedService};
 
 /// Connections of a service that no table names.
 const UNNAMED_CONNECTIONS: u32 = 8;
@@ -299,6 +299,22 @@
         })
     }
 
+    /// Iterates over the parts of the routes that are split: route, part, and the
+    /// requests that went to it since the start.
+    pub fn split_counts(&self) -> impl Iterator<Item = (&str, &WeightedService, u64)> {
+        let routes = self.table.iter().flat_map(|table| table.routes());
+        routes.flat_map(|route| {
+            let counter = self.splits.get(&*route.name);
+            let counts = counter.map_or(&[][..], SplitCounter::counts);
+            let parts = match &route.target {
+                RouteTarget::Split(parts) => &parts[..],
+                RouteTarget::Service(_) | RouteTarget::Gather(_) => &[],
+            };
+            let counted = parts.iter().zip(counts);
+            counted.map(|(part, count)| (&*route.name, part, *count))
+        })
+    }
+
     /// Returns the number of servers that take work.
     pub fn server_count(&self) -> usize {
         let servers = self.servers.iter();
--- a/crates/core/src/process/forward/split.rs
+++ b/crates/core/src/process/forward/split.rs
@@ -7,6 +7,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct SplitCounter {
     credits: Vec<f64>,
+    /// Requests of each service since the parts were last others in number.
+    counts: Vec<u64>,
 }
 
 impl SplitCounter {
@@ -14,6 +16,7 @@
     pub fn next(&mut self, parts: &[WeightedService]) -> usize {
         if self.credits.len() != parts.len() {
             self.credits = vec![0.0; parts.len()];
+            self.counts = vec![0; parts.len()];
         }
         let sum: f64 = parts.iter().map(|part| part.weight).sum();
         for (credit, part) in self.credits.iter_mut().zip(parts) {
@@ -26,6 +29,12 @@
             }
         }
         self.credits[best] -= 1.0;
+        self.counts[best] += 1;
         best
     }
+
+    /// Returns the requests of each service, in the order of the parts.
+    pub fn counts(&self) -> &[u64] {
+        &self.counts
+    }
 }
--- a/crates/node/src/process/forward/measure.rs
+++ b/crates/node/src/process/forward/measure.rs
@@ -121,6 +121,14 @@
     gauge!("wheelmast_forward_suspects").set(suspects as f64);
     gauge!("wheelmast_forward_quarantined").set(quarantined as f64);
     gauge!("wheelmast_servers_ready").set(machine.server_count() as f64);
+    for (route, part, count) in machine.split_counts() {
+        let labels = [
+            ("route", route.to_string()),
+            ("service", part.service.clone()),
+        ];
+        counter!("wheelmast_split_requests_total", &labels).absolute(count);
+        gauge!("wheelmast_split_weight", &labels).set(part.weight);
+    }
     for (service, counts, servers, room) in machine.services(now) {
         let service = service.to_string();
         counter!("wheelmast_service_sends_total", "service" => service.clone())
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -177,9 +177,15 @@
         }
         GroupMessage::Told { tag, tell } => {
             let asked = node.state.borrow_mut().asks.remove(&tag);
-            if let Some(asked) = asked {
-                // The asker may have given up.
-                let _ = asked.send(tell);
+            match asked {
+                Some(asked) => {
+                    // The asker may have given up.
+                    let _ = asked.send(tell);
+                }
+                None => {
+                    node.state.borrow_mut().stray_answers += 1;
+                    tracing::warn!(target: "group", ?peer, tag, ?tell, "peer: answer to no question");
+                }
             }
         }
         _ => {}
--- a/crates/node/src/process/group/measure.rs
+++ b/crates/node/src/process/group/measure.rs
@@ -40,6 +40,17 @@
     for (name, value) in gauges {
         gauge!(name).set(value as f64);
     }
+    let totals = [
+        ("wheelmast_group_stray_answers_total", state.stray_answers),
+        ("wheelmast_servers_missed_total", state.servers_missed),
+        (
+            "wheelmast_announcements_refused_total",
+            state.announcements_refused,
+        ),
+    ];
+    for (name, total) in totals {
+        counter!(name).absolute(total);
+    }
     for (target, kind, count) in state.traffic.iter() {
         let labels = [("to", target.word()), ("kind", kind)];
         counter!("wheelmast_group_messages_total", &labels).absolute(count.messages);
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use metrics::counter;
 use tokio::sync::oneshot;
 use wheelmast_core::process::forward::directory::{
     LifeMark, NoticeEffect, ServerKeeper, ServerNotice, ServerStanding,
@@ -100,7 +99,7 @@
     /// Counts what was taken for no announcement, and logs it at times: another
     /// writer may send many.
     pub fn refuse_announcement(&self, id: &str, reason: &str) {
-        counter!("wheelmast_announcements_refused_total").increment(1);
+        self.state.borrow_mut().announcements_refused += 1;
         let now = self.now();
         if self
             .refusal_told
@@ -197,7 +196,15 @@
     /// Takes over which servers another control instance hears.
     pub fn take_renewals(&self, peer: SocketAddr, whole: bool, servers: Vec<(Box<str>, LifeMark)>) {
         let now = self.now();
-        let directory = &mut self.state.borrow_mut().directory;
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let directory = &mut state.directory;
+        let unknown = servers.iter().filter(|(id, _)| directory.get(id).is_none());
+        let unknown = unknown.count();
+        if unknown > 0 {
+            state.servers_missed += unknown as u64;
+            tracing::warn!(target: "group", %peer, servers = unknown, "server: heard by another instance, not known here");
+        }
         for (id, mark) in &servers {
             directory.renew(id, *mark, now);
             directory.keep_at(id, peer);
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -220,6 +220,12 @@
     pub told_control: Vec<ControlSite>,
     /// Questions that wait for their answer.
     pub asks: HashMap<u64, oneshot::Sender<GroupTell>>,
+    /// Answers that came to no question.
+    pub stray_answers: u64,
+    /// Servers that other instances said to hear and that were not known here.
+    pub servers_missed: u64,
+    /// Announcements that were refused.
+    pub announcements_refused: u64,
     /// News that wait to be held by others.
     pub keeps: HashMap<u64, KeepWait>,
     /// The tokens of all capped workspaces, while this instance leads.
