Failing test: a split route where each entry sees few of its requests

Callers see the lesser part of a split get next to nothing. 75 to 25 over 294 entries with one request each: the greater part gets 1.000 of them. The bound is the operators': a share at most 0.1 off its weight's.

--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -27,4 +27,5 @@
 mod silent;
 mod slowness;
 mod source;
+mod splits;
 mod versions;
--- /dev/null
+++ b/crates/core/tests/forward/splits.rs
@@ -0,0 +1,94 @@
+//! Routes that are split, over all entries together.
+
+use std::collections::HashMap;
+
+use wheelmast_core::process::forward::machine::ForwardOptions;
+use wheelmast_core::version::route_table::{RouteTarget, WeightedService};
+
+use crate::harness::{route, table, Harness, HOME};
+
+/// Most that a part's share of the requests may be off its weight's.
+const MOST_OFF: f64 = 0.1;
+
+struct SplitCase {
+    weights: &'static [f64],
+    entries: u64,
+    /// Requests that each entry takes before it ends.
+    requests: usize,
+}
+
+const CASES: [SplitCase; 8] = [
+    case(&[75.0, 25.0], 294, 1),
+    case(&[25.0, 75.0], 294, 1),
+    case(&[75.0, 25.0], 294, 2),
+    case(&[50.0, 50.0], 294, 1),
+    case(&[70.0, 30.0], 983, 1),
+    case(&[40.0, 30.0, 30.0], 294, 1),
+    case(&[75.0, 25.0], 7, 60),
+    case(&[75.0, 25.0], 2382, 3),
+];
+
+const fn case(weights: &'static [f64], entries: u64, requests: usize) -> SplitCase {
+    SplitCase {
+        weights,
+        entries,
+        requests,
+    }
+}
+
+/// Returns how many requests each service gets of one entry.
+fn play_entry(case: &SplitCase, seed: u64) -> HashMap<String, usize> {
+    let mut entry = Harness::with_options(ForwardOptions {
+        domain: HOME.into(),
+        seed,
+        ..ForwardOptions::default()
+    });
+    let parts = case.weights.iter().enumerate();
+    let parts = parts.map(|(place, weight)| WeightedService {
+        service: format!("part{place}"),
+        weight: *weight,
+    });
+    entry.obey(table(
+        1,
+        vec![route("orders", RouteTarget::Split(parts.collect()))],
+    ));
+    for place in 0..case.weights.len() {
+        entry.serve(&format!("part{place}"), 1);
+    }
+    for number in 0..case.requests {
+        entry.call("orders");
+        entry.end_well(number, b"");
+    }
+    let mut counts = HashMap::new();
+    for send in &entry.sends {
+        let (service, _) = send.instance.split_once('-').expect("named by service");
+        *counts.entry(service.to_string()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn a_split_route_keeps_its_weights_where_each_entry_sees_few_of_its_requests() {
+    for case in &CASES {
+        let mut counts: HashMap<String, usize> = HashMap::new();
+        for seed in 0..case.entries {
+            for (service, count) in play_entry(case, seed) {
+                *counts.entry(service).or_default() += count;
+            }
+        }
+        let all = case.entries as usize * case.requests;
+        let sum: f64 = case.weights.iter().sum();
+        for (place, weight) in case.weights.iter().enumerate() {
+            let count = counts.get(&format!("part{place}")).copied();
+            let share = count.unwrap_or_default() as f64 / all as f64;
+            let off = (share - weight / sum).abs();
+            assert!(
+                off <= MOST_OFF,
+                "{:?}, {} entries with {} requests each: part {place} gets {share:.3}",
+                case.weights,
+                case.entries,
+                case.requests
+            );
+        }
+    }
+}
