Begin each entry's split of a route at a random place of its sequence

Cause: each entry divides by its own counter, and each counter began with the heaviest part. That holds where an entry sees tens of a route's requests.

Ruled out: chance at each request, as roll-outs do: an entry that sees many would keep its weights less well over short spans (the test of 60 requests within 0.05).

Change: a counter begins after up to 1,000 requests, by chance, and anew when weights change.

--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -12,6 +12,7 @@
 use crate::process::forward::call::{CallState, PartState};
 use crate::process::forward::input::ForwardCall;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
+use crate::process::forward::split::SplitCounter;
 use crate::version::route_table::{RouteRule, RouteTable, RouteTarget};
 use crate::version::workspace::WorkspaceKey;
 
@@ -159,6 +160,9 @@
             RouteTarget::Service(name) => vec![self.upstream(name)],
             RouteTarget::Split(parts) => {
                 let counter = self.splits.entry(rule.name.as_str().into()).or_default();
+                if !counter.divides_by(parts) {
+                    *counter = SplitCounter::begin(parts, &mut self.rng);
+                }
                 let index = counter.next(parts);
                 vec![self.upstream(&parts[index].service)]
             }
--- a/crates/core/src/process/forward/split.rs
+++ b/crates/core/src/process/forward/split.rs
@@ -1,26 +1,53 @@
 //! Dividing requests over services by weight.
 
+use rand::Rng;
+
 use crate::version::route_table::WeightedService;
 
+/// Places of the sequence that a counter may begin at.
+const BEGINNINGS: u32 = 1000;
+
 /// Keeps each service's share of the requests near its weight's, also over
 /// short spans: the service that lags most behind its share is next.
 #[derive(Debug, Clone, Default)]
 pub struct SplitCounter {
+    /// Weights that the credits are for.
+    weights: Vec<f64>,
     credits: Vec<f64>,
-    /// Requests of each service since the parts were last others in number.
+    /// Requests of each service since the weights last changed.
     counts: Vec<u64>,
 }
 
 impl SplitCounter {
+    /// Returns a counter that is somewhere in its sequence, by chance.
+    ///
+    /// Many entries see a request or two of a route. Did all begin at the same
+    /// place, the heaviest service would get nearly all.
+    pub fn begin<R: Rng>(parts: &[WeightedService], rng: &mut R) -> SplitCounter {
+        let mut counter = SplitCounter::default();
+        for _ in 0..rng.random_range(0..BEGINNINGS) {
+            counter.next(parts);
+        }
+        counter.counts.fill(0);
+        counter
+    }
+
+    /// Tells whether the weights are those that it divides by.
+    pub fn divides_by(&self, parts: &[WeightedService]) -> bool {
+        let weights = parts.iter().map(|part| part.weight);
+        weights.eq(self.weights.iter().copied())
+    }
+
     /// Returns the place of the service for the next request.
     pub fn next(&mut self, parts: &[WeightedService]) -> usize {
-        if self.credits.len() != parts.len() {
+        if !self.divides_by(parts) {
+            self.weights = parts.iter().map(|part| part.weight).collect();
             self.credits = vec![0.0; parts.len()];
             self.counts = vec![0; parts.len()];
         }
-        let sum: f64 = parts.iter().map(|part| part.weight).sum();
-        for (credit, part) in self.credits.iter_mut().zip(parts) {
-            *credit += part.weight / sum;
+        let sum: f64 = self.weights.iter().sum();
+        for (credit, weight) in self.credits.iter_mut().zip(&self.weights) {
+            *credit += weight / sum;
         }
         let mut best = 0;
         for (index, credit) in self.credits.iter().enumerate() {
