Let control instances name questions differently in each lifetime

Symptom, by reading: a control instance that is killed and soon back may take the answer to a question of its former lifetime for that to a new one, and acknowledge a change that nobody has, or that a leaving server is held.

Cause: questions were named by a count from 1 in each lifetime. The leader answers within 0.85 s, over a link of its own that is made anew within 0.1 s; a process is back in 0.5 s.

Change: the count begins at a random 64-bit number.

Measured: node/tests/forward/lifetimes.rs, a guest among the control instances: 20 names of a former lifetime were all used again before (48 to 67); none after.

Conclusion: mended. Elsewhere: tokens of caps are asked for and granted on one connection, which ends with the process; rounds of replicas carry the term.

--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -101,7 +101,7 @@
             caps_used: Notify::new(),
             read_table,
             clock,
-            tags: Cell::new(1),
+            tags: Cell::new(rand::random()),
             seeds: RefCell::default(),
             refusal_told: Cell::new(None),
         }
@@ -112,10 +112,11 @@
         self.clock.elapsed()
     }
 
-    /// Returns a name for a question or a request, unique in this lifetime.
+    /// Returns a name for a question or a request. Names of other lifetimes lie
+    /// elsewhere: an answer may come after a restart.
     pub fn next_tag(&self) -> u64 {
         let tag = self.tags.get();
-        self.tags.set(tag + 1);
+        self.tags.set(tag.wrapping_add(1));
         tag
     }
 
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -11,6 +11,7 @@
 mod evacuate;
 mod extra;
 mod fragile;
+mod lifetimes;
 mod news;
 mod relayed;
 mod rolled_out;
