Tell a dead server before the living one at its address

Symptom, by reading: an entry that starts after addresses were used again has no living server at some of them for as long as it lives, and answers 503 or leaves shards out.

Cause: of two lifetimes at an address an entry takes the one that it hears of later for the living one, for good. Control instances tell servers in the order in which they were heard of. Since who hears a server is told once, an instance that names all that it hears gave the dead ones among those that it heard before a new time of hearing, so that they stood behind. Servers that came in one message have the same time, and stood in no order.

Change: a lease of its own for servers that change hands; servers taken for dead are told first, then by the time of hearing, then in the order in which they became known.

Measured: core/tests/forward/remember.rs, addresses used again: failed before for the case of an instance that names no more what it heard (the entry asked nobody); passes with 50 addresses in four cases.

Conclusion: mended.

--- a/crates/core/src/process/forward/directory.rs
+++ b/crates/core/src/process/forward/directory.rs
@@ -167,19 +167,25 @@
     pub notice: ServerNotice,
     /// When it was last heard of.
     pub heard: Duration,
+    /// Since when it has a lease in any case.
+    leased: Duration,
     /// Whether it is taken for silent.
     pub silent: bool,
     /// Whether it was known before a restart and not heard of since.
     pub remembered: bool,
     /// Who hears it.
     pub keeper: ServerKeeper,
+    /// Its place in the order in which lifetimes became known.
+    place: u64,
 }
 
 impl DirectoryRecord {
-    fn new(notice: ServerNotice, now: Duration) -> DirectoryRecord {
+    fn new(notice: ServerNotice, now: Duration, place: u64) -> DirectoryRecord {
         DirectoryRecord {
+            place,
             notice,
             heard: now,
+            leased: now,
             silent: false,
             remembered: false,
             keeper: ServerKeeper::Unknown,
@@ -196,20 +202,25 @@
 #[derive(Debug, Default)]
 pub struct ServerDirectory {
     records: HashMap<Box<str>, DirectoryRecord>,
+    /// Notices taken so far.
+    taken: u64,
 }
 
 impl ServerDirectory {
     /// Takes a notice.
     pub fn apply(&mut self, notice: ServerNotice, now: Duration) -> NoticeEffect {
+        self.taken += 1;
+        let place = self.taken;
         let Some(record) = self.records.get_mut(&notice.id) else {
             let id = notice.id.clone();
-            self.records.insert(id, DirectoryRecord::new(notice, now));
+            let record = DirectoryRecord::new(notice, now, place);
+            self.records.insert(id, record);
             return NoticeEffect::Changed;
         };
         let known = &mut record.notice;
         if notice.born > known.born {
             // It started again under its id: nothing of before holds.
-            *record = DirectoryRecord::new(notice, now);
+            *record = DirectoryRecord::new(notice, now, place);
             return NoticeEffect::Changed;
         }
         if notice.born != 0 && notice.born < known.born {
@@ -245,10 +256,11 @@
     /// Takes a server that was known before a restart, unless something newer
     /// is known. It is believed to live for a moment only: it may have left.
     pub fn remember(&mut self, notice: ServerNotice, now: Duration) {
+        self.taken += 1;
         let id = notice.id.clone();
         self.records.entry(id).or_insert(DirectoryRecord {
             remembered: true,
-            ..DirectoryRecord::new(notice, now)
+            ..DirectoryRecord::new(notice, now, self.taken)
         });
     }
 
@@ -299,7 +311,7 @@
         for (id, record) in &mut self.records {
             if record.keeper == ServerKeeper::Peer(peer) && !ids.contains(id) {
                 record.keeper = ServerKeeper::Unknown;
-                record.heard = now;
+                record.leased = now;
             }
         }
     }
@@ -359,7 +371,8 @@
                 ServerKeeper::Peer(peer) => heard_peer(&peer).unwrap_or(Duration::ZERO),
                 ServerKeeper::Own | ServerKeeper::Unknown => Duration::ZERO,
             };
-            let is_late = now > record.heard.max(heard) + lease;
+            let heard = record.heard.max(record.leased).max(heard);
+            let is_late = now > heard + lease;
             if is_late && !record.silent && record.notice.standing == ServerStanding::Ready {
                 record.silent = true;
                 silent.push(id.clone());
@@ -382,19 +395,22 @@
         digests
     }
 
-    /// Iterates over the records that another directory with these digests may
-    /// lack.
-    pub fn lacking<'a>(
-        &'a self,
-        digests: &'a [u64],
-    ) -> impl Iterator<Item = &'a DirectoryRecord> + 'a {
+    /// Returns the records that another directory with these digests may lack.
+    ///
+    /// Of two lifetimes at an address the later one stands behind: whoever takes
+    /// the records in order takes the earlier one for replaced. Those that are
+    /// taken for dead go first, then those that were heard of longer ago; what
+    /// came in one message was heard of at one time.
+    pub fn lacking(&self, digests: &[u64]) -> Vec<&DirectoryRecord> {
         let own = self.part_digests();
         let records = self.records.iter();
-        let lacking = records.filter(move |(id, _)| {
+        let lacking = records.filter(|(id, _)| {
             let part = part_of(id);
             digests.get(part) != Some(&own[part])
         });
-        lacking.map(|(_, record)| record)
+        let mut lacking: Vec<&DirectoryRecord> = lacking.map(|(_, record)| record).collect();
+        lacking.sort_by_key(|record| (record.lives(), record.heard, record.place));
+        lacking
     }
 
     /// Returns the record of a server.
--- a/crates/core/tests/forward/remember.rs
+++ b/crates/core/tests/forward/remember.rs
@@ -8,7 +8,9 @@
     lease_for, NoticeEffect, ServerDirectory, ServerKeeper, ServerNotice, ServerStanding,
 };
 
-use crate::harness::{notice, HOME};
+use wheelmast_core::process::forward::input::ForwardInput;
+
+use crate::harness::{notice, Harness, HOME};
 
 const LEASE: Duration = Duration::from_secs(5);
 /// Time for which a server that was known before a restart is believed to live.
@@ -159,8 +161,8 @@
         entry.apply(server(number), START);
         group.apply(server(number), START);
     }
-    assert_eq!(group.lacking(&entry.part_digests()).count(), 0);
-    assert_eq!(group.lacking(&[]).count(), 4000);
+    assert_eq!(group.lacking(&entry.part_digests()).len(), 0);
+    assert_eq!(group.lacking(&[]).len(), 4000);
     // One leaves, one comes, and one starts again.
     group.apply(ServerNotice::gone("desk-7", 0), START);
     group.apply(server(4000), START);
@@ -171,11 +173,80 @@
     group.apply(again, START);
     let lacking: Vec<ServerNotice> = group
         .lacking(&entry.part_digests())
+        .into_iter()
         .map(|record| record.notice.clone())
         .collect();
     assert!(lacking.len() < 400, "{}", lacking.len());
     for notice in lacking {
         entry.apply(notice, START);
     }
-    assert_eq!(group.lacking(&entry.part_digests()).count(), 0);
+    assert_eq!(group.lacking(&entry.part_digests()).len(), 0);
+}
+
+struct ReusedCase {
+    name: &'static str,
+    /// Time between the two servers.
+    apart: Duration,
+    /// Whether the first one is known to be silent when the second one comes.
+    lapsed: bool,
+    /// Whether the instance that heard the first one names all that it hears.
+    renewed: bool,
+}
+
+const REUSED_CASES: [ReusedCase; 4] = [
+    ReusedCase {
+        name: "silent, then named no more",
+        apart: LEASE,
+        lapsed: true,
+        renewed: true,
+    },
+    ReusedCase {
+        name: "not silent yet, then named no more",
+        apart: Duration::from_secs(2),
+        lapsed: false,
+        renewed: true,
+    },
+    ReusedCase {
+        name: "both in one message, the first silent",
+        apart: Duration::ZERO,
+        lapsed: true,
+        renewed: false,
+    },
+    ReusedCase {
+        name: "both in one message",
+        apart: Duration::ZERO,
+        lapsed: false,
+        renewed: false,
+    },
+];
+
+#[test]
+fn a_dead_server_does_not_take_the_place_of_the_living_one_at_its_address() {
+    for case in &REUSED_CASES {
+        let peer = ([10, 0, 0, 1], 7380).into();
+        let mut group = ServerDirectory::default();
+        let (first, second) = (START, START + case.apart);
+        for port in 0..50 {
+            group.apply(notice(&format!("desk-{port}"), "desk", HOME, port), first);
+            group.keep_at(&format!("desk-{port}"), peer);
+        }
+        for port in 0..50 {
+            let dead = format!("desk-{port}");
+            if case.lapsed {
+                assert!(group.lapse(&dead, later(9).mark(), peer));
+            }
+            group.apply(notice(&format!("till-{port}"), "till", HOME, port), second);
+        }
+        if case.renewed {
+            group.keep_only(peer, &HashSet::new(), second + LEASE);
+        }
+        let mut entry = Harness::new();
+        for record in group.lacking(&[]) {
+            entry.step(ForwardInput::Notice(record.notice.clone()));
+        }
+        let services = entry.machine.services(entry.now);
+        let tills = services.filter(|(service, ..)| *service == "till");
+        let tills: usize = tills.map(|(_, _, servers, _)| servers).sum();
+        assert_eq!(tills, 50, "{}: living servers", case.name);
+    }
 }
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -21,8 +21,8 @@
 const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
 
 impl GroupNode {
-    /// Returns all that is known of servers, what was heard of last at the end:
-    /// of two lifetimes at an address that is the later one.
+    /// Returns all that is known of servers; of two lifetimes at an address the
+    /// later one stands behind.
     pub fn all_notices(&self) -> Vec<ServerNotice> {
         self.lacking_notices(&[])
     }
@@ -31,10 +31,8 @@
     /// them that have one of these digests.
     pub fn lacking_notices(&self, digests: &[u64]) -> Vec<ServerNotice> {
         let state = self.state.borrow();
-        let mut records: Vec<_> = state.directory.lacking(digests).collect();
-        records.sort_by_key(|record| record.heard);
-        let notices = records.into_iter().map(|record| record.notice.clone());
-        notices.collect()
+        let records = state.directory.lacking(digests).into_iter();
+        records.map(|record| record.notice.clone()).collect()
     }
 
     /// Returns the servers that were heard to leave in the last `time`.
