Ask for the notice of a server that another control instance hears and this one missed

Symptom, by reading: a server that one control instance never hears of; entries that have it as their source don't ask that server, and a route to it is refused there.

Cause: a new server's notice is told once, on the connection of that moment. An instance that dies or whose link is full loses it. The greeting's digest shows the difference, but what is asked for then holds ids without address and service, of which a record that is missing can't be made; the question is repeated with every greeting.

Change: ids that are not known are asked for (AskNotices); the instance that hears them answers with their notices.

Measured: node/tests/forward/lifetimes.rs, a guest that hears a server: with the question left out the test fails ("a question for the notice"), with it the entry hears of the server. wheelmast_servers_missed_total counts such servers.

Conclusion: mended. Class: a difference that is found and not mended.

--- a/crates/core/src/process/forward/directory.rs
+++ b/crates/core/src/process/forward/directory.rs
@@ -287,6 +287,12 @@
         }
     }
 
+    /// Tells whether a lifetime of a server, or a later one, is known.
+    pub fn knows(&self, id: &str, mark: LifeMark) -> bool {
+        let record = self.records.get(id);
+        record.is_some_and(|record| record.notice.born >= mark.born)
+    }
+
     /// Takes over that this instance hears a server. Returns whether another one
     /// did before.
     pub fn keep(&mut self, id: &str) -> bool {
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -152,13 +152,20 @@
         GroupMessage::Kept(tag) => node.count_keep(tag),
         GroupMessage::Renewals { whole, servers } => {
             if let Some(peer) = peer {
-                node.take_renewals(peer, whole, servers);
+                let missed = node.take_renewals(peer, whole, servers);
+                if !missed.is_empty() {
+                    answer(node, Some(peer), GroupMessage::AskNotices(missed));
+                }
             }
         }
         GroupMessage::AskRenewals => {
             let message = node.whole_renewals();
             answer(node, peer, message);
         }
+        GroupMessage::AskNotices(ids) => {
+            let message = GroupMessage::Notices(node.notices_of(&ids));
+            answer(node, peer, message);
+        }
         GroupMessage::Lapsed(servers) => {
             if let Some(peer) = peer {
                 node.take_lapsed(peer, &servers);
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -191,17 +191,24 @@
         }
     }
 
-    /// Takes over which servers another control instance hears.
-    pub fn take_renewals(&self, peer: SocketAddr, whole: bool, servers: Vec<(Box<str>, LifeMark)>) {
+    /// Takes over which servers another control instance hears. Returns those of
+    /// which nothing is known here, as their notice was missed.
+    pub fn take_renewals(
+        &self,
+        peer: SocketAddr,
+        whole: bool,
+        servers: Vec<(Box<str>, LifeMark)>,
+    ) -> Vec<Box<str>> {
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let directory = &mut state.directory;
-        let unknown = servers.iter().filter(|(id, _)| directory.get(id).is_none());
-        let unknown = unknown.count();
-        if unknown > 0 {
-            state.servers_missed += unknown as u64;
-            tracing::warn!(target: "group", %peer, servers = unknown, "server: heard by another instance, not known here");
+        let missed = servers.iter();
+        let missed = missed.filter(|(id, mark)| !directory.knows(id, *mark));
+        let missed: Vec<Box<str>> = missed.map(|(id, _)| id.clone()).collect();
+        if !missed.is_empty() {
+            state.servers_missed += missed.len() as u64;
+            tracing::warn!(target: "group", %peer, servers = missed.len(), "server: heard by another instance, not known here");
         }
         for (id, mark) in &servers {
             directory.renew(id, *mark, now);
@@ -211,6 +218,16 @@
             let ids = servers.into_iter().map(|(id, _)| id).collect();
             directory.keep_only(peer, &ids, now);
         }
+        missed
+    }
+
+    /// Returns the notices of the servers with these ids that take work.
+    pub fn notices_of(&self, ids: &[Box<str>]) -> Vec<ServerNotice> {
+        let state = self.state.borrow();
+        let records = ids.iter().filter_map(|id| state.directory.get(id));
+        let notices = records.map(|record| &record.notice);
+        let notices = notices.filter(|notice| notice.standing == ServerStanding::Ready);
+        notices.cloned().collect()
     }
 
     /// Takes another control instance's word that servers are silent.
--- a/crates/node/tests/forward/lifetimes.rs
+++ b/crates/node/tests/forward/lifetimes.rs
@@ -1,4 +1,5 @@
-//! What a control instance says and takes after a restart.
+//! What a control instance says to others and takes from them, where an answer comes
+//! late or news were lost.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -7,11 +8,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use wheelmast_core::process::control::state::MemberRecord;
+use wheelmast_core::process::forward::directory::{LifeMark, ServerNotice, ServerStanding};
 use wheelmast_node::connection::frame::FrameReader;
 use wheelmast_wire::group::GroupMessage;
 
 use crate::harness::{ask, route_table, until, Deployment, PATIENCE};
-use crate::news::say;
+use crate::news::{follow, say};
 
 /// Servers that leave in the former lifetime.
 const FORMER_LEAVERS: usize = 20;
@@ -44,8 +46,8 @@
         GuestControl { address, heard }
     }
 
-    /// Greets a control instance, which answers at this one's listener.
-    pub(crate) async fn greet(&self, other: SocketAddr, servers: u64) -> TcpStream {
+    /// Greets a control instance, and waits until that has a link to this one.
+    pub(crate) async fn greet(&mut self, other: SocketAddr) -> TcpStream {
         let mut stream = TcpStream::connect(other).await.expect("a connection");
         let hello = GroupMessage::Hello {
             from: MemberRecord {
@@ -58,9 +60,11 @@
             learns: false,
             known: Vec::new(),
             followers: 0,
-            servers,
+            servers: 0,
         };
         say(&mut stream, &hello).await;
+        let linked = |message| matches!(message, GroupMessage::Hello { .. }).then_some(());
+        self.hear(linked).await.expect("a link to the guest");
         stream
     }
 
@@ -84,9 +88,7 @@
     deployment: &Deployment,
     leavers: usize,
 ) -> BTreeSet<u64> {
-    let _stream = guest.greet(deployment.peers(0), 0).await;
-    let linked = |message| matches!(message, GroupMessage::Hello { .. }).then_some(());
-    guest.hear(linked).await.expect("a link to the guest");
+    let _stream = guest.greet(deployment.peers(0)).await;
     let front = deployment.front(0);
     let leave = move || {
         for number in 0..leavers {
@@ -123,3 +125,61 @@
     let both: Vec<&u64> = former.intersection(&later).collect();
     assert!(both.is_empty(), "the same names in two lifetimes: {both:?}");
 }
+
+/// A server that only the guest has heard of.
+fn missed_notice() -> ServerNotice {
+    ServerNotice {
+        id: "missed-1".into(),
+        service: "desk".into(),
+        address: Some(([127, 0, 0, 1], 9).into()),
+        domain: "here".into(),
+        version: "".into(),
+        slots: 2,
+        standing: ServerStanding::Ready,
+        born: 0,
+        sequence: 3,
+        cold_ms: 0,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_hear_of_a_server_whose_notice_was_lost_between_control_instances() {
+    let deployment = Deployment::start(16);
+    deployment.put_first_table(&route_table(1));
+    let mut entry = follow(&deployment, "entry").await;
+    let whole = GroupMessage::Whole {
+        have: 0,
+        servers: Vec::new(),
+    };
+    say(&mut entry, &whole).await;
+    let mut guest = GuestControl::listen().await;
+    let mut stream = guest.greet(deployment.peers(0)).await;
+    let notice = missed_notice();
+    let mark = LifeMark {
+        born: notice.born,
+        sequence: notice.sequence,
+    };
+    let renewals = GroupMessage::Renewals {
+        whole: false,
+        servers: vec![(notice.id.clone(), mark)],
+    };
+    say(&mut stream, &renewals).await;
+    let asked = |message| match message {
+        GroupMessage::AskNotices(ids) => Some(ids),
+        _ => None,
+    };
+    let ids = guest.hear(asked).await.expect("a question for the notice");
+    assert_eq!(ids, [notice.id.clone()]);
+    say(&mut stream, &GroupMessage::Notices(vec![notice.clone()])).await;
+    let mut reader = FrameReader::new(entry);
+    let hear = async {
+        loop {
+            match reader.next().await.expect("a message") {
+                GroupMessage::Notices(news) if news.contains(&notice) => return,
+                _ => {}
+            }
+        }
+    };
+    let heard = tokio::time::timeout(PATIENCE / 4, hear).await;
+    assert!(heard.is_ok(), "the entry hears of the server");
+}
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -197,6 +197,8 @@
         /// What is granted, in the order of the questions.
         grants: Vec<CapGrant>,
     },
+    /// A control instance asks another one for the notices of servers, by their ids.
+    AskNotices(Vec<Box<str>>),
 }
 
 impl GroupMessage {
@@ -233,6 +235,7 @@
             GroupMessage::Tallies(_) => "tallies",
             GroupMessage::AskCaps { .. } => "ask_caps",
             GroupMessage::Caps { .. } => "caps",
+            GroupMessage::AskNotices(_) => "ask_notices",
         }
     }
 }
