Failing test: an entry stays with control instances that have lost their group

What callers get: an older table for as long as a split lasts. An entry is connected to two control instances that say that they are cut off from a group with a newer table; a third one refused it when it started and takes connections since.

--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -36,7 +36,11 @@
 
 impl FakeControl {
     async fn start() -> FakeControl {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        FakeControl::start_at(([127, 0, 0, 1], 0).into()).await
+    }
+
+    async fn start_at(address: SocketAddr) -> FakeControl {
+        let listener = TcpListener::bind(address).await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (tell, heard) = mpsc::unbounded_channel();
         let (link, links) = mpsc::unbounded_channel();
@@ -111,6 +115,15 @@
 type Entry = Rc<EntryDuty<NativeDialect>>;
 
 fn entry_at(controls: &[&FakeControl]) -> Entry {
+    let (entry, feed) = lone_entry();
+    for control in controls {
+        feed.follow(control.address);
+    }
+    entry
+}
+
+/// Returns an entry that knows of no control instance, and what tells it of them.
+fn lone_entry() -> (Entry, Rc<GroupFeed<NativeDialect>>) {
     let entry = Rc::new(EntryDuty::<NativeDialect>::new(
         ForwardOptions::default(),
         1,
@@ -122,10 +135,7 @@
         address: ([127, 0, 0, 1], 9).into(),
     };
     let feed = Rc::new(GroupFeed::new(entry.clone(), peer));
-    for control in controls {
-        feed.follow(control.address);
-    }
-    entry
+    (entry, feed)
 }
 
 fn version(entry: &Entry) -> u64 {
@@ -249,3 +259,48 @@
         until("the table is in force", || version(&entry) == 4).await;
     });
 }
+
+#[test]
+fn an_instance_that_failed_once_is_preferred_to_those_that_have_lost_their_group() {
+    play(async {
+        let (entry, feed) = lone_entry();
+        // It takes no connections yet.
+        let reserved = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = reserved.local_addr().expect("an address");
+        drop(reserved);
+        feed.follow(address);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let mut near = FakeControl::start().await;
+        let mut beside = FakeControl::start().await;
+        for (control, domain) in [(&mut near, "here"), (&mut beside, "there")] {
+            feed.follow(control.address);
+            control.say_here(domain, true, 3).await;
+            control.say(&GroupMessage::Confirmed { version: 3 }).await;
+            control.say(&routes(3)).await;
+        }
+        until("a table is in force", || version(&entry) == 3).await;
+        let mut other = FakeControl::start_at(address).await;
+        for (control, domain) in [(&mut near, "here"), (&mut beside, "there")] {
+            control.say_here(domain, false, 3).await;
+        }
+        // Both go on to say that they are cut off from a group that has a newer table.
+        let told = async {
+            loop {
+                for (control, domain) in [(&mut near, "here"), (&mut beside, "there")] {
+                    control.say_here(domain, false, 3).await;
+                }
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        };
+        let followed = async {
+            other.say_here("elsewhere", true, 4).await;
+            other.say(&routes(4)).await;
+            until("the newer table is in force", || version(&entry) == 4).await;
+        };
+        tokio::select! {
+            () = told => {}
+            () = tokio::time::sleep(PATIENCE) => panic!("the entry stays with those that are cut off"),
+            () = followed => {}
+        }
+    });
+}
