Let a replica without a vote give up a leader that it has lost

Cause: a leader that falls silent is given up when a replica asks for votes. One without a vote never asks, and only set its timer anew.

Change: it gives its leader up when the time is over.

Measured: core/tests/members, a_replica_without_a_vote_knows_that_it_has_lost_its_leader: failed before (Some(1) in place of None after twice the election time), passes. Random plays of the group pass.

Class: state that one role clears as a side effect and another does not.

--- a/crates/core/src/process/control/replica.rs
+++ b/crates/core/src/process/control/replica.rs
@@ -329,6 +329,8 @@
             if self.is_voter() {
                 self.ask_pre_votes(now, out);
             } else {
+                // It says whom it follows, and must not say that of one it has lost.
+                self.leader = None;
                 self.reset_election(now);
             }
         }
--- a/crates/core/tests/members/cases.rs
+++ b/crates/core/tests/members/cases.rs
@@ -5,8 +5,10 @@
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRng, TestRunner};
-use wheelmast_core::process::control::message::ReplicaInput;
-use wheelmast_core::process::control::replica::ReplicaRules;
+use wheelmast_core::process::control::log::{HardState, LogPlace};
+use wheelmast_core::process::control::message::{ReplicaInput, ReplicaMessage, ReplicaTiming};
+use wheelmast_core::process::control::replica::{ReplicaMachine, ReplicaRules, ReplicaStart};
+use wheelmast_core::process::control::state::ControlState;
 
 use crate::harness::{event, Broken, Group, WipedName};
 
@@ -164,3 +166,47 @@
         assert_eq!(group.broken.stale_read > 0, !confirmed);
     }
 }
+
+#[test]
+fn a_replica_without_a_vote_knows_that_it_has_lost_its_leader() {
+    let leader = 1;
+    let mut learner = ReplicaMachine::new(
+        ReplicaStart {
+            id: 9,
+            members: vec![leader, 2, 3],
+            size: 0,
+            hard: HardState::default(),
+            snapshot: (LogPlace::default(), ControlState::default()),
+            entries: Vec::new(),
+            commit: 0,
+            timing: ReplicaTiming::default(),
+            rules: ReplicaRules::default(),
+            seed: 1,
+        },
+        Duration::ZERO,
+    );
+    let heartbeat = ReplicaInput::Message {
+        from: leader,
+        message: ReplicaMessage::Append {
+            term: 1,
+            previous: LogPlace::default(),
+            entries: Vec::new(),
+            commit: 0,
+            round: 1,
+        },
+    };
+    let mut actions = Vec::new();
+    let begin = Duration::from_secs(1);
+    learner.step(begin, heartbeat, &mut actions);
+    assert_eq!(learner.leader(), Some(leader));
+    let silent = ReplicaTiming::default().election * 2;
+    while learner.next_wake() <= begin + silent {
+        learner.step(learner.next_wake(), ReplicaInput::Wake, &mut actions);
+    }
+    assert_eq!(
+        learner.leader(),
+        None,
+        "its leader is silent for {silent:?}"
+    );
+    assert!(!learner.is_leader());
+}
--- a/crates/node/tests/forward/lifetimes.rs
+++ b/crates/node/tests/forward/lifetimes.rs
@@ -169,7 +169,7 @@
         _ => None,
     };
     let ids = guest.hear(asked).await.expect("a question for the notice");
-    assert_eq!(ids, [notice.id.clone()]);
+    assert_eq!(ids, std::slice::from_ref(&notice.id));
     say(&mut stream, &GroupMessage::Notices(vec![notice.clone()])).await;
     let mut reader = FrameReader::new(entry);
     let hear = async {
