Let an entry leave control instances that have lost their group for any others

Cause: an entry chooses its two connections by how often an instance failed it in a row, and that was forgotten only when the instance was heard again. One that says that it has lost its group counted one. An instance that refused a connection at some start, and was not needed since, was so no better than one cut off now, and the nearer one stayed; after all control instances were killed once, all had failed. Which entries are hit is chance: with 294 some are, with ten rarely one.

Ruled out: the table's way (fetched within 0.2 s where the entry is connected to one that has it); the greater half (tables in force there at once); processor time (none counted).

Change: what is kept is when an instance was last doubted, for five seconds. One that is not doubted goes first, then the one doubted longest ago, so that one that is cut off now goes last. A near one that is back is used again after that time.

This is the cause that fits what the users saw: a confirmed change that is not in force in time, on the deployment with most entries.

--- a/crates/cli/src/measure/fleet.rs
+++ b/crates/cli/src/measure/fleet.rs
@@ -88,7 +88,7 @@
             let candidates = control.iter().map(|(address, domain)| LineCandidate {
                 address: *address,
                 place: Some((*domain, regions.step(&entry.domain, domain))),
-                strikes: 0,
+                doubted: None,
             });
             let candidates: Vec<_> = candidates.collect();
             let chosen = choose_lines(&entry.id(), &candidates);
--- a/crates/core/src/process/forward/source.rs
+++ b/crates/core/src/process/forward/source.rs
@@ -36,9 +36,9 @@
     pub address: SocketAddr,
     /// Its failure domain, and how far off that is, if known.
     pub place: Option<(&'a str, PlaceStep)>,
-    /// How often in a row it could not be reached or was out of contact with its
-    /// group.
-    pub strikes: u32,
+    /// When it last could not be reached, was silent, or was out of contact with
+    /// its group; none if that was long ago, or it was heard to be well since.
+    pub doubted: Option<Duration>,
 }
 
 impl LineCandidate<'_> {
@@ -49,9 +49,11 @@
 
 /// Chooses the control instances that an entry connects to.
 ///
-/// One without strikes goes first, then a near one; among equals each entry has
-/// an order of its own, so that they spread. The others stand in failure domains
-/// of their own, if there are enough.
+/// One that is not doubted goes first, then the one that was doubted longest ago:
+/// one that says now that it has lost its group is worse than any that failed
+/// before. Then a near one goes first; among equals each entry has an order of its
+/// own, so that they spread. The others stand in failure domains of their own, if
+/// there are enough.
 pub fn choose_lines(own: &str, candidates: &[LineCandidate<'_>]) -> Vec<SocketAddr> {
     let mut left: Vec<&LineCandidate<'_>> = candidates.iter().collect();
     let mut chosen: Vec<&LineCandidate<'_>> = Vec::with_capacity(LINES);
@@ -63,7 +65,7 @@
             let place = candidate.place.map(|(_, place)| place);
             let order = rank(own, &candidate.address.to_string());
             (
-                candidate.strikes,
+                candidate.doubted,
                 is_used && domain.is_some(),
                 place.unwrap_or(PlaceStep::Elsewhere),
                 Reverse(order),
--- a/crates/core/tests/forward/source.rs
+++ b/crates/core/tests/forward/source.rs
@@ -113,7 +113,7 @@
         .map(|(index, domain)| LineCandidate {
             address: ([10, 0, 0, index as u8], 7380).into(),
             place: Some((*domain, place(domain))),
-            strikes: 0,
+            doubted: None,
         })
         .collect()
 }
@@ -182,7 +182,7 @@
     for case in cases {
         let mut sites = sites(case.domains);
         for failing in case.failing {
-            sites[*failing].strikes = 1;
+            sites[*failing].doubted = Some(Duration::from_secs(1));
         }
         let chosen = choose_lines("entry#1", &sites);
         let domain = |address| {
@@ -202,6 +202,16 @@
     }
 }
 
+#[test]
+fn instances_that_failed_before_go_before_those_that_have_lost_their_group_now() {
+    let mut sites = sites(&["a1", "a2", "b1", "c1"]);
+    for (site, doubted) in sites.iter_mut().zip([9, 9, 6, 5]) {
+        site.doubted = Some(Duration::from_secs(doubted));
+    }
+    let chosen = choose_lines("entry#1", &sites);
+    assert_eq!(chosen, [sites[3].address, sites[2].address]);
+}
+
 #[test]
 fn connections_grow_with_the_entries_and_spread_over_the_instances() {
     let domains: Vec<&str> = (0..24)
--- a/crates/node/src/process/forward/lines.rs
+++ b/crates/node/src/process/forward/lines.rs
@@ -24,6 +24,9 @@
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Tries without success after which an instance that nobody names is forgotten.
 const MOST_TRIES: u32 = 60;
+/// Time for which an instance that failed is avoided: a near one that is back is
+/// used again.
+const DOUBT_TIME: Duration = Duration::from_secs(5);
 /// Wishes that may wait for a connection.
 const WISH_RING: usize = 64;
 
@@ -57,8 +60,9 @@
     place: Option<(Box<str>, PlaceStep)>,
     /// How often in a row it could not be reached.
     failures: u32,
-    /// Whether it was out of contact with its group when last heard.
-    is_unsettled: bool,
+    /// When it last failed, or said that it is out of contact with its group,
+    /// unless it was heard to be well since.
+    doubted: Option<Duration>,
     /// Whether a task keeps the connection to it.
     is_followed: bool,
     /// Whether a connection to it is wanted.
@@ -112,6 +116,7 @@
     pub fn fail_site(&mut self, address: SocketAddr) {
         let site = self.sites.entry(address).or_default();
         site.failures = site.failures.saturating_add(1);
+        site.doubted = Some(self.clock.elapsed());
     }
 
     /// Chooses the instances that the entry is connected to. Returns those that
@@ -126,13 +131,14 @@
             let line = lines.get(address);
             line.is_some_and(|line| now > line.heard + QUIET_TIME)
         };
-        let candidates = self.sites.iter().map(|(address, site)| LineCandidate {
-            address: *address,
-            place: site
-                .place
-                .as_ref()
-                .map(|(domain, place)| (&**domain, *place)),
-            strikes: site.failures + u32::from(site.is_unsettled || is_quiet(address)),
+        let candidates = self.sites.iter().map(|(address, site)| {
+            let place = site.place.as_ref();
+            let lately = site.doubted.filter(|doubted| now < *doubted + DOUBT_TIME);
+            LineCandidate {
+                address: *address,
+                place: place.map(|(domain, place)| (&**domain, *place)),
+                doubted: if is_quiet(address) { Some(now) } else { lately },
+            }
         });
         let candidates: Vec<_> = candidates.collect();
         let chosen = choose_lines(&self.own, &candidates);
@@ -226,7 +232,7 @@
             return false;
         };
         if let Some(site) = self.sites.get_mut(&address) {
-            site.is_unsettled = !state.is_settled;
+            site.doubted = (!state.is_settled).then(|| self.clock.elapsed());
             site.failures = 0;
         }
         let known = line.peer;
