Open no connection for a subquery whose time is over

Cause: the time left was looked at after the connection was opened. Nothing was written, and the test's server counts a connection that ends at once as a question, if its thread comes to that before the test looks. With a pause of 200 ms before the look it failed each time (one question, empty).

Ruled out: clocks (the process's clock and that of the pause go at the same rate), time that was left after all (nothing was written).

Measured: with the pause, no connection after; the test unchanged passes.

Conclusion: a handshake for nothing, at servers, and the test's race with it.

--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -300,7 +300,7 @@
     }
 
     /// Iterates over the parts of the routes that are split: route, part, and the
-    /// requests that went to it since the start.
+    /// requests that went to it since its weights last changed.
     pub fn split_counts(&self) -> impl Iterator<Item = (&str, &WeightedService, u64)> {
         let routes = self.table.iter().flat_map(|table| table.routes());
         routes.flat_map(|route| {
--- a/crates/node/src/connection/attempt.rs
+++ b/crates/node/src/connection/attempt.rs
@@ -63,6 +63,10 @@
             SendEnd::NeverSent => {}
         }
     }
+    if clock.elapsed() >= order.until {
+        // Nothing would be written, and opening costs the server a slot.
+        return ReplyStatus::NeverSent;
+    }
     let began = Instant::now();
     let Ok(mut connection) = UpstreamConnection::open(source, order.address).await else {
         return ReplyStatus::NeverSent;
