--- a/crates/node/src/process/store/replica_store.rs
+++ b/crates/node/src/process/store/replica_store.rs
@@ -9,6 +9,7 @@
 use wheelmast_core::process::control::evacuation::EvacuationBook;
 use wheelmast_core::process::control::log::{HardState, LogEntry, LogPlace};
 use wheelmast_core::process::control::message::ReplicaAction;
+use wheelmast_core::process::control::rollout::RolloutBook;
 use wheelmast_core::process::control::state::ControlState;
 use wheelmast_wire::peer::{decode, encode};
 
@@ -73,13 +74,16 @@
     decode(body).context("could not read a record of good checksum")
 }
 
-/// Reads a snapshot. One that was written before failure domains could be taken
-/// out of use ends before them: none was.
+/// Reads a snapshot. One that an earlier program wrote lacks what is kept at its
+/// end since, and that was empty then.
 fn read_snapshot(body: &[u8]) -> anyhow::Result<(LogPlace, ControlState)> {
+    let evacuations = encode(&EvacuationBook::default())?;
+    let rollouts = encode(&RolloutBook::default())?;
+    let since_evacuations = [&*evacuations, &rollouts].concat();
     read(body).or_else(|error| {
-        let nothing = encode(&EvacuationBook::default())?;
-        let whole = [body, &nothing].concat();
-        read(&whole).map_err(|_| error)
+        let mut ends = [rollouts, since_evacuations].into_iter();
+        let found = ends.find_map(|end| read(&[body, &end].concat()).ok());
+        found.ok_or(error)
     })
 }
 
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -6,6 +6,7 @@
 use wheelmast_core::process::control::evacuation::EvacuationBook;
 use wheelmast_core::process::control::log::{HardState, LogEntry, LogPlace};
 use wheelmast_core::process::control::message::ReplicaAction;
+use wheelmast_core::process::control::rollout::RolloutBook;
 use wheelmast_core::process::control::state::{ControlCommand, ControlState};
 use wheelmast_node::process::store::folder::{DataFolder, FolderIdentity, FOLDER_FORMAT};
 use wheelmast_node::process::store::record::{read_records, write_record, RecordKind, FILE_HEADER};
@@ -203,8 +204,30 @@
     }
 }
 
+struct SnapshotCase {
+    name: &'static str,
+    /// What the program did not write yet at the end.
+    missing: Vec<u8>,
+}
+
 #[test]
-fn a_snapshot_of_before_evacuations_is_read() {
+fn a_snapshot_that_an_earlier_program_wrote_is_read() {
+    let evacuations = encode(&EvacuationBook::default()).expect("encoded");
+    let rollouts = encode(&RolloutBook::default()).expect("encoded");
+    let cases = [
+        SnapshotCase {
+            name: "as now",
+            missing: Vec::new(),
+        },
+        SnapshotCase {
+            name: "before roll-outs",
+            missing: rollouts.clone(),
+        },
+        SnapshotCase {
+            name: "before evacuations",
+            missing: [evacuations, rollouts].concat(),
+        },
+    ];
     let mut state = ControlState::default();
     state.apply(&ControlCommand::Route {
         version: 9,
@@ -213,16 +236,17 @@
     });
     let place = LogPlace { term: 2, index: 5 };
     let now = encode(&(place, &state)).expect("encoded");
-    let book = encode(&EvacuationBook::default()).expect("encoded");
-    let before = now.strip_suffix(&*book).expect("the book is last");
-    let folder = TempDir::new().expect("a folder");
-    let data = DataFolder::create(folder.path(), &identity()).expect("it is new");
-    drop(ReplicaStore::open(data).expect("it opens"));
-    let mut bytes = FILE_HEADER.to_vec();
-    write_record(RecordKind::Snapshot, before, &mut bytes);
-    let log = folder.path().join("control-1.log");
-    std::fs::write(log, bytes).expect("written");
-    let store = reopen(folder.path()).expect("it is read");
-    assert_eq!(store.kept().state.route_version(), 9);
-    assert_eq!(store.kept().state.evacuations().revision(), 0);
+    for case in cases {
+        let before = now.strip_suffix(&*case.missing).expect("it is last");
+        let folder = TempDir::new().expect("a folder");
+        let data = DataFolder::create(folder.path(), &identity()).expect("it is new");
+        drop(ReplicaStore::open(data).expect("it opens"));
+        let mut bytes = FILE_HEADER.to_vec();
+        write_record(RecordKind::Snapshot, before, &mut bytes);
+        let log = folder.path().join("control-1.log");
+        std::fs::write(log, bytes).expect("written");
+        let store = reopen(folder.path());
+        let store = store.unwrap_or_else(|error| panic!("{}: {error:#}", case.name));
+        assert_eq!(store.kept().state, state, "{}", case.name);
+    }
 }
