Define the interfaces of overload handling

Cause: the entries' shortage levels, workspace shares and connection limits are built in parallel and need common types.

--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -136,6 +136,9 @@
                 None => rule.attempts,
             },
             allowed_regions,
+            rank: workspace
+                .and_then(|workspace| workspace.rank)
+                .unwrap_or(rule.rank),
             workspace: workspace.map(|workspace| workspace.name.as_str().into()),
             key: call.key,
             route,
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -137,6 +137,9 @@
     pub allowed_regions: RegionSet,
     /// Workspace (customer) of the request, if one was identified by its key.
     pub workspace: Option<Arc<str>>,
+    /// Priority rank: the workspace's if it has one, otherwise the route's. 0 is the
+    /// highest.
+    pub rank: u32,
     /// Digest of the caller's key. The key is not sent to other entries.
     pub key: Option<KeyDigest>,
     /// Whether the request's parts raise their services' budgets for extra load
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -12,6 +12,7 @@
 use crate::process::forward::directory::ServerAnnouncement;
 use crate::process::forward::suspect::record::SuspectRecord;
 use crate::process::input::CallTag;
+use crate::process::load::LoadSummary;
 use crate::process::rollout::RolloutView;
 use crate::request::mark::RequestFingerprint;
 use crate::version::route_table::RouteTable;
@@ -198,13 +199,17 @@
         /// Time to establish the connection.
         took: Duration,
     },
-    /// The number of idle connections to a server changed.
-    IdleConnections {
+    /// The number of connections to a server changed.
+    Connections {
         /// The server.
         server: ServerKey,
         /// Number of idle connections.
         idle: u32,
+        /// Number of all connections: idle, in use, and being opened.
+        open: u32,
     },
+    /// Shortage levels and workspace shares, as merged by the control group.
+    LoadSummary(LoadSummary),
     /// No event; only the timers that are due are to run.
     Wake,
 }
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -269,7 +269,11 @@
             ForwardInput::Connected { server, took } => {
                 self.servers[server].record_connection(took)
             }
-            ForwardInput::IdleConnections { server, idle } => self.servers[server].idle = idle,
+            ForwardInput::Connections { server, idle, open } => {
+                self.servers[server].idle = idle;
+                self.servers[server].open = open;
+            }
+            ForwardInput::LoadSummary(_) => {}
             ForwardInput::Wake => {}
         }
         self.run_timers(now, out);
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -89,6 +89,8 @@
     pub outstanding: Vec<OutstandingAttempt>,
     /// Number of idle connections to the server.
     pub idle: u32,
+    /// Number of all connections to the server: idle, in use, and being opened.
+    pub open: u32,
     /// Estimate of how slow the server is relative to its peers.
     pub slowness_estimate: ServerSlowness,
     /// Prediction of the server's stalls: short periods in which it answers nothing,
@@ -132,6 +134,7 @@
             cold: SendWindow::default(),
             outstanding: Vec::new(),
             idle: 0,
+            open: 0,
             slowness_estimate: ServerSlowness::new(SlownessStrategy::default()),
             stall_predictor: StallPredictor::default(),
             failure_rate: 0.0,
--- a/crates/core/src/process/mod.rs
+++ b/crates/core/src/process/mod.rs
@@ -17,6 +17,7 @@
 pub mod health;
 pub mod input;
 pub mod latency;
+pub mod load;
 pub mod news;
 pub mod placement;
 pub mod policy;
--- a/crates/fake/src/model/entry.rs
+++ b/crates/fake/src/model/entry.rs
@@ -77,7 +77,14 @@
         let idle = self.idle.entry(server).or_default();
         *idle += 1;
         let idle = *idle;
-        let _ = self.step(now, ForwardInput::IdleConnections { server, idle });
+        let _ = self.step(
+            now,
+            ForwardInput::Connections {
+                server,
+                idle,
+                open: idle,
+            },
+        );
     }
 
     /// Takes an idle connection, if there is one.
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -60,6 +60,8 @@
 #[derive(Debug, Default)]
 pub struct ServerPool {
     idle: RefCell<HashMap<ServerKey, Vec<IdleConnection>>>,
+    /// Number of connections to each server: idle, in use, and being opened.
+    open: RefCell<HashMap<ServerKey, u32>>,
     sent_late: Cell<u64>,
 }
 
@@ -84,6 +86,7 @@
             }
             return;
         }
+        self.count_opened(request.order.server);
         tokio::task::spawn_local(run_connection(entry.clone(), request));
     }
 
@@ -112,8 +115,28 @@
         self.idle.borrow_mut().remove(&server);
     }
 
-    /// Reports the number of usable idle connections to a server to the state machine.
-    fn report_idle<D: ForwardDialect>(&self, entry: &Rc<ForwardDriver<D>>, server: ServerKey) {
+    /// Counts a connection that is about to be opened.
+    fn count_opened(&self, server: ServerKey) {
+        *self.open.borrow_mut().entry(server).or_default() += 1;
+    }
+
+    /// Counts a closed connection.
+    fn count_closed(&self, server: ServerKey) {
+        let mut open = self.open.borrow_mut();
+        if let Some(count) = open.get_mut(&server) {
+            *count = count.saturating_sub(1);
+            if *count == 0 {
+                open.remove(&server);
+            }
+        }
+    }
+
+    /// Reports the number of connections to a server to the state machine.
+    fn report_connections<D: ForwardDialect>(
+        &self,
+        entry: &Rc<ForwardDriver<D>>,
+        server: ServerKey,
+    ) {
         let now = entry.clock.elapsed();
         let idle = self.idle.borrow();
         let usable_count = idle.get(&server).map(|connections| {
@@ -126,9 +149,11 @@
         });
         let idle_count = usable_count.unwrap_or(0) as u32;
         drop(idle);
-        entry.step(ForwardInput::IdleConnections {
+        let open_count = self.open.borrow().get(&server).copied().unwrap_or(0);
+        entry.step(ForwardInput::Connections {
             server,
             idle: idle_count,
+            open: open_count,
         });
     }
 
@@ -150,9 +175,19 @@
     }
 }
 
+/// Runs a connection that the pool has counted until it ends, and reports the number of
+/// connections to its server when it is opened and when it is closed.
+async fn run_connection<D: ForwardDialect>(entry: Rc<ForwardDriver<D>>, first: UpstreamRequest) {
+    let server = first.order.server;
+    entry.pool.report_connections(&entry, server);
+    serve_requests(&entry, first).await;
+    entry.pool.count_closed(server);
+    entry.pool.report_connections(&entry, server);
+}
+
 /// Opens a connection, sends `first` on it, and then the requests that the pool hands
 /// over, until the connection ends or its idle time-out passes.
-async fn run_connection<D: ForwardDialect>(entry: Rc<ForwardDriver<D>>, first: UpstreamRequest) {
+async fn serve_requests<D: ForwardDialect>(entry: &Rc<ForwardDriver<D>>, first: UpstreamRequest) {
     let server = first.order.server;
     let mut request = first;
     let opened = Instant::now();
@@ -163,7 +198,7 @@
         connected = tokio::time::timeout(CONNECT_TIMEOUT, connect) => connected.ok(),
     };
     let Some(Ok(mut stream)) = connected else {
-        return report_result(&entry, &request.order, AttemptResult::Unsent);
+        return report_result(entry, &request.order, AttemptResult::Unsent);
     };
     // Disables Nagle's algorithm, which delays small writes. An error is ignored, as the
     // connection works without the option.
@@ -175,12 +210,12 @@
     let mut last_request = Box::default();
     loop {
         let now = entry.clock.elapsed();
-        if should_withdraw(&entry, &mut request, now) {
-            report_result(&entry, &request.order, AttemptResult::Withdrawn);
+        if should_withdraw(entry, &mut request, now) {
+            report_result(entry, &request.order, AttemptResult::Withdrawn);
         } else {
             last_request = request.image.id.clone();
             let Some(keep_alive) =
-                send_request(&entry, &mut stream, &mut buffer, request, now).await
+                send_request(entry, &mut stream, &mut buffer, request, now).await
             else {
                 return;
             };
@@ -188,7 +223,7 @@
         }
         let keep_alive = until.saturating_sub(entry.clock.elapsed());
         let next_request = entry.pool.add_idle(server, until, last_request.clone());
-        entry.pool.report_idle(&entry, server);
+        entry.pool.report_connections(entry, server);
         tokio::select! {
             biased;
             next = next_request => match next {
@@ -196,10 +231,8 @@
                 Err(_) => return,
             },
             // The server closed the connection or sent bytes without a request.
-            _ = stream.readable() => return entry.pool.report_idle(&entry, server),
-            () = tokio::time::sleep(keep_alive) => {
-                return entry.pool.report_idle(&entry, server);
-            }
+            _ = stream.readable() => return,
+            () = tokio::time::sleep(keep_alive) => return,
         }
     }
 }
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -15,6 +15,7 @@
 use wheelmast_core::process::forward::input::EntryPeer;
 use wheelmast_core::process::forward::source::ControlSite;
 use wheelmast_core::process::forward::suspect::record::SuspectRecord;
+use wheelmast_core::process::load::{LoadReport, LoadSummary};
 use wheelmast_core::process::rollout::{RolloutView, VersionOutcomes};
 
 /// Maximum length of the message in a frame, in bytes.
@@ -222,6 +223,13 @@
     /// From a control instance to another: requests the announcements of the servers with
     /// these ids.
     AskNotices(Vec<Box<str>>),
+    /// From an entry to its source: its load.
+    LoadReport(LoadReport),
+    /// From a control instance to the others: the merged load reports of the entries that
+    /// follow it.
+    LoadShare(LoadReport),
+    /// To entries: the load merged from all control instances' reports.
+    LoadSummary(LoadSummary),
 }
 
 impl GroupMessage {
@@ -259,6 +267,9 @@
             GroupMessage::AskCaps { .. } => "ask_caps",
             GroupMessage::Caps { .. } => "caps",
             GroupMessage::AskNotices(_) => "ask_notices",
+            GroupMessage::LoadReport(_) => "load_report",
+            GroupMessage::LoadShare(_) => "load_share",
+            GroupMessage::LoadSummary(_) => "load_summary",
         }
     }
 }
