Decide by evidence whether a server ended or lost an answer

Cause: each connection that broke before the answer counted as a crash caused by its request. Where servers reset connections in place of answers, hundreds of harmless requests became suspects, their lost parts were not sent again and other attempts were cancelled. Change: server_end/ collects the evidence on each server (refused connections, closed and held ones, answers, announcements, leases) and gives a verdict within some 25 ms; only an end is recorded and reported, and backs off from the server at once. Until then a break counts as a crash under its own request alone, or not at all while breaks have lately been lost answers. The driver opens a connection for evidence in place of a broken one; the model counts, closes and opens connections alike.

--- a/crates/core/src/process/forward/announcements.rs
+++ b/crates/core/src/process/forward/announcements.rs
@@ -13,6 +13,7 @@
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::place::DomainProximity;
 use crate::process::forward::server::ServerState;
+use crate::process::forward::server_end::evidence::EndEvidence;
 use crate::process::forward::slowness::ServerSlowness;
 
 impl ForwardMachine {
@@ -40,11 +41,15 @@
             let state = &mut self.servers[server];
             if known.born <= state.born {
                 state.warm_at = now + Duration::from_millis(known.cold_ms);
+                if known.standing != ServerLifecycle::Gone {
+                    self.record_server_announced(server, now, out);
+                }
                 return self.advance_lifecycle(server, known.standing, out);
             }
             // The server restarted under the same id, so the state of its former
             // incarnation no longer applies.
             self.servers_by_id.remove(&id);
+            self.record_server_end(server, EndEvidence::Replaced, now, out);
             self.advance_lifecycle(server, ServerLifecycle::Gone, out);
         }
         let Some(address) = known.address else {
@@ -78,6 +83,9 @@
             state.expired = true;
             (former, state.upstream)
         });
+        if let Some((former, _)) = former {
+            self.record_server_end(former, EndEvidence::Replaced, now, out);
+        }
         let upstream = self.find_or_add_upstream(&announcement.service);
         match former {
             Some((former, same)) if same == upstream => out.push(ForwardAction::CloseIdle(former)),
@@ -103,8 +111,14 @@
 
     /// Handles a reply from a server's address which says that another server runs
     /// there now. Marks the server as gone and other servers at the address as alive.
-    pub(super) fn mark_replaced(&mut self, server: ServerKey, out: &mut Vec<ForwardAction>) {
+    pub(super) fn mark_replaced(
+        &mut self,
+        server: ServerKey,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
         let address = self.servers[server].address;
+        self.record_server_end(server, EndEvidence::Replaced, now, out);
         self.advance_lifecycle(server, ServerLifecycle::Gone, out);
         for (_, other) in self.servers.iter_mut() {
             if other.address == address && other.standing != ServerLifecycle::Gone {
@@ -141,13 +155,22 @@
 
     /// Records whether the control group considers a server's lease expired. A server
     /// whose lease is valid again is treated as cold for a while.
-    pub(super) fn set_expired(&mut self, id: &str, expired: bool, now: Duration) {
-        if let Some(server) = self.servers_by_id.get(id) {
-            let state = &mut self.servers[*server];
+    pub(super) fn set_expired(
+        &mut self,
+        id: &str,
+        expired: bool,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        if let Some(server) = self.servers_by_id.get(id).copied() {
+            let state = &mut self.servers[server];
             if state.expired && !expired {
                 state.assume_cold(now);
             }
             state.expired = expired;
+            if expired {
+                self.record_server_end(server, EndEvidence::LeaseExpired, now, out);
+            }
         }
     }
 
--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -9,6 +9,7 @@
 use crate::arena::{ServerKey, SlotKey};
 use crate::process::forward::input::{LoadReport, RelayOrder, ServerAnswer};
 use crate::process::forward::place::DomainProximity;
+use crate::process::forward::server_end::evidence::{EndEvidence, EndVerdict};
 use crate::process::forward::suspect::record::SuspectRecord;
 use crate::process::input::CallTag;
 use crate::request::mark::RequestFingerprint;
@@ -239,6 +240,23 @@
         /// Number of other attempts of this entry outstanding at the server.
         beside: usize,
     },
+    /// It was decided whether a server whose connections broke had ended.
+    BreakVerdict {
+        /// Service of the server.
+        service: Arc<str>,
+        /// The server.
+        instance: Arc<str>,
+        /// The verdict.
+        verdict: EndVerdict,
+        /// The evidence for it.
+        evidence: EndEvidence,
+        /// Number of broken attempts that it decides.
+        breaks: usize,
+        /// Number of other connections of this entry to the server at the first break.
+        others: u32,
+        /// Time since the first break.
+        after: Duration,
+    },
     /// A server's answer took much longer than is typical.
     Slow {
         /// Service of the attempt.
@@ -332,6 +350,14 @@
     },
     /// Close the idle connections to a server.
     CloseIdle(ServerKey),
+    /// Open a connection to a server in place of a broken one and keep it as an idle
+    /// connection. Whether it is accepted shows whether the server is alive.
+    OpenConnection {
+        /// The server.
+        server: ServerKey,
+        /// Address of the server.
+        address: SocketAddr,
+    },
     /// Send the record of a suspect request, under which servers crashed, to the
     /// other instances.
     PublishSuspect(SuspectRecord),
--- a/crates/core/src/process/forward/canary.rs
+++ b/crates/core/src/process/forward/canary.rs
@@ -17,7 +17,9 @@
 use crate::process::forward::hedge::RECHECK_INTERVAL;
 use crate::process::forward::input::ForwardCall;
 use crate::process::forward::machine::ForwardMachine;
-use crate::process::forward::suspect::record::{SuspectRecord, CRASHES_TO_QUARANTINE};
+use crate::process::forward::suspect::record::{
+    SuspectRecord, CANARY_CRASHES_TO_QUARANTINE, CRASHES_TO_QUARANTINE,
+};
 use crate::process::forward::suspect::registry::SuspectStatus;
 use crate::request::mark::RequestFingerprint;
 
@@ -42,6 +44,12 @@
 pub struct CallSuspicion {
     /// Servers that crashed under the request, as seen here or reported by other entries.
     pub crashes: usize,
+    /// Of these, servers that crashed here during a canary attempt.
+    pub canary_crashes: usize,
+    /// Broken attempts that count as crashes until it is known whether their server ended.
+    pub undecided: usize,
+    /// Of these, canary attempts.
+    pub undecided_canaries: usize,
     /// Whether the request must start with a canary attempt: servers crashed under it
     /// before it arrived, or the [`CanaryStrategy`] requires one.
     pub starts_with_canary: bool,
@@ -49,14 +57,65 @@
     pub has_run: bool,
 }
 
+impl CallSuspicion {
+    /// Counts a broken attempt as a crash until it is decided.
+    pub fn count_undecided(&mut self, is_canary: bool) {
+        self.undecided += 1;
+        self.undecided_canaries += usize::from(is_canary);
+    }
+
+    /// Stops counting an undecided break.
+    pub fn uncount_undecided(&mut self, is_canary: bool) {
+        self.undecided = self.undecided.saturating_sub(1);
+        let canaries = usize::from(is_canary);
+        self.undecided_canaries = self.undecided_canaries.saturating_sub(canaries);
+    }
+
+    /// Returns the number of servers that crashed or may have.
+    fn possible_crashes(&self) -> usize {
+        self.crashes + self.undecided
+    }
+
+    /// Returns whether the request will be quarantined if the undecided breaks turn out
+    /// to be crashes. It then gets no further canary before these are decided.
+    fn awaits_quarantine(&self) -> bool {
+        let canaries = self.canary_crashes + self.undecided_canaries;
+        self.undecided > 0
+            && self.possible_crashes() >= CRASHES_TO_QUARANTINE
+            && canaries >= CANARY_CRASHES_TO_QUARANTINE
+    }
+}
+
+/// Why a request may not be sent to all shards at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallHold {
+    /// It may.
+    Free,
+    /// It is not known yet whether servers ended under it.
+    Verdict,
+    /// Servers ended under it, or it must start with a canary attempt.
+    Canary,
+}
+
 impl CallState {
-    /// Returns whether the request may be sent to only one server at a time: a suspect
-    /// scatter-gather request that no server has completed.
-    pub(super) fn needs_canary(&self) -> bool {
+    /// Returns whether and why a scatter-gather request that no server has completed may
+    /// be sent to only one server at a time.
+    pub(super) fn hold(&self) -> CallHold {
         let suspicion = &self.suspicion;
-        self.is_scatter_gather
-            && !suspicion.has_run
-            && (suspicion.starts_with_canary || suspicion.crashes > 0)
+        if !self.is_scatter_gather || suspicion.has_run {
+            CallHold::Free
+        } else if suspicion.starts_with_canary || suspicion.crashes > 0 {
+            CallHold::Canary
+        } else if suspicion.undecided > 0 {
+            CallHold::Verdict
+        } else {
+            CallHold::Free
+        }
+    }
+
+    /// Returns whether the request may be sent to only one server at a time.
+    pub(super) fn needs_canary(&self) -> bool {
+        self.hold() != CallHold::Free
     }
 }
 
@@ -131,14 +190,18 @@
         if !state.needs_canary() {
             return false;
         }
-        if state.suspicion.crashes >= CRASHES_TO_QUARANTINE {
+        if state.suspicion.possible_crashes() >= CRASHES_TO_QUARANTINE {
             self.cancel_attempts(call, false, out);
         }
         let is_idle = self.calls.get(call).is_some_and(|state| {
             let mut parts = state.parts.iter();
             parts.all(|part| part.attempts.is_empty())
         });
-        is_idle && self.send_canary(call, now, out)
+        let awaits_quarantine = self
+            .calls
+            .get(call)
+            .is_some_and(|state| state.suspicion.awaits_quarantine());
+        is_idle && !awaits_quarantine && self.send_canary(call, now, out)
     }
 
     /// Fails a quarantined request and cancels all of its attempts.
@@ -261,7 +324,7 @@
         // hedged.
         let attempts = state.parts[part].attempts.iter();
         let mut attempts = attempts.filter_map(|attempt| self.attempts.get(*attempt));
-        state.suspicion.crashes > 0 || !attempts.any(|attempt| attempt.is_canary)
+        state.suspicion.possible_crashes() > 0 || !attempts.any(|attempt| attempt.is_canary)
     }
 
     /// Sends all parts that were held back while the request needed a canary.
@@ -284,6 +347,20 @@
             // No hedge was scheduled for the part while the request needed a canary.
             part.hedge_at = part.hedge_at.min(now + RECHECK_INTERVAL);
         }
+        self.send_unsent_parts(call, now, out);
+    }
+
+    /// Sends the parts of a request that are open and not outstanding, as first attempts
+    /// or as retries.
+    pub(super) fn send_unsent_parts(
+        &mut self,
+        call: SlotKey,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
         for part in 0..state.parts.len() {
             let is_unsent = self.calls.get(call).is_some_and(|state| {
                 let part = &state.parts[part];
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -132,6 +132,9 @@
             if state.standing != ServerLifecycle::Ready || tried.contains(server) {
                 continue;
             }
+            if state.is_ended(now) {
+                continue;
+            }
             if target.is_some_and(|target| target != self.runs_target_version(*server)) {
                 continue;
             }
--- a/crates/core/src/process/forward/counts.rs
+++ b/crates/core/src/process/forward/counts.rs
@@ -41,4 +41,10 @@
     pub cancels: u64,
     /// Attempts whose connection broke while the server had the request.
     pub broken: u64,
+    /// Of these, those whose server ended.
+    pub ended_breaks: u64,
+    /// Of these, those whose server lost the answer and stayed alive.
+    pub lost_answers: u64,
+    /// Of these, those whose server could no longer be reached.
+    pub unreachable_breaks: u64,
 }
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -10,6 +10,7 @@
 use crate::arena::SlotKey;
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
 use crate::process::forward::call::PartState;
+use crate::process::forward::canary::CallHold;
 use crate::process::forward::choose::ServerChoice;
 use crate::process::forward::extra::SpendRate;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
@@ -93,7 +94,10 @@
         }
         if self.awaits_canary(call, part) {
             if let Some(state) = self.calls.get_mut(call) {
-                state.parts[part].hedge_at = Duration::MAX;
+                state.parts[part].hedge_at = match state.hold() {
+                    CallHold::Verdict => now + RECHECK_INTERVAL,
+                    CallHold::Canary | CallHold::Free => Duration::MAX,
+                };
             }
             return;
         }
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -199,6 +199,13 @@
         /// Time to establish the connection.
         took: Duration,
     },
+    /// A server's host refused a connection.
+    ConnectionRefused {
+        /// The server.
+        server: ServerKey,
+        /// Time until the refusal.
+        took: Duration,
+    },
     /// The number of connections to a server changed.
     Connections {
         /// The server.
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -25,6 +25,7 @@
 use crate::process::forward::input::ForwardInput;
 use crate::process::forward::place::RegionMap;
 use crate::process::forward::server::ServerState;
+use crate::process::forward::server_end::watch::EndWatch;
 use crate::process::forward::slowness::SlownessStrategy;
 use crate::process::forward::split::SplitScheduler;
 use crate::process::forward::stall::{IntervalHistogram, StallStrategy};
@@ -55,6 +56,8 @@
     /// Time to cancel an attempt that is still outstanding after its request
     /// ended.
     Orphan(SlotKey),
+    /// Check of the evidence on a server whose connections broke.
+    BreakCheck(ServerKey),
 }
 
 /// Settings of a forward machine.
@@ -188,6 +191,8 @@
     pub(super) suspects: SuspectRegistry,
     /// Recent server crashes.
     pub(super) crash_watch: CrashWatch,
+    /// Servers whose connections broke and that may have ended.
+    pub(super) server_ends: EndWatch,
     /// Histogram of the intervals between stalls, over all servers.
     pub(super) stall_intervals: IntervalHistogram,
     /// Earliest time of the next probe: a request that is admitted to find out
@@ -231,6 +236,7 @@
             expectations: ExpectationStats::default(),
             suspects: SuspectRegistry::default(),
             crash_watch: CrashWatch::default(),
+            server_ends: EndWatch::default(),
             stall_intervals: IntervalHistogram::default(),
             next_probe_at: Duration::ZERO,
             load_shifts_until: Duration::ZERO,
@@ -248,7 +254,7 @@
             ForwardInput::Announcement(announcement) => {
                 self.handle_announcement(announcement, now, out)
             }
-            ForwardInput::LeaseExpiry(id, expired) => self.set_expired(&id, expired, now),
+            ForwardInput::LeaseExpiry(id, expired) => self.set_expired(&id, expired, now, out),
             ForwardInput::EvacuatedDomains(domains) => self.set_evacuated(domains, now, out),
             ForwardInput::Rollouts(views) => self.set_rollouts(views, out),
             ForwardInput::ControlContact => self.control_seen_at = now,
@@ -267,11 +273,13 @@
                 self.handle_attempt_end(attempt, end, now, out)
             }
             ForwardInput::Connected { server, took } => {
-                self.servers[server].record_connection(took)
+                self.handle_connected(server, took, now, out)
+            }
+            ForwardInput::ConnectionRefused { server, took } => {
+                self.handle_connection_refused(server, took, now, out)
             }
             ForwardInput::Connections { server, idle, open } => {
-                self.servers[server].idle = idle;
-                self.servers[server].open = open;
+                self.handle_connections(server, idle, open, now, out)
             }
             ForwardInput::LoadSummary(_) => {}
             ForwardInput::Wake => {}
@@ -371,6 +379,7 @@
                 ForwardTimer::HardDeadline(call) => self.handle_hard_deadline(call, now, out),
                 ForwardTimer::Sweep(call) => self.sweep(call, now, out),
                 ForwardTimer::Orphan(attempt) => self.cancel_orphan(attempt, out),
+                ForwardTimer::BreakCheck(server) => self.check_breaks(server, now, out),
             }
         }
     }
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -9,6 +9,7 @@
 use crate::arena::SlotKey;
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
 use crate::process::forward::call::{ForwardAttempt, PartState, PartStatus};
+use crate::process::forward::canary::CallHold;
 use crate::process::forward::choose::SelectionFailure;
 use crate::process::forward::input::{AttemptResult, ServerAnswer};
 use crate::process::forward::machine::ForwardMachine;
@@ -20,7 +21,7 @@
 use crate::process::input::CallTag;
 
 /// Tag used in decisions about an attempt whose request has already ended.
-const NO_CALL: CallTag = CallTag(u64::MAX);
+pub(super) const NO_CALL: CallTag = CallTag(u64::MAX);
 /// Status (421 Misdirected Request) of a server that is not the one the request was
 /// addressed to.
 pub(super) const MISDIRECTED: u16 = 421;
@@ -29,10 +30,6 @@
 /// Time within which another entry's refusal of a relayed request arrives. If sending fails
 /// after a longer time, that entry was unreachable.
 const RELAY_REFUSAL_TIME: Duration = Duration::from_millis(300);
-/// Fraction of failures among a server's recent answers above which one more broken attempt
-/// makes the entry back off from the server, so that it gets no requests for a while. Two
-/// or three failures in a row reach this fraction.
-const FAILURE_FRACTION_LIMIT: f64 = 0.3;
 /// An answer is logged as slow if it takes this many times the typical response time.
 const SLOW_DECISION_FACTOR: u32 = 3;
 
@@ -190,12 +187,16 @@
         }
         self.update_server_stats(attempt_key, &attempt, &end, outcome, now, out);
         self.update_version_stats(&attempt, &end, outcome, now);
-        let needed_canary = self.call_needs_canary(attempt.call);
+        let hold = self.call_hold(attempt.call);
+        self.record_server_sign(&attempt, &end, now, out);
         self.record_evidence(&attempt, &end, now, out);
         self.apply_to_request(attempt_key, &attempt, end, outcome, now, out);
-        if let Some(call) = attempt.call.filter(|_| needed_canary) {
-            if !self.call_needs_canary(attempt.call) {
-                self.send_remaining_parts(call, now, out);
+        if let Some(call) = attempt.call {
+            match hold {
+                _ if self.call_hold(attempt.call) != CallHold::Free => {}
+                CallHold::Canary => self.send_remaining_parts(call, now, out),
+                CallHold::Verdict => self.send_unsent_parts(call, now, out),
+                CallHold::Free => {}
             }
         }
         self.retry_waiting_parts(attempt.upstream, now, out);
@@ -313,9 +314,9 @@
             AttemptOutcome::Unsent => server.back_off(now),
             AttemptOutcome::Broken => {
                 server.record_outcome(true);
-                // A single broken attempt is no reason to back off: a server that loses
-                // one attempt in ten would get no requests for a quarter of the time.
-                if attempt.is_relay() || server.failure_rate > FAILURE_FRACTION_LIMIT {
+                // The entry backs off from a server only on the verdict that it ended: one
+                // that loses one answer in ten would get no requests for much of the time.
+                if attempt.is_relay() {
                     server.back_off(now);
                 }
             }
@@ -332,7 +333,7 @@
                 .record_report(load.waiting, service_time, server.slots, now);
         }
         if answer.status == MISDIRECTED {
-            self.mark_replaced(attempt.server, out);
+            self.mark_replaced(attempt.server, now, out);
         }
     }
 
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -29,6 +29,9 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(4);
 /// Factor by which a server is slower while it is cold (just started).
 const COLD_SLOWDOWN: f64 = 1.6;
+/// Back-off after proof that a server ended. Servers are back after some seconds, as new
+/// incarnations, which have a state of their own.
+const ENDED_BACKOFF: Duration = Duration::from_secs(1);
 /// Age at which a load report is ignored. The weight of a report decreases linearly
 /// until then.
 const MAX_LOAD_REPORT_AGE: Duration = Duration::from_millis(400);
@@ -100,6 +103,8 @@
     pub failure_rate: f64,
     /// Until when the server gets no requests, after a failure to reach it.
     pub backoff_until: Duration,
+    /// Whether there is proof that the server ended, and no answer since.
+    pub is_known_ended: bool,
     /// When the server last answered.
     pub answered_at: Duration,
     /// Estimate of the work queued at the server by all entries together.
@@ -139,6 +144,7 @@
             stall_predictor: StallPredictor::default(),
             failure_rate: 0.0,
             backoff_until: Duration::ZERO,
+            is_known_ended: false,
             answered_at: Duration::ZERO,
             backlog: ServerBacklog::default(),
             round_trip: INITIAL_ROUND_TRIP,
@@ -173,6 +179,7 @@
     /// service time of the request's route. Ends any back-off.
     pub fn record_answer(&mut self, service_time: Duration, typical: Duration, now: Duration) {
         self.answered_at = now;
+        self.is_known_ended = false;
         self.backoffs = 0;
         self.backoff_until = Duration::ZERO;
         let ratio = service_time.as_secs_f64() / typical.as_secs_f64().max(1e-4);
@@ -203,6 +210,18 @@
         self.backoff_until = now + back_off.min(MAX_BACKOFF).max(least);
     }
 
+    /// Records proof that the server ended.
+    pub fn mark_ended(&mut self, now: Duration) {
+        self.is_known_ended = true;
+        self.back_off_at_least(ENDED_BACKOFF, now);
+    }
+
+    /// Returns whether the server is known to have ended, so that it gets no requests. A
+    /// request may test it after the back-off.
+    pub fn is_ended(&self, now: Duration) -> bool {
+        self.is_known_ended && now < self.backoff_until
+    }
+
     /// Records a load report of the server.
     pub fn record_load(&mut self, load: LoadReport, now: Duration) {
         self.load = Some((load, now));
--- a/crates/core/src/process/forward/suspect/record.rs
+++ b/crates/core/src/process/forward/suspect/record.rs
@@ -15,7 +15,7 @@
 /// How many of those crashes must happen during canary attempts. With 1, harmless requests
 /// that twice ran beside the harmful one were quarantined: 10 per simulation with 20
 /// distinct requests that recur. With 2, none were, at the cost of one more crashed server.
-const CANARY_CRASHES_TO_QUARANTINE: usize = 2;
+pub const CANARY_CRASHES_TO_QUARANTINE: usize = 2;
 /// Maximum number of crashes in a record: more would not change any decision.
 const MAX_RECORDED_CRASHES: usize = 4;
 
--- a/crates/core/src/process/forward/suspicion.rs
+++ b/crates/core/src/process/forward/suspicion.rs
@@ -5,18 +5,16 @@
 
 use std::time::Duration;
 
-use crate::arena::SlotKey;
+use crate::arena::{ServerKey, SlotKey};
 use crate::process::forward::answer::ForwardAction;
 use crate::process::forward::call::{CallState, ForwardAttempt};
-use crate::process::forward::canary::CanaryStrategy;
+use crate::process::forward::canary::{CallHold, CanaryStrategy};
 use crate::process::forward::input::{AttemptResult, ServerAnswer};
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::reply::MISDIRECTED;
+use crate::process::forward::server_end::evidence::{PendingBreak, REFUSAL_TIME};
 use crate::process::forward::suspect::record::{ServerCrash, SuspectRecord};
 
-/// Time within which a host refuses a connection if the server process has crashed. A
-/// host that is down or unreachable sends no refusal.
-const REFUSAL_TIME: Duration = Duration::from_millis(100);
 /// Status (504 Gateway Timeout) of a server that stopped working on a request at the
 /// request's deadline. This is no proof of completion: with more time, the request
 /// might have crashed the server.
@@ -68,10 +66,10 @@
         }
     }
 
-    /// Returns whether a request is still running and needs a canary.
-    pub(super) fn call_needs_canary(&self, call: Option<SlotKey>) -> bool {
+    /// Returns why a running request may not be sent to all shards at once.
+    pub(super) fn call_hold(&self, call: Option<SlotKey>) -> CallHold {
         let call = call.and_then(|call| self.calls.get(call));
-        call.is_some_and(CallState::needs_canary)
+        call.map_or(CallHold::Free, CallState::hold)
     }
 
     /// Records the evidence that the end of an attempt gives about its request: a crash, a
@@ -84,15 +82,15 @@
         out: &mut Vec<ForwardAction>,
     ) {
         match end {
+            AttemptResult::Broken if !attempt.is_relay() && !attempt.is_cancelled => {
+                self.record_break(attempt, now, out);
+            }
             _ if self.options.canary == CanaryStrategy::Never => {}
             AttemptResult::Broken | AttemptResult::Unsent
                 if attempt.is_relay() || attempt.is_cancelled => {}
             AttemptResult::Unsent if now < attempt.sent_at + REFUSAL_TIME => {
                 self.record_refused_connection(attempt, now);
             }
-            // Not recorded in the crash watch: a server may break off a request without
-            // having crashed.
-            AttemptResult::Broken => self.record_crash(attempt, now, out),
             AttemptResult::Bundle(bundle) if !bundle.parts.is_empty() => {
                 self.record_completion(attempt, now, out);
             }
@@ -117,26 +115,28 @@
             .record_crash(attempt.server, answered_at, now);
     }
 
-    /// Records that a server broke off an attempt, which counts as a crash under the
-    /// request, and reports the changed record.
-    fn record_crash(
+    /// Records that a server ended under the request of a broken attempt, and reports the
+    /// changed record. Not recorded in the crash watch, which counts refused connections.
+    pub(super) fn record_crash(
         &mut self,
-        attempt: &ForwardAttempt,
+        server: ServerKey,
+        broken: &PendingBreak,
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
-        let call = attempt.call.and_then(|call| self.calls.get_mut(call));
-        let has_run = attempt.has_run || call.as_ref().is_some_and(|call| call.suspicion.has_run);
-        if has_run {
+        let call = broken.call.and_then(|call| self.calls.get_mut(call));
+        let has_run = broken.has_run || call.as_ref().is_some_and(|call| call.suspicion.has_run);
+        if has_run || self.options.canary == CanaryStrategy::Never {
             // Another server completed the request without a crash.
             return;
         }
         if let Some(state) = call {
             state.suspicion.crashes += 1;
+            state.suspicion.canary_crashes += usize::from(broken.is_canary);
         }
-        let instance = self.servers[attempt.server].id.clone();
-        let crash = ServerCrash::of(&instance, attempt.is_canary);
-        if let Some(record) = self.suspects.record_crash(attempt.mark, crash, now) {
+        let instance = self.servers[server].id.clone();
+        let crash = ServerCrash::of(&instance, broken.is_canary);
+        if let Some(record) = self.suspects.record_crash(broken.mark, crash, now) {
             out.push(ForwardAction::PublishSuspect(record));
         }
     }
@@ -148,8 +148,11 @@
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
-        if let Some(state) = attempt.call.and_then(|call| self.calls.get_mut(call)) {
-            state.suspicion.has_run = true;
+        if let Some(call) = attempt.call {
+            if let Some(state) = self.calls.get_mut(call) {
+                state.suspicion.has_run = true;
+            }
+            self.server_ends.record_completion(call);
         }
         if let Some(record) = self.suspects.record_completion(attempt.mark, now) {
             out.push(ForwardAction::PublishSuspect(record));
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use wheelmast_core::arena::SlotKey;
+use wheelmast_core::arena::{ServerKey, SlotKey};
 use wheelmast_core::process::forward::answer::{
     AttemptOrder, ForwardAction, ForwardAnswer, ForwardFailure,
 };
@@ -118,6 +118,8 @@
     pub(crate) suspects: Vec<SuspectRecord>,
     /// Number of orders to close the idle connections to a server.
     pub(crate) idle_closes: usize,
+    /// Servers to which a connection was to be opened for evidence, in order.
+    pub(crate) opens: Vec<ServerKey>,
     last_tag: u64,
 }
 
@@ -166,6 +168,7 @@
             raised_allowances: Vec::new(),
             suspects: Vec::new(),
             idle_closes: 0,
+            opens: Vec::new(),
             last_tag: 0,
         }
     }
@@ -183,6 +186,7 @@
                 }
                 ForwardAction::Cancel(attempt) => self.cancels.push(attempt),
                 ForwardAction::CloseIdle(_) => self.idle_closes += 1,
+                ForwardAction::OpenConnection { server, .. } => self.opens.push(server),
                 ForwardAction::PublishSuspect(record) => self.suspects.push(record),
                 ForwardAction::RecordDecision(_) => {}
             }
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -23,6 +23,7 @@
 mod remember;
 mod reroute;
 mod roll;
+mod server_end;
 mod shard_owners;
 mod shift;
 mod slowness;
--- a/crates/fake/src/model/deadly.rs
+++ b/crates/fake/src/model/deadly.rs
@@ -139,6 +139,7 @@
             }
         }
         self.servers[place].queue.clear();
+        self.close_idle_of(place);
         let back_at = self.servers[place].down_until;
         self.events
             .push(back_at, PlayEvent::Revive { server: place });
@@ -159,6 +160,7 @@
 
     /// Passes on what an entry knows of a request under which servers ended.
     pub(super) fn tell_suspect(&mut self, teller: usize, record: SuspectRecord) {
+        self.tally.suspect_reports += 1;
         let muted = self.spec.deadly.as_ref().and_then(|spec| spec.muted);
         if muted == Some(teller) {
             return;
--- a/crates/fake/src/model/entry.rs
+++ b/crates/fake/src/model/entry.rs
@@ -22,6 +22,10 @@
     pub(super) domain: usize,
     /// Idle connections, by the machine's key of the server.
     pub(super) idle: HashMap<ServerKey, u32>,
+    /// All connections to servers, by the machine's key of the server.
+    pub(super) open: HashMap<ServerKey, u32>,
+    /// The machine's keys of the servers that it has sent to, by their places.
+    pub(super) keys: HashMap<usize, ServerKey>,
     /// Jobs of the attempts outstanding.
     pub(super) jobs: HashMap<SlotKey, (JobKey, ServerKey)>,
     /// What other entries are asked for, by attempt.
@@ -48,6 +52,8 @@
             machine: ForwardMachine::new(options),
             domain,
             idle: HashMap::new(),
+            open: HashMap::new(),
+            keys: HashMap::new(),
             jobs: HashMap::new(),
             relays: HashMap::new(),
             cuts: Vec::new(),
@@ -72,7 +78,7 @@
         cuts.any(|(from, until)| (*from..*until).contains(&now))
     }
 
-    /// Keeps a connection whose request has ended well.
+    /// Keeps a connection to another entry whose request has ended well.
     pub(super) fn keep_idle(&mut self, server: ServerKey, now: Duration) {
         let idle = self.idle.entry(server).or_default();
         *idle += 1;
--- a/crates/fake/src/model/event.rs
+++ b/crates/fake/src/model/event.rs
@@ -4,7 +4,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use wheelmast_core::arena::SlotKey;
+use wheelmast_core::arena::{ServerKey, SlotKey};
 use wheelmast_core::process::forward::input::AttemptResult;
 use wheelmast_core::process::forward::suspect::record::SuspectRecord;
 use wheelmast_core::process::input::CallTag;
@@ -48,6 +48,15 @@
     },
     /// The end of a connection reaches the entry that was asked.
     RelayLeft { tag: CallTag },
+    /// The end of a server closes an entry's idle connections to it.
+    IdleClosed { entry: usize, server: ServerKey },
+    /// A connection that an entry opened to a server is accepted or refused.
+    Opened {
+        entry: usize,
+        server: ServerKey,
+        place: usize,
+        takes: Duration,
+    },
     /// An attempt ends at its entry.
     End {
         entry: usize,
--- a/crates/fake/src/model/mod.rs
+++ b/crates/fake/src/model/mod.rs
@@ -13,6 +13,7 @@
 
 mod bound;
 mod caller;
+mod connection;
 mod deadly;
 mod entry;
 mod event;
--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -186,6 +186,13 @@
             PlayEvent::RelayGrant { tag, attempts } => self.relay_granted(tag, attempts),
             PlayEvent::RelayEnd { tag, end } => self.relay_ended(tag, *end),
             PlayEvent::RelayLeft { tag } => self.relay_left(tag),
+            PlayEvent::IdleClosed { entry, server } => self.idle_closed(entry, server),
+            PlayEvent::Opened {
+                entry,
+                server,
+                place,
+                takes,
+            } => self.connection_opened(entry, server, place, takes),
             PlayEvent::End {
                 entry,
                 attempt,
@@ -265,9 +272,8 @@
                 }
                 ForwardAction::Cancel(attempt) => self.cancel(entry, attempt),
                 ForwardAction::Answer { call, answer } => self.answered(entry, call, &answer),
-                ForwardAction::CloseIdle(server) => {
-                    self.entries[entry].idle.remove(&server);
-                }
+                ForwardAction::CloseIdle(server) => self.idle_closed(entry, server),
+                ForwardAction::OpenConnection { server, .. } => self.open_connection(entry, server),
                 ForwardAction::PublishSuspect(record) => self.tell_suspect(entry, record),
                 ForwardAction::RecordDecision(_) => {}
             }
@@ -289,12 +295,12 @@
         let root = self.root_of(order.call);
         let place = self.server_places[&order.instance];
         let has_idle = self.entries[entry].take_idle(order.server);
-        let is_far = self.servers[place].domain != self.entries[entry].domain;
-        let there_and_back = if is_far {
-            self.spec.far_way
-        } else {
-            self.spec.near_way
-        };
+        let there_and_back = self.round_trip(entry, place);
+        self.entries[entry].keys.insert(place, order.server);
+        if !has_idle {
+            *self.entries[entry].open.entry(order.server).or_default() += 1;
+            self.report_connections(entry, order.server);
+        }
         let caller = self.tries.get(&root).map(|(caller, _)| *caller);
         let kind = caller.map_or(0, |caller| self.callers[caller].kind);
         let job = self.jobs.len();
@@ -352,10 +358,15 @@
         let Some((_, server)) = state.jobs.remove(&attempt) else {
             return;
         };
-        if matches!(end, AttemptResult::Answer(_)) && !self.jobs[job].is_closed {
-            state.keep_idle(server, self.now);
+        let is_kept = matches!(end, AttemptResult::Answer(_)) && !self.jobs[job].is_closed;
+        if is_kept {
+            *state.idle.entry(server).or_default() += 1;
+            self.report_connections(entry, server);
         }
         self.step(entry, ForwardInput::AttemptEnded { attempt, end });
+        if !is_kept {
+            self.close_connections(entry, server, 1);
+        }
     }
 
     fn answered(&mut self, entry: usize, call: CallTag, answer: &ForwardAnswer) {
@@ -433,6 +444,9 @@
         for entry in &self.entries {
             let book = entry.machine.expectations();
             self.tally.expectations.merge(book);
+            let counters = entry.machine.counters();
+            self.tally.ended_breaks += counters.ended_breaks;
+            self.tally.lost_answers += counters.lost_answers;
         }
         self.tally.excess = self.bound.excess(&self.spec.extra);
         let running: u32 = self.servers.iter().map(|server| server.running).sum();
--- a/crates/fake/src/model/server.rs
+++ b/crates/fake/src/model/server.rs
@@ -95,7 +95,16 @@
     pub(super) fn sheds(&self, now: Duration) -> f64 {
         let parts = self.effects(now).map(|effect| match effect {
             ServerEffect::Shed(part) => part,
-            ServerEffect::Slow(_) | ServerEffect::Dark => 0.0,
+            ServerEffect::Slow(_) | ServerEffect::Dark | ServerEffect::Lose(_) => 0.0,
+        });
+        parts.fold(0.0, f64::max)
+    }
+
+    /// Returns the fraction of the answers that it loses.
+    pub(super) fn loses(&self, now: Duration) -> f64 {
+        let parts = self.effects(now).map(|effect| match effect {
+            ServerEffect::Lose(part) => part,
+            ServerEffect::Slow(_) | ServerEffect::Shed(_) | ServerEffect::Dark => 0.0,
         });
         parts.fold(0.0, f64::max)
     }
@@ -104,7 +113,7 @@
     pub(super) fn slowness(&self, now: Duration) -> f64 {
         let parts = self.effects(now).map(|effect| match effect {
             ServerEffect::Slow(times) => times,
-            ServerEffect::Shed(_) | ServerEffect::Dark => 1.0,
+            ServerEffect::Shed(_) | ServerEffect::Dark | ServerEffect::Lose(_) => 1.0,
         });
         parts.fold(1.0, f64::max)
     }
--- a/crates/fake/src/model/spec.rs
+++ b/crates/fake/src/model/spec.rs
@@ -39,6 +39,9 @@
     Shed(f64),
     /// It answers nothing.
     Dark,
+    /// It runs all requests and closes the connection in place of this fraction of the
+    /// answers.
+    Lose(f64),
 }
 
 /// A fault of some servers for some time.
--- a/crates/fake/src/model/tally.rs
+++ b/crates/fake/src/model/tally.rs
@@ -78,6 +78,12 @@
     /// Harmless requests that were refused in the end because servers had ended
     /// under them.
     pub mistaken: u32,
+    /// Broken attempts whose server had ended, as the entries decided.
+    pub ended_breaks: u64,
+    /// Broken attempts whose server was alive, as the entries decided.
+    pub lost_answers: u64,
+    /// Records of requests under which servers ended that entries told the others.
+    pub suspect_reports: u32,
     /// Requests and slots that were still taken at the end.
     pub left: usize,
 }
--- a/crates/fake/src/model/work.rs
+++ b/crates/fake/src/model/work.rs
@@ -82,8 +82,15 @@
         let (place, back, is_closed) = (state.server, state.way, state.is_closed);
         let load = self.servers[place].load();
         let id = self.servers[place].id.clone();
+        let loses = self.servers[place].loses(self.now);
+        let is_lost = loses > 0.0 && self.rng.random_bool(loses);
         if !is_closed && !self.servers[place].is_dark(self.now) {
-            self.plan_end(job, back, success(&id, load));
+            let end = if is_lost {
+                AttemptResult::Broken
+            } else {
+                success(&id, load)
+            };
+            self.plan_end(job, back, end);
         }
         self.next_job(place);
     }
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -22,6 +22,7 @@
 
 use crate::process::clock::ProcessClock;
 use crate::process::forward::cap_gate::CapGate;
+use crate::process::forward::evidence::spawn_evidence_connection;
 use crate::process::forward::image::RequestImage;
 use crate::process::forward::measure::DriverCounts;
 use crate::process::forward::pool::{ServerPool, UpstreamRequest};
@@ -211,6 +212,9 @@
                 }
             }
             ForwardAction::CloseIdle(server) => self.pool.close(server),
+            ForwardAction::OpenConnection { server, address } => {
+                spawn_evidence_connection(self, server, address)
+            }
             ForwardAction::PublishSuspect(record) => {
                 let mut unpublished = self.unpublished_suspects.borrow_mut();
                 unpublished.retain(|queued| queued.mark != record.mark);
--- a/crates/node/src/process/forward/measure.rs
+++ b/crates/node/src/process/forward/measure.rs
@@ -9,6 +9,7 @@
 use metrics::{counter, gauge, histogram, with_local_recorder};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusRecorder};
 use wheelmast_core::process::forward::machine::ForwardMachine;
+use wheelmast_core::process::forward::server_end::evidence::EndVerdict;
 
 /// Upper bounds of the histogram buckets of answer times, in seconds.
 const ANSWER_TIME_BUCKETS: [f64; 12] = [
@@ -76,6 +77,14 @@
         });
     }
 
+    /// Records the verdict on a server whose connections broke, and the time to it.
+    pub fn record_break_verdict(&mut self, verdict: &'static str, after: Duration) {
+        with_local_recorder(&self.recorder, || {
+            histogram!("wheelmast_server_end_verdict_seconds", "verdict" => verdict)
+                .record(after.as_secs_f64());
+        });
+    }
+
     /// Copies the current counters and renders all metrics in the Prometheus text format.
     pub fn render(&self, machine: &ForwardMachine, now: Duration, counts: DriverCounts) -> String {
         with_local_recorder(&self.recorder, || update_metrics(machine, now, counts));
@@ -113,6 +122,15 @@
     for (name, total) in totals {
         counter!(name).absolute(total);
     }
+    let breaks = [
+        (EndVerdict::Ended, counts.ended_breaks),
+        (EndVerdict::Alive, counts.lost_answers),
+        (EndVerdict::Unreachable, counts.unreachable_breaks),
+    ];
+    for (verdict, total) in breaks {
+        counter!("wheelmast_server_end_breaks_total", "verdict" => verdict.label()).absolute(total);
+    }
+    gauge!("wheelmast_server_end_undecided").set(machine.undecided_breaks() as f64);
     let version = machine.table().map_or(0, |table| table.version());
     gauge!("wheelmast_route_table_version").set(version as f64);
     gauge!("wheelmast_forward_running").set(machine.call_count() as f64);
--- a/crates/node/src/process/forward/mod.rs
+++ b/crates/node/src/process/forward/mod.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod cap_gate;
 pub mod entry;
+pub mod evidence;
 pub mod feed;
 pub mod grant;
 pub mod image;
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -5,6 +5,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -29,6 +31,9 @@
 
 /// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Idle time-out of a connection that has not carried a request. The server has not stated
+/// its own time-out on it; common ones are 5 s and more.
+const UNUSED_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time between the decision to send an attempt and its write from which the attempt
 /// counts as sent late.
 const LATE_SEND_THRESHOLD: Duration = Duration::from_millis(100);
@@ -116,12 +121,12 @@
     }
 
     /// Counts a connection that is about to be opened.
-    fn count_opened(&self, server: ServerKey) {
+    pub fn count_opened(&self, server: ServerKey) {
         *self.open.borrow_mut().entry(server).or_default() += 1;
     }
 
     /// Counts a closed connection.
-    fn count_closed(&self, server: ServerKey) {
+    pub fn count_closed(&self, server: ServerKey) {
         let mut open = self.open.borrow_mut();
         if let Some(count) = open.get_mut(&server) {
             *count = count.saturating_sub(1);
@@ -132,7 +137,7 @@
     }
 
     /// Reports the number of connections to a server to the state machine.
-    fn report_connections<D: ForwardDialect>(
+    pub fn report_connections<D: ForwardDialect>(
         &self,
         entry: &Rc<ForwardDriver<D>>,
         server: ServerKey,
@@ -190,44 +195,84 @@
 async fn serve_requests<D: ForwardDialect>(entry: &Rc<ForwardDriver<D>>, first: UpstreamRequest) {
     let server = first.order.server;
     let mut request = first;
-    let opened = Instant::now();
-    let connect = TcpStream::connect(request.order.address);
+    let connect = open_stream(entry, server, request.order.address, Instant::now());
     let connected = tokio::select! {
         biased;
         _ = &mut request.cancelled => None,
-        connected = tokio::time::timeout(CONNECT_TIMEOUT, connect) => connected.ok(),
+        connected = connect => connected,
     };
-    let Some(Ok(mut stream)) = connected else {
+    let Some(stream) = connected else {
         return report_result(entry, &request.order, AttemptResult::Unsent);
     };
-    // Disables Nagle's algorithm, which delays small writes. An error is ignored, as the
-    // connection works without the option.
-    let _ = stream.set_nodelay(true);
-    let took = opened.elapsed();
-    entry.step(ForwardInput::Connected { server, took });
+    serve_stream(entry, server, stream, Some(request)).await;
+}
+
+/// Opens a connection to a server, and reports to the state machine that it was
+/// established or refused.
+pub async fn open_stream<D: ForwardDialect>(
+    entry: &Rc<ForwardDriver<D>>,
+    server: ServerKey,
+    address: SocketAddr,
+    begun_at: Instant,
+) -> Option<TcpStream> {
+    let connect = TcpStream::connect(address);
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await.ok()?;
+    let took = begun_at.elapsed();
+    match connected {
+        Ok(stream) => {
+            // Disables Nagle's algorithm, which delays small writes. An error is ignored,
+            // as the connection works without the option.
+            let _ = stream.set_nodelay(true);
+            entry.step(ForwardInput::Connected { server, took });
+            Some(stream)
+        }
+        Err(error) => {
+            if error.kind() == ErrorKind::ConnectionRefused {
+                entry.step(ForwardInput::ConnectionRefused { server, took });
+            }
+            None
+        }
+    }
+}
+
+/// Sends `first`, if there is one, and then the requests that the pool hands over, until
+/// the connection ends or its idle time-out passes.
+pub async fn serve_stream<D: ForwardDialect>(
+    entry: &Rc<ForwardDriver<D>>,
+    server: ServerKey,
+    mut stream: TcpStream,
+    first: Option<UpstreamRequest>,
+) {
+    let mut next_request = first;
     let mut buffer = BytesMut::new();
-    let mut until = entry.clock.elapsed() + DEFAULT_IDLE_TIMEOUT;
+    let idle_timeout = match &next_request {
+        Some(_) => DEFAULT_IDLE_TIMEOUT,
+        None => UNUSED_IDLE_TIMEOUT,
+    };
+    let mut until = entry.clock.elapsed() + idle_timeout;
     let mut last_request = Box::default();
     loop {
         let now = entry.clock.elapsed();
-        if should_withdraw(entry, &mut request, now) {
-            report_result(entry, &request.order, AttemptResult::Withdrawn);
-        } else {
-            last_request = request.image.id.clone();
-            let Some(keep_alive) =
-                send_request(entry, &mut stream, &mut buffer, request, now).await
-            else {
-                return;
-            };
-            until = entry.clock.elapsed() + keep_alive;
+        if let Some(mut request) = next_request.take() {
+            if should_withdraw(entry, &mut request, now) {
+                report_result(entry, &request.order, AttemptResult::Withdrawn);
+            } else {
+                last_request = request.image.id.clone();
+                let Some(keep_alive) =
+                    send_request(entry, &mut stream, &mut buffer, request, now).await
+                else {
+                    return;
+                };
+                until = entry.clock.elapsed() + keep_alive;
+            }
         }
         let keep_alive = until.saturating_sub(entry.clock.elapsed());
-        let next_request = entry.pool.add_idle(server, until, last_request.clone());
+        let receiver = entry.pool.add_idle(server, until, last_request.clone());
         entry.pool.report_connections(entry, server);
         tokio::select! {
             biased;
-            next = next_request => match next {
-                Ok(next) => request = next,
+            next = receiver => match next {
+                Ok(next) => next_request = Some(next),
                 Err(_) => return,
             },
             // The server closed the connection or sent bytes without a request.
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -158,6 +158,10 @@
 
     /// Records a decision, and writes the request's lines if the request has ended.
     pub fn record(&mut self, event: ForwardEvent) {
+        if let ForwardDecision::BreakVerdict { verdict, after, .. } = &event.decision {
+            self.metrics.record_break_verdict(verdict.label(), *after);
+            return self.log_broken_server(&event);
+        }
         if matches!(event.decision, ForwardDecision::ServerBrokeOff { .. }) {
             return self.log_broken_server(&event);
         }
@@ -242,8 +246,8 @@
         }
     }
 
-    /// Writes at once that the connection to a server broke: the request's other lines
-    /// are written late or not at all.
+    /// Writes at once that the connection to a server broke, or whether the server ended:
+    /// the request's other lines are written late or not at all.
     fn log_broken_server(&mut self, event: &ForwardEvent) {
         if !self.broken_lines_limit.try_consume(1, event.at) {
             self.unreported_dropped += 1;
@@ -303,6 +307,7 @@
         ForwardDecision::Slow { .. } | ForwardDecision::Abandon { .. } => true,
         ForwardDecision::Lost { .. }
         | ForwardDecision::ServerBrokeOff { .. }
+        | ForwardDecision::BreakVerdict { .. }
         | ForwardDecision::OmitShards { .. }
         | ForwardDecision::Reroute { .. }
         | ForwardDecision::NoServer { .. }
@@ -355,6 +360,19 @@
             let after_ms = millis(*after);
             tracing::warn!(target: "entry", request, %mark, %service, server = %instance, after_ms, beside, "route: server broke off");
         }
+        ForwardDecision::BreakVerdict {
+            service,
+            instance,
+            verdict,
+            evidence,
+            breaks,
+            others,
+            after,
+        } => {
+            let after_ms = millis(*after);
+            let (verdict, evidence) = (verdict.label(), evidence.label());
+            tracing::info!(target: "entry", request, %service, server = %instance, verdict, evidence, breaks, others, after_ms, "server_end: decided");
+        }
         ForwardDecision::OmitShards { services } => {
             let services = services.join(", ");
             tracing::info!(target: "entry", request, at_ms, services, "route: shards not asked");
