Retry lost parts first where they complete requests

Cause: with 8% of the answers lost nearly every request loses parts. The extra-load budget went to whichever came first, also to requests that end before the retry is answered. Change: retry_order.rs weighs each retry: none for a request that has its coverage and ends before; parts beyond the coverage leave half of a shard's budget to others, and requests that lack more parts up to a quarter. The model's servers can lose answers.

--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -15,6 +15,7 @@
 use crate::process::forward::extra::SpendRate;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::forward::place::DomainProximity;
+use crate::process::forward::retry_order::RetryUse;
 
 /// Time until the next check of a part that could not be hedged, or until the
 /// next search for a server that may run a suspect request's canary attempt. A
@@ -121,15 +122,18 @@
             }
             return;
         }
+        let has_no_attempt = self
+            .calls
+            .get(call)
+            .is_some_and(|state| state.parts[part].attempts.is_empty());
+        if has_no_attempt && self.weigh_retry(call, part, choice, now) != RetryUse::Now {
+            return;
+        }
         if !self.is_hedge_worthwhile(call, part, choice, now)
             || !self.try_spend_budget(call, part, now, out)
         {
             return;
         }
-        let has_no_attempt = self
-            .calls
-            .get(call)
-            .is_some_and(|state| state.parts[part].attempts.is_empty());
         let cause = if has_no_attempt {
             AttemptCause::Retry
         } else {
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -31,6 +31,7 @@
 mod relay;
 mod reply;
 mod reroute;
+pub mod retry_order;
 pub mod roll;
 mod send;
 pub mod server;
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -14,6 +14,7 @@
 use crate::process::forward::input::{AttemptResult, ServerAnswer};
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::relay::UNRESPONSIVE_BACKOFF;
+use crate::process::forward::retry_order::RetryUse;
 use crate::process::forward::server::ServerState;
 use crate::process::forward::slowness::SlownessEstimate;
 use crate::process::forward::stall::{IntervalHistogram, StallStrategy, MIN_STALL};
@@ -507,12 +508,19 @@
             return self.check_end(key, now, out);
         }
         if is_allowed && !state.attempts.is_full() {
-            match self.choose_server_for(key, part, now) {
-                Ok(choice) if self.try_spend_budget(key, part, now, out) => {
+            let choice = self.choose_server_for(key, part, now);
+            let retry_use = choice.map(|choice| self.weigh_retry(key, part, choice, now));
+            match choice {
+                Ok(choice)
+                    if retry_use == Ok(RetryUse::Now)
+                        && self.try_spend_budget(key, part, now, out) =>
+                {
                     self.send_part_to(key, part, AttemptCause::Retry, choice, now, out);
                     return self.schedule_sweep(key, now);
                 }
-                Ok(_) if may_wait => return self.schedule_recheck(key, part, now, out),
+                Ok(_) if may_wait && retry_use != Ok(RetryUse::Never) => {
+                    return self.schedule_recheck(key, part, now, out);
+                }
                 Err(reason @ SelectionFailure::Full) if may_wait => {
                     self.enqueue_or_give_up(key, part, reason, out);
                     return self.check_end(key, now, out);
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -22,6 +22,7 @@
 mod reborn;
 mod remember;
 mod reroute;
+mod retry_order;
 mod roll;
 mod server_end;
 mod shard_owners;
--- a/crates/fake/src/fragile.rs
+++ b/crates/fake/src/fragile.rs
@@ -42,6 +42,8 @@
     down: Duration,
     life: Arc<AtomicU64>,
     is_up: watch::Sender<bool>,
+    /// A path that has this in it gets no answer, and its connection is closed.
+    lossy: Arc<Mutex<Option<String>>>,
     arrivals: Arc<Mutex<Vec<FragileArrival>>>,
     sequence: Arc<AtomicU64>,
 }
@@ -68,6 +70,7 @@
             down,
             life: Arc::new(AtomicU64::new(1)),
             is_up: watch::Sender::new(true),
+            lossy: Arc::default(),
             arrivals: Arc::default(),
             sequence: Arc::default(),
         };
@@ -75,6 +78,19 @@
         Ok(shard)
     }
 
+    /// Makes it lose the answers to requests whose path has `part` in it: it runs them
+    /// and closes the connection.
+    pub fn lose_answers(&self, part: &str) {
+        if let Ok(mut lossy) = self.lossy.lock() {
+            *lossy = Some(part.to_string());
+        }
+    }
+
+    fn loses(&self, path: &str) -> bool {
+        let lossy = self.lossy.lock();
+        lossy.is_ok_and(|lossy| lossy.as_ref().is_some_and(|part| path.contains(part)))
+    }
+
     /// Returns the requests that came to it in all its lifetimes.
     pub fn arrivals(&self) -> Vec<FragileArrival> {
         self.arrivals
@@ -143,16 +159,18 @@
     async fn answer_all(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let mut bytes = Vec::new();
         while let Some(head) = read_head(&mut stream, &mut bytes).await? {
-            let answer = self.answer(&head).await;
+            let Some(answer) = self.answer(&head).await else {
+                return Ok(());
+            };
             stream.write_all(answer.as_bytes()).await?;
         }
         Ok(())
     }
 
-    async fn answer(&self, head: &str) -> String {
+    async fn answer(&self, head: &str) -> Option<String> {
         let (request, mut lines) = match begin_answer(head, &self.id()) {
             Ok(begun) => begun,
-            Err(answer) => return answer,
+            Err(answer) => return Some(answer),
         };
         let path = head.split(' ').nth(1).unwrap_or_default().to_string();
         if let Ok(mut arrivals) = self.arrivals.lock() {
@@ -168,9 +186,14 @@
             // Its connections end now, this one too.
             std::future::pending::<()>().await;
         }
+        if self.loses(&path) {
+            return None;
+        }
         let stamp = NativeDialect::HEADERS.stamp;
         lines.push_str(&format!("{stamp}: {}.{request}\r\n", self.id()));
-        format!("HTTP/1.1 200 OK\r\n{lines}content-length: 16\r\n\r\nrecord of 16 b..")
+        Some(format!(
+            "HTTP/1.1 200 OK\r\n{lines}content-length: 16\r\n\r\nrecord of 16 b.."
+        ))
     }
 }
 
--- a/crates/fake/tests/plays/main.rs
+++ b/crates/fake/tests/plays/main.rs
@@ -4,5 +4,6 @@
 
 mod crashing;
 mod load;
+mod lost_answers;
 mod pauses;
 mod silent;
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -13,6 +13,7 @@
 mod extra;
 mod fragile;
 mod lifetimes;
+mod lost_answers;
 mod news;
 mod relayed;
 mod rolled_out;
