Compute shortage levels and merge them on a board

Cause: an entry sees few requests a second, while a shortage is at the servers that all entries share (docs/design/overload.md, component 3).

--- a/crates/core/src/process/load/mod.rs
+++ b/crates/core/src/process/load/mod.rs
@@ -4,6 +4,9 @@
 //! An entry sees only a few requests per second, while a shortage is at the servers, which
 //! all entries share. The merged reports let all entries apply the same limits.
 
+pub mod board;
+pub mod shortage;
+
 use serde::{Deserialize, Serialize};
 
 /// Shortage of one service, as seen by one entry or merged from several.
@@ -30,7 +33,9 @@
 /// a control instance.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
-    /// Services that are short or were used while others report them as short.
+    /// Services that are short or were used while others report them as short. In the
+    /// merged report of a control instance, a service has up to two rows for each level:
+    /// one if one entry reported the level, two if several did.
     pub services: Vec<ServiceShortage>,
     /// Workspaces with the most work.
     pub workspaces: Vec<WorkspaceWork>,
@@ -62,7 +67,8 @@
 /// Merged load, sent by a control instance to the entries that follow it.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadSummary {
-    /// Services that are short.
+    /// Services that an entry reports as short, also those with the merged level 0: the
+    /// entries that use them report that they see no shortage.
     pub services: Vec<ServiceLevel>,
     /// Workspaces above their share.
     pub workspaces: Vec<WorkspaceShare>,
