Decide by rank while services are short of capacity

Change: at services that several ranks use, a shortage level restricts the lowest ranks: forward/rank.rs limits their admission to the fraction that the service has room for, and at least a floor, withholds their hedges, and leaves half of the extra-load budget to the others; forward/shortage.rs feeds the levels.

--- a/crates/core/src/process/forward/admit.rs
+++ b/crates/core/src/process/forward/admit.rs
@@ -10,6 +10,8 @@
 //! - It uses a shard that was recently overloaded only if the other shards do
 //!   not reach the minimum coverage, and uses no more such shards than needed.
 //! - It refuses a request that cannot reach the minimum coverage.
+//! - It restricts requests of lower ranks at services that are short of capacity
+//!   (`rank.rs`).
 
 use std::time::Duration;
 
@@ -19,6 +21,8 @@
 use crate::process::forward::choose::SelectionCriteria;
 use crate::process::forward::directory::ServerLifecycle;
 use crate::process::forward::machine::ForwardMachine;
+use crate::process::forward::rank::RankLimit;
+use crate::process::forward::rank_group::RankAllowance;
 use crate::process::forward::region_set::RegionSet;
 
 /// Fraction of recent requests that a shard had no capacity for, above which
@@ -83,12 +87,18 @@
     pub(super) fn decide_admission(
         &mut self,
         state: &CallState,
+        limit: Option<&RankLimit>,
         now: Duration,
     ) -> AdmissionDecision {
         // A relayed request is accepted whole: only the entry that relayed it
         // knows which shards the original request can omit.
         if !state.is_scatter_gather || state.is_relayed {
-            return AdmissionDecision::Accept(Vec::new());
+            return match limit {
+                Some(limit) if limit.allowance() == RankAllowance::Nothing => {
+                    AdmissionDecision::Refuse
+                }
+                _ => AdmissionDecision::Accept(Vec::new()),
+            };
         }
         let times = self.first_attempt_criteria(state);
         let time_left = state.deadlines.soft_deadline.saturating_sub(now);
@@ -97,10 +107,13 @@
         // that are still in time.
         let time_left = time_left.max(times.objective.mul_f64(RETRY_TIME_FRACTION));
         let parts = state.parts.iter();
-        let capacities: Vec<ShardCapacity> = parts
+        let mut capacities: Vec<ShardCapacity> = parts
             .map(|part| self.estimate_capacity(part.upstream, times, time_left, now))
             .collect();
         self.record_shortages(state, &capacities, now);
+        if let Some(limit) = limit {
+            apply_rank_limit(limit, &mut capacities);
+        }
         let min_parts = state.rule().least_coverage * state.parts.len() as f64;
         let needed = (min_parts - 1e-9).ceil() as usize;
         // A probe is accepted at most once per interval.
@@ -124,6 +137,9 @@
                 ShardCapacity::Unknown => continue,
             };
             self.upstreams[part.upstream].shortage_rate.add(sample, now);
+            if *capacity == ShardCapacity::Insufficient {
+                self.observe_missing_capacity(part.upstream, now);
+            }
         }
     }
 
@@ -248,6 +264,21 @@
     }
 }
 
+/// Changes the capacity of the shards that are short for the request's rank to what the
+/// rank may use of them.
+fn apply_rank_limit(limit: &RankLimit, capacities: &mut [ShardCapacity]) {
+    for part in limit.parts() {
+        let capacity = &mut capacities[*part];
+        *capacity = match (limit.allowance(), *capacity) {
+            (RankAllowance::Nothing, _) => ShardCapacity::Insufficient,
+            (RankAllowance::NeededShards, ShardCapacity::Ample) => {
+                ShardCapacity::Scarce(Duration::ZERO)
+            }
+            (_, capacity) => capacity,
+        };
+    }
+}
+
 /// Decides from the capacity of each part's shard which parts are omitted.
 /// Refuses the request if fewer than `needed` parts can be answered.
 fn decide_by_capacity(capacities: &[ShardCapacity], needed: usize) -> AdmissionDecision {
--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -269,6 +269,24 @@
         /// Services of the omitted shards.
         services: Vec<Arc<str>>,
     },
+    /// Services of the request are short of capacity, and its rank is restricted
+    /// there.
+    RankLimited {
+        /// Label of the decision.
+        outcome: &'static str,
+        /// Rank of the request.
+        rank: u32,
+        /// Highest shortage level among these services.
+        level: u8,
+        /// Service with this level.
+        service: Arc<str>,
+        /// Number of parts whose services restrict the rank.
+        parts: usize,
+        /// Fraction of all recent requests for these services that were admitted.
+        admitted_fraction: f64,
+        /// Credit of the rank after this request: how many more may use these services.
+        credit: f64,
+    },
     /// Another entry did not acknowledge a relayed attempt in time; its parts are
     /// sent elsewhere.
     Reroute {
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -56,7 +56,10 @@
         if let Some(failure) = self.check_suspect(&state, now) {
             return self.reject_request(call.tag, failure, out);
         }
-        let AdmissionDecision::Accept(omitted) = self.decide_admission(&state, now) else {
+        let limit = self.limit_by_rank(&state, now);
+        let decision = self.decide_admission(&state, limit.as_ref(), now);
+        let AdmissionDecision::Accept(omitted) = decision else {
+            self.record_rank_decision(&state, limit.as_ref(), None, now, out);
             self.credit_refused_parts(&state, now);
             return self.reject_request(call.tag, ForwardFailure::Overload, out);
         };
@@ -70,6 +73,7 @@
             mark: call.mark,
             relayed: call.relayed.is_some(),
         });
+        self.record_rank_decision(&state, limit.as_ref(), Some(&omitted), now, out);
         let key = self.calls.insert(state);
         self.calls_by_tag.insert(call.tag, key);
         self.omit_parts(key, &omitted, out);
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -104,6 +104,9 @@
             }
             return;
         }
+        if self.withhold_hedge(call, part, now) {
+            return;
+        }
         if let Some(state) = self.calls.get_mut(call) {
             state.parts[part].hedge_at = now + RECHECK_INTERVAL;
         }
@@ -239,6 +242,8 @@
             return true;
         }
         let (tag, upstream) = (state.tag, state.parts[part].upstream);
+        let rank = state.rank;
+        let is_withheld = self.is_repeat_withheld(upstream, rank, now);
         let (bound, sharing) = (self.options.extra, self.budget_sharing(upstream));
         let budget = &mut self.upstreams[upstream].budget;
         let rate = if now < self.load_shifts_until {
@@ -246,7 +251,7 @@
         } else {
             SpendRate::Unlimited
         };
-        if budget.try_spend(&bound, sharing, rate, now) {
+        if !is_withheld && budget.try_spend(&bound, sharing, rate, now) {
             return true;
         }
         self.counters.denied_repeats += 1;
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -24,7 +24,9 @@
 use crate::process::forward::extra::{ExtraBound, ExtraBudget};
 use crate::process::forward::input::ForwardInput;
 use crate::process::forward::place::RegionMap;
+use crate::process::forward::rank::RankControl;
 use crate::process::forward::server::ServerState;
+use crate::process::forward::shortage::UpstreamShortage;
 use crate::process::forward::slowness::SlownessStrategy;
 use crate::process::forward::split::SplitScheduler;
 use crate::process::forward::stall::{IntervalHistogram, StallStrategy};
@@ -138,6 +140,8 @@
     pub(super) group_key: Option<Box<str>>,
     /// Whether this entry owns the shard within its failure domain.
     pub(super) owns_shard: bool,
+    /// Shortage level of the service, for decisions by rank.
+    pub(super) shortage: UpstreamShortage,
     /// Latest roll-out of the service, if there was one.
     pub(super) rollout: Option<UpstreamRollout>,
 }
@@ -198,6 +202,8 @@
     pub(super) load_shifts_until: Duration,
     /// Time of the last contact with the control group.
     pub(super) control_seen_at: Duration,
+    /// State of the decisions by rank.
+    pub(super) ranks: RankControl,
     /// Time of the current step.
     step_time: Duration,
 }
@@ -235,6 +241,7 @@
             next_probe_at: Duration::ZERO,
             load_shifts_until: Duration::ZERO,
             control_seen_at: Duration::ZERO,
+            ranks: RankControl::default(),
             step_time: Duration::ZERO,
         }
     }
@@ -273,7 +280,7 @@
                 self.servers[server].idle = idle;
                 self.servers[server].open = open;
             }
-            ForwardInput::LoadSummary(_) => {}
+            ForwardInput::LoadSummary(summary) => self.set_load_summary(&summary, now),
             ForwardInput::Wake => {}
         }
         self.run_timers(now, out);
@@ -387,6 +394,7 @@
             self.upstreams[upstream].cold_per_s = service.cold_per_s;
         }
         self.assign_shard_groups(&table);
+        self.assign_rank_groups(&table);
         self.end_unauthorized(&table, now, out);
         self.table = Some(table);
     }
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -189,6 +189,7 @@
             self.record_broken_attempt(&attempt, now, out);
         }
         self.update_server_stats(attempt_key, &attempt, &end, outcome, now, out);
+        self.observe_answer(&attempt, &end, now);
         self.update_version_stats(&attempt, &end, outcome, now);
         let needed_canary = self.call_needs_canary(attempt.call);
         self.record_evidence(&attempt, &end, now, out);
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -19,6 +19,7 @@
 mod parts;
 mod pauses;
 mod proximity;
+mod ranks;
 mod reborn;
 mod remember;
 mod reroute;
