Exchange load reports between entries and control instances

Cause: an entry that relays most shards sees no shortage itself, so the levels must be merged over all entries. Change: entries send LoadReport to their source, at most once a second and in place of pings; control instances exchange LoadShare and send LoadSummary once a second, all only while there is something to report. Conclusion: the levels reach the entries of all instances and end 3 s after the reports.

--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -55,7 +55,7 @@
 #[derive(Debug)]
 pub struct ForwardDriver<D> {
     /// State machine that makes all decisions.
-    machine: RefCell<ForwardMachine>,
+    pub(super) machine: RefCell<ForwardMachine>,
     /// Connections to upstream servers.
     pub pool: ServerPool,
     /// Admission of requests whose workspace has a usage cap.
@@ -87,6 +87,8 @@
     unpublished_suspects: RefCell<Vec<SuspectRecord>>,
     /// Signals a change of `unpublished_suspects`.
     suspects_changed: Notify,
+    /// Signals that a shortage level changed, so that a load report may be due.
+    pub(super) load_changed: Notify,
     dialect: PhantomData<D>,
 }
 
@@ -122,6 +124,7 @@
             wake_changed: Notify::new(),
             unpublished_suspects: RefCell::default(),
             suspects_changed: Notify::new(),
+            load_changed: Notify::new(),
             dialect: PhantomData,
         }
     }
@@ -154,11 +157,12 @@
     pub fn step(self: &Rc<Self>, input: ForwardInput) {
         let now = self.clock.elapsed();
         let mut actions = self.action_buffer.take();
-        let next = {
+        let (next, level_changes) = {
             let mut machine = self.machine.borrow_mut();
             machine.step(now, input, &mut actions);
-            machine.next_wake()
+            (machine.next_wake(), machine.take_level_changes())
         };
+        self.record_level_changes(level_changes);
         for action in actions.drain(..) {
             self.perform(action, now);
         }
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -53,11 +53,11 @@
 /// Connections of an entry to the control group, and the state received over them.
 #[derive(Debug)]
 pub struct GroupFeed<D> {
-    entry: Rc<ForwardDriver<D>>,
+    pub(super) entry: Rc<ForwardDriver<D>>,
     peer: EntryPeer,
     /// Notified when the entry starts to leave.
     leave_requested: Notify,
-    connections: RefCell<ControlConnections>,
+    pub(super) connections: RefCell<ControlConnections>,
     /// Entries that accept requests, as sent by the source, by identity.
     peers: RefCell<BTreeMap<Box<str>, EntryPeer>>,
     /// Whether a selection of the source is scheduled.
@@ -73,6 +73,8 @@
     /// Table version that a quorum has confirmed to be the newest, if any. No older table
     /// is applied.
     confirmed_version: Cell<Option<u64>>,
+    /// Time of the last load report to the source.
+    pub(super) load_sent_at: Cell<Option<Duration>>,
 }
 
 impl<D: ForwardDialect> GroupFeed<D> {
@@ -91,6 +93,7 @@
             evacuation_revision: Cell::new(0),
             rollout_revision: Cell::new(0),
             confirmed_version: Cell::new(None),
+            load_sent_at: Cell::new(None),
             entry,
         }
     }
@@ -223,25 +226,26 @@
                             self.schedule_source_selection();
                         }
                     }
-                    let ping_message = self.build_ping(address);
-                    send(&mut writer, &ping_message).await?;
+                    if let Some(message) = self.build_ping(address) {
+                        send(&mut writer, &message).await?;
+                    }
                 }
             }
         }
     }
 
     /// Returns the next ping. To the source, the outcome counts of the versions that are
-    /// being rolled out are sent in place of a plain ping, if there are any.
-    fn build_ping(&self, address: SocketAddr) -> GroupMessage {
+    /// being rolled out are sent in place of a plain ping, if there are any. Without them,
+    /// no ping is due if a load report was sent recently.
+    fn build_ping(&self, address: SocketAddr) -> Option<GroupMessage> {
         if !self.is_source(address) {
-            return GroupMessage::Ping;
+            return Some(GroupMessage::Ping);
         }
         let outcome_counts = self.entry.take_outcome_counts();
-        if outcome_counts.is_empty() {
-            GroupMessage::Ping
-        } else {
-            GroupMessage::Tallies(outcome_counts)
+        if !outcome_counts.is_empty() {
+            return Some(GroupMessage::Tallies(outcome_counts));
         }
+        (!self.is_load_recent()).then_some(GroupMessage::Ping)
     }
 
     /// Handles a message of a control instance.
@@ -274,6 +278,9 @@
                 self.entry.step(ForwardInput::EntryCount(entries));
                 self.update_peers(joined, &left);
             }
+            GroupMessage::LoadSummary(summary) if self.is_source(address) => {
+                self.entry.step(ForwardInput::LoadSummary(summary));
+            }
             GroupMessage::Control(instances) => self.update_instances(instances),
             GroupMessage::Here {
                 domain,
--- a/crates/node/src/process/forward/measure.rs
+++ b/crates/node/src/process/forward/measure.rs
@@ -139,6 +139,19 @@
         counter!("wheelmast_split_requests_total", &labels).absolute(count);
         gauge!("wheelmast_split_weight", &labels).set(part.weight);
     }
+    for (service, level) in machine.shortage_levels(now) {
+        gauge!("wheelmast_service_shortage_level", "service" => service.to_string())
+            .set(f64::from(level));
+    }
+    for (rank, counts) in machine.rank_counts() {
+        for (decision, count) in counts.labelled() {
+            let labels = [
+                ("rank", rank.to_string()),
+                ("decision", decision.to_string()),
+            ];
+            counter!("wheelmast_rank_decisions_total", &labels).absolute(count);
+        }
+    }
     for (service, counts, servers, budget_left) in machine.services(now) {
         let service = service.to_string();
         counter!("wheelmast_service_sends_total", "service" => service.clone())
--- a/crates/node/src/process/forward/mod.rs
+++ b/crates/node/src/process/forward/mod.rs
@@ -11,6 +11,7 @@
 pub mod grant;
 pub mod image;
 pub mod lines;
+mod load;
 pub mod measure;
 pub mod pool;
 pub mod run;
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -78,6 +78,7 @@
     tokio::task::spawn_local(entry.clone().run_timers());
     tokio::task::spawn_local(feed.clone().publish_suspects());
     tokio::task::spawn_local(feed.clone().forward_cap_requests());
+    tokio::task::spawn_local(feed.clone().publish_load());
     tokio::task::spawn_local(serve_health_checks(entry.clone(), ready));
     if let Some(address) = settings.metrics {
         let driver = entry.clone();
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -300,7 +300,9 @@
         ForwardDecision::End { outcome, late, .. } => {
             !late && matches!(*outcome, "whole" | "served")
         }
-        ForwardDecision::Slow { .. } | ForwardDecision::Abandon { .. } => true,
+        ForwardDecision::Slow { .. }
+        | ForwardDecision::Abandon { .. }
+        | ForwardDecision::RankLimited { .. } => true,
         ForwardDecision::Lost { .. }
         | ForwardDecision::ServerBrokeOff { .. }
         | ForwardDecision::OmitShards { .. }
@@ -355,6 +357,18 @@
             let after_ms = millis(*after);
             tracing::warn!(target: "entry", request, %mark, %service, server = %instance, after_ms, beside, "route: server broke off");
         }
+        ForwardDecision::RankLimited {
+            outcome,
+            rank,
+            level,
+            service,
+            parts,
+            admitted_fraction,
+            credit,
+        } => {
+            let (admitted_fraction, credit) = (hundredths(*admitted_fraction), hundredths(*credit));
+            tracing::info!(target: "entry", request, at_ms, outcome, rank, level, %service, parts, admitted_fraction, credit, "route: limited by rank");
+        }
         ForwardDecision::OmitShards { services } => {
             let services = services.join(", ");
             tracing::info!(target: "entry", request, at_ms, services, "route: shards not asked");
@@ -411,6 +425,11 @@
     }
 }
 
+/// Returns a number rounded to two decimal places, for the log.
+fn hundredths(number: f64) -> f64 {
+    (number * 100.0).round() / 100.0
+}
+
 /// Returns the label of a cause in the log.
 fn cause_label(cause: AttemptCause) -> &'static str {
     match cause {
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -159,6 +159,11 @@
                 followers.apply_update(peer, whole, joined, &left);
             }
         }
+        GroupMessage::LoadShare(share) => {
+            if let Some(peer) = peer {
+                node.record_load_share(peer, share);
+            }
+        }
         GroupMessage::Kept(tag) => node.record_replication_ack(tag),
         GroupMessage::Renewals { whole, servers } => {
             if let Some(peer) = peer {
@@ -300,6 +305,7 @@
             node.merge_suspects(records, SuspectSource::Entry);
         }
         GroupMessage::Tallies(tallies) => node.record_version_outcomes(tallies, true),
+        GroupMessage::LoadReport(report) => node.record_load_report(key, report),
         GroupMessage::Leaving => mark_leaving(node, key),
         GroupMessage::Whole { have, servers } => {
             let messages = build_full_state(node, key, have, &servers);
--- a/crates/node/src/process/group/measure.rs
+++ b/crates/node/src/process/group/measure.rs
@@ -36,6 +36,14 @@
             state.evacuations.domains.len() as u64,
         ),
         ("wheelmast_evacuations_revision", state.evacuations.revision),
+        (
+            "wheelmast_load_reporters",
+            state.load_board.reporter_count() as u64,
+        ),
+        (
+            "wheelmast_short_services",
+            state.load_board.short_service_count() as u64,
+        ),
         ("wheelmast_disk_batches_total", state.synced_batch),
         ("wheelmast_disk_batches_waiting", waiting),
         (
--- a/crates/node/src/process/group/mod.rs
+++ b/crates/node/src/process/group/mod.rs
@@ -12,6 +12,7 @@
 pub mod followers;
 pub mod inbound;
 pub mod link;
+mod load;
 pub mod measure;
 pub mod node;
 pub mod replica;
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -37,6 +37,8 @@
 const RENEWAL_TICKS: u32 = 2;
 /// Ticks between two status messages to subscribed entries.
 const STATUS_TICKS: u32 = 4;
+/// Ticks between two exchanges of the load reports.
+const LOAD_TICKS: u32 = 4;
 /// Ticks between two log lines with the counts of sent messages.
 const TRAFFIC_LOG_TICKS: u32 = 40;
 /// Time after the start in which the instance may not have received the state of the
@@ -185,6 +187,9 @@
                 self.send_renewals();
             }
             self.publish_members();
+            if ticks.is_multiple_of(LOAD_TICKS) {
+                self.exchange_load();
+            }
             if ticks.is_multiple_of(TRAFFIC_LOG_TICKS) {
                 let sent = self.state.borrow().traffic.to_string();
                 tracing::info!(target: "group", sent, "group: sent, messages and bytes by kind");
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -17,6 +17,7 @@
 use wheelmast_core::process::forward::roll::select_known_peers;
 use wheelmast_core::process::forward::source::ControlSite;
 use wheelmast_core::process::forward::suspect::registry::SuspectRegistry;
+use wheelmast_core::process::load::board::LoadBoard;
 use wheelmast_core::request::mark::RequestFingerprint;
 use wheelmast_wire::group::{ControlRevisions, GroupMessage, LeaderReply};
 
@@ -247,6 +248,8 @@
     pub cap_owner: CapOwner,
     /// The tokens that this instance holds for the entries it serves.
     pub cap_stock: CapStock,
+    /// Load reports of the entries and of the other control instances.
+    pub load_board: LoadBoard,
     /// Records of suspect requests (requests under which servers crashed).
     pub suspects: SuspectRegistry,
     /// Fingerprints of the suspect requests whose records must be sent to other control
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -8,16 +8,21 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::io::AsyncWriteExt;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use wheelmast_core::process::forward::directory::{ServerAnnouncement, ServerLifecycle};
-use wheelmast_core::process::forward::input::EntryPeer;
+use wheelmast_core::process::forward::input::{EntryPeer, ForwardCall, ForwardInput};
 use wheelmast_core::process::forward::machine::ForwardOptions;
+use wheelmast_core::process::load::{LoadSummary, ServiceLevel};
+use wheelmast_core::request::mark::{CallerFingerprint, ContentFingerprint, RequestFingerprint};
 use wheelmast_node::connection::frame::{write_frame, FrameReader};
 use wheelmast_node::process::forward::entry::{EntryPhase, ForwardDriver};
 use wheelmast_node::process::forward::feed::GroupFeed;
+use wheelmast_node::process::forward::image::RequestImage;
 use wheelmast_wire::group::GroupMessage;
 use wheelmast_wire::native::NativeDialect;
 use wheelmast_wire::pack::pack;
@@ -260,6 +265,172 @@
     });
 }
 
+/// Returns a table with two routes of different ranks over the service `s`.
+fn ranked_table_message() -> GroupMessage {
+    let route = |name: &str, rank: u32| {
+        format!(
+            r#"{{"name":"{name}","host":"h","prefix":"/{name}","target":{{"service":"s"}},
+            "idempotent":true,"time_limit_ms":500,"objective_ms":100,"attempts":2,"rank":{rank}}}"#
+        )
+    };
+    let text = format!(
+        r#"{{"version":1,"routes":[{},{}],"services":[{{"name":"s","connections":4}}]}}"#,
+        route("a", 0),
+        route("b", 1)
+    );
+    GroupMessage::Routes {
+        version: 1,
+        packed: pack(text.as_bytes()).expect("packed"),
+    }
+}
+
+/// Returns the summary that reports the service `s` as short.
+fn short_summary() -> GroupMessage {
+    GroupMessage::LoadSummary(LoadSummary {
+        services: vec![ServiceLevel {
+            service: "s".into(),
+            level: 1,
+        }],
+        workspaces: Vec::new(),
+    })
+}
+
+/// Returns the shortage level that the entry applies to the service `s`.
+fn shortage_level(entry: &Entry) -> Option<u8> {
+    let now = entry.clock.elapsed();
+    entry.with_machine(|machine| machine.shortage_levels(now).map(|(_, level)| level).next())
+}
+
+/// Guards against levels that an instance other than the source determines, and against
+/// levels that outlive the contact to the source.
+#[test]
+fn the_entry_applies_the_load_summary_of_its_source_for_three_seconds() {
+    run_local_test(async {
+        let mut near = FakeControl::start().await;
+        let mut far = FakeControl::start().await;
+        let entry = start_entry(&[&near, &far]);
+        near.send_status("here", true, 1).await;
+        far.send_status("there", true, 1).await;
+        near.send(&GroupMessage::Confirmed { version: 1 }).await;
+        near.send(&ranked_table_message()).await;
+        while !matches!(
+            near.receive("the request for all state").await,
+            GroupMessage::Whole { .. }
+        ) {}
+        wait_until("the table is in force", || table_version(&entry) == 1).await;
+        far.send(&short_summary()).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(shortage_level(&entry), Some(0));
+        near.send(&short_summary()).await;
+        wait_until("the level applies", || shortage_level(&entry) == Some(1)).await;
+        let applied_at = Instant::now();
+        wait_until("the level expires", || shortage_level(&entry) == Some(0)).await;
+        assert!(applied_at.elapsed() > Duration::from_millis(2500));
+    });
+}
+
+/// Answers each request on each connection that it has not run.
+async fn refuse_all(listener: TcpListener) {
+    const REFUSAL: &[u8] =
+        b"HTTP/1.1 503 Busy\r\nwheelmast-request: r\r\nwheelmast-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+    while let Ok((mut stream, _)) = listener.accept().await {
+        tokio::task::spawn_local(async move {
+            let mut bytes = [0; 4096];
+            // The requests are small and come one at a time.
+            while stream.read(&mut bytes).await.is_ok_and(|count| count > 0) {
+                if stream.write_all(REFUSAL).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Guards against reports while nothing is short, against more than one a second, and
+/// against pings beside them.
+#[test]
+fn the_entry_reports_its_load_in_place_of_pings() {
+    run_local_test(async {
+        let mut near = FakeControl::start().await;
+        let (entry, feed) = start_entry_without_controls();
+        feed.add_control_instance(near.address);
+        tokio::task::spawn_local(feed.clone().publish_load());
+        near.send_status("here", true, 1).await;
+        near.send(&GroupMessage::Confirmed { version: 1 }).await;
+        near.send(&ranked_table_message()).await;
+        wait_until("the table is in force", || table_version(&entry) == 1).await;
+        let upstream_listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let announcement = ServerAnnouncement {
+            id: "server-1".into(),
+            service: "s".into(),
+            address: Some(upstream_listener.local_addr().expect("an address")),
+            domain: "here".into(),
+            version: "".into(),
+            slots: 2,
+            standing: ServerLifecycle::Ready,
+            born: 0,
+            sequence: 1,
+            cold_ms: 0,
+        };
+        near.send(&GroupMessage::Notices(vec![announcement])).await;
+        tokio::task::spawn_local(refuse_all(upstream_listener));
+        // The requests keep coming; the server refuses each with all slots in use.
+        let calls = async {
+            loop {
+                let headers = HeaderMap::new();
+                let uri = Uri::from_static("/a");
+                let image = RequestImage::new::<NativeDialect>(
+                    &Method::GET,
+                    &uri,
+                    &headers,
+                    "r",
+                    Bytes::new(),
+                );
+                let (tag, _answer) = entry.register_call(image);
+                entry.step(ForwardInput::Call(ForwardCall {
+                    tag,
+                    host: "h".into(),
+                    path: "/a".into(),
+                    mark: RequestFingerprint {
+                        content: ContentFingerprint::of("GET", "h", &format!("/{}", tag.0), &[]),
+                        caller: CallerFingerprint::of(b"caller"),
+                    },
+                    key: None,
+                    arrived_at: entry.clock.elapsed(),
+                    time_left: None,
+                    relayed: None,
+                }));
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let reports = async {
+            let mut last = None;
+            for _ in 0..3 {
+                let mut pings = 0;
+                let report = loop {
+                    match near.received.recv().await.expect("the entry runs") {
+                        GroupMessage::LoadReport(report) => break report,
+                        GroupMessage::Ping => pings += 1,
+                        _ => {}
+                    }
+                };
+                assert_eq!(&*report.services[0].service, "s");
+                assert_eq!(report.services[0].level, 1);
+                let now = Instant::now();
+                if let Some(last) = last.replace(now) {
+                    assert_eq!(pings, 0, "pings between reports");
+                    assert!(now - last > Duration::from_millis(900));
+                }
+            }
+        };
+        tokio::select! {
+            () = calls => {}
+            () = reports => {}
+            () = tokio::time::sleep(TIMEOUT) => panic!("no load reports"),
+        }
+    });
+}
+
 #[test]
 fn a_confirmation_that_arrives_before_the_table_counts() {
     run_local_test(async {
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -13,6 +13,7 @@
 mod extra;
 mod fragile;
 mod lifetimes;
+mod load_exchange;
 mod news;
 mod relayed;
 mod rolled_out;
