--- a/crates/fake/tests/plays/main.rs
+++ b/crates/fake/tests/plays/main.rs
@@ -6,4 +6,5 @@
 mod load;
 mod lost_answers;
 mod pauses;
+mod ranks;
 mod silent;
--- a/crates/node/src/process/forward/mod.rs
+++ b/crates/node/src/process/forward/mod.rs
@@ -12,6 +12,7 @@
 pub mod grant;
 pub mod image;
 pub mod lines;
+mod load;
 pub mod measure;
 pub mod pool;
 pub mod run;
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -304,7 +304,9 @@
         ForwardDecision::End { outcome, late, .. } => {
             !late && matches!(*outcome, "whole" | "served")
         }
-        ForwardDecision::Slow { .. } | ForwardDecision::Abandon { .. } => true,
+        ForwardDecision::Slow { .. }
+        | ForwardDecision::Abandon { .. }
+        | ForwardDecision::RankLimited { .. } => true,
         ForwardDecision::Lost { .. }
         | ForwardDecision::ServerBrokeOff { .. }
         | ForwardDecision::BreakVerdict { .. }
@@ -373,6 +375,18 @@
             let (verdict, evidence) = (verdict.label(), evidence.label());
             tracing::info!(target: "entry", request, %service, server = %instance, verdict, evidence, breaks, others, after_ms, "server_end: decided");
         }
+        ForwardDecision::RankLimited {
+            outcome,
+            rank,
+            level,
+            service,
+            parts,
+            admitted_fraction,
+            credit,
+        } => {
+            let (admitted_fraction, credit) = (hundredths(*admitted_fraction), hundredths(*credit));
+            tracing::info!(target: "entry", request, at_ms, outcome, rank, level, %service, parts, admitted_fraction, credit, "route: limited by rank");
+        }
         ForwardDecision::OmitShards { services } => {
             let services = services.join(", ");
             tracing::info!(target: "entry", request, at_ms, services, "route: shards not asked");
@@ -429,6 +443,11 @@
     }
 }
 
+/// Returns a number rounded to two decimal places, for the log.
+fn hundredths(number: f64) -> f64 {
+    (number * 100.0).round() / 100.0
+}
+
 /// Returns the label of a cause in the log.
 fn cause_label(cause: AttemptCause) -> &'static str {
     match cause {
