Compute fair shares of workspaces from merged work

One workspace far above its usual rate takes short servers from all others, and an entry sees too few requests to notice. Adds a bounded sketch of the work by workspace, merging at control instances, weighted max-min shares by water filling, and the decision of an entry.

--- a/crates/core/src/process/load/mod.rs
+++ b/crates/core/src/process/load/mod.rs
@@ -4,6 +4,11 @@
 //! An entry sees only a few requests per second, while a shortage is at the servers, which
 //! all entries share. The merged reports let all entries apply the same limits.
 
+pub mod share;
+pub mod share_gate;
+pub mod usage;
+pub mod usage_board;
+
 use serde::{Deserialize, Serialize};
 
 /// Shortage of one service, as seen by one entry or merged from several.
--- a/crates/core/src/version/workspace.rs
+++ b/crates/core/src/version/workspace.rs
@@ -131,6 +131,7 @@
     rules: Vec<WorkspaceRule>,
     names: HashMap<Box<str>, WorkspaceIndex>,
     digests: HashMap<KeyDigest, WorkspaceIndex>,
+    all_capped: bool,
 }
 
 impl WorkspaceRegistry {
@@ -154,6 +155,7 @@
             let keys = std::mem::take(&mut rules[index].keys);
             registry.add_keys(&rules, index, &keys, findings);
         }
+        registry.all_capped = rules.iter().all(|rule| rule.cap.is_some());
         registry.rules = rules;
         registry
     }
@@ -201,6 +203,11 @@
         &self.rules
     }
 
+    /// Returns whether every workspace has a usage cap.
+    pub fn are_all_capped(&self) -> bool {
+        self.all_capped
+    }
+
     /// Finds the workspace of the caller whose key has this digest.
     pub fn caller_workspace(&self, digest: KeyDigest) -> Option<WorkspaceIndex> {
         self.digests.get(&digest).copied()
