Ask for a workspace's share at admission

Shares have to be applied before anything of a request is sent, at the entry that the caller asked. Adds a check between that of suspects and admission control, the failure over_share (503, not run), counters, log lines and the workspace part of load reports. Existing tests are unchanged but for the harness, which collects a new action. With fewer than two workspaces nothing is counted or limited.

--- a/crates/core/src/process/forward/admit.rs
+++ b/crates/core/src/process/forward/admit.rs
@@ -24,7 +24,7 @@
 /// Fraction of recent requests that a shard had no capacity for, above which
 /// the shard counts as scarce. A short burst stays below; a shard that gets
 /// twice the load it can serve reaches this value after ten requests.
-const SCARCE_THRESHOLD: f64 = 0.4;
+pub(super) const SCARCE_THRESHOLD: f64 = 0.4;
 /// Fraction of the time left within which a scarce shard must be expected to
 /// answer. The load on an overloaded shard rises until its expected response
 /// time reaches this bound, and actual response times vary around it: at 0.8, a
--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -11,6 +11,7 @@
 use crate::process::forward::place::DomainProximity;
 use crate::process::forward::suspect::record::SuspectRecord;
 use crate::process::input::CallTag;
+use crate::process::load::share_gate::{ShareChange, ShareLimit};
 use crate::request::mark::RequestFingerprint;
 
 /// Reason why a request failed without a server's answer.
@@ -51,6 +52,9 @@
     /// The state of the workspace's request cap could not be determined; the
     /// request has not run.
     CapUnknown,
+    /// The workspace is over its share of a service that is short; the request has not
+    /// run.
+    OverShare,
     /// The request's key was revoked while the request was in flight; it may have
     /// run.
     KeyRevoked,
@@ -97,6 +101,7 @@
             ForwardFailure::KeyRevoked => "key_gone",
             ForwardFailure::CapReached => "cap_reached",
             ForwardFailure::CapUnknown => "cap_unknown",
+            ForwardFailure::OverShare => "over_share",
         }
     }
 }
@@ -294,6 +299,14 @@
         /// Service whose budget is spent.
         service: Arc<str>,
     },
+    /// The request was refused, because its workspace is over its share of a service that
+    /// is short.
+    OverShare {
+        /// Workspace of the request.
+        workspace: Arc<str>,
+        /// Admitted fraction of the workspace's requests, and its basis.
+        limit: ShareLimit,
+    },
     /// The request ended.
     End {
         /// Label of the outcome.
@@ -337,4 +350,6 @@
     PublishSuspect(SuspectRecord),
     /// Write a decision to the log.
     RecordDecision(ForwardEvent),
+    /// Write to the log that a workspace was limited to its share or released.
+    RecordShareChange(ShareChange),
 }
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -45,7 +45,7 @@
             Ok(workspace) => workspace,
             Err(failure) => return self.reject_request(call.tag, failure, out),
         };
-        let state = self.build_call(&call, table, route, workspace, now);
+        let mut state = self.build_call(&call, table, route, workspace, now);
         let is_too_late = now >= state.deadlines.hard_deadline
             || (state.is_relayed && now >= state.deadlines.soft_deadline);
         if is_too_late {
@@ -56,10 +56,15 @@
         if let Some(failure) = self.check_suspect(&state, now) {
             return self.reject_request(call.tag, failure, out);
         }
+        if let Some(failure) = self.check_share(&mut state, now, out) {
+            self.credit_refused_parts(&state, now);
+            return self.reject_request(call.tag, failure, out);
+        }
         let AdmissionDecision::Accept(omitted) = self.decide_admission(&state, now) else {
             self.credit_refused_parts(&state, now);
             return self.reject_request(call.tag, ForwardFailure::Overload, out);
         };
+        self.record_admitted_work(&state, now);
         let (deadlines, part_count) = (state.deadlines, state.parts.len());
         let needs_canary = state.needs_canary();
         let (route_name, version) = (state.rule().name.as_str().into(), state.table.version());
@@ -150,6 +155,7 @@
             missing: 0,
             failed_answer: None,
             sends: 0,
+            work_ms: 0.0,
             suspicion: self.initial_suspicion(call, now),
             table,
         }
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -160,6 +160,9 @@
     pub failed_answer: Option<Box<ServerAnswer>>,
     /// Number of attempts sent.
     pub sends: u32,
+    /// Work that was counted for the request's workspace, in milliseconds of service
+    /// time; 0 if none was.
+    pub work_ms: f64,
     /// Evidence on whether the request crashes servers.
     pub suspicion: CallSuspicion,
 }
--- a/crates/core/src/process/forward/counts.rs
+++ b/crates/core/src/process/forward/counts.rs
@@ -37,6 +37,8 @@
     pub rerouted_relays: u64,
     /// Retries and hedges not sent because the budget for extra load was spent.
     pub denied_repeats: u64,
+    /// Requests refused because their workspace was over its share.
+    pub over_share: u64,
     /// Attempts cancelled after their request ended.
     pub cancels: u64,
     /// Attempts whose connection broke while the server had the request.
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -293,6 +293,7 @@
         let state = self.calls.remove(call)?;
         self.calls_by_tag.remove(&state.tag);
         self.record_bundle_misses(&state, now);
+        self.retract_unserved_work(&state, now);
         for attempt in state.parts.iter().flat_map(|part| &part.attempts) {
             let Some(orphan) = self.attempts.get_mut(*attempt) else {
                 continue;
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -33,6 +33,7 @@
 use crate::process::forward::timing::RouteTiming;
 use crate::process::forward::version::UpstreamRollout;
 use crate::process::input::CallTag;
+use crate::process::load::share_gate::ShareGate;
 use crate::process::rollout::share::CanaryBound;
 use crate::process::timer::TimerHeap;
 use crate::version::route_table::{RouteTable, RouteTarget, WeightedService};
@@ -193,6 +194,8 @@
     /// Earliest time of the next probe: a request that is admitted to find out
     /// whether shards that were missing from recent bundles answer again.
     pub(super) next_probe_at: Duration,
+    /// Work by workspace, and the workspaces that are limited to their share.
+    pub(super) shares: ShareGate,
     /// Time until which callers are assumed to move to an entry that has just
     /// joined. Until then the budgets for extra load are spent more slowly.
     pub(super) load_shifts_until: Duration,
@@ -233,6 +236,7 @@
             crash_watch: CrashWatch::default(),
             stall_intervals: IntervalHistogram::default(),
             next_probe_at: Duration::ZERO,
+            shares: ShareGate::default(),
             load_shifts_until: Duration::ZERO,
             control_seen_at: Duration::ZERO,
             step_time: Duration::ZERO,
@@ -273,7 +277,9 @@
                 self.servers[server].idle = idle;
                 self.servers[server].open = open;
             }
-            ForwardInput::LoadSummary(_) => {}
+            ForwardInput::LoadSummary(summary) => {
+                self.apply_workspace_shares(&summary.workspaces, now, out)
+            }
             ForwardInput::Wake => {}
         }
         self.run_timers(now, out);
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -42,3 +42,4 @@
 mod suspicion;
 pub mod timing;
 mod version;
+mod workspace_share;
--- a/crates/core/tests/forward/admit.rs
+++ b/crates/core/tests/forward/admit.rs
@@ -27,7 +27,7 @@
 }
 
 /// Answers an attempt, with a load report of `waiting` queued requests.
-fn answer_with_load(harness: &mut Harness, send: usize, waiting: u32) {
+pub(crate) fn answer_with_load(harness: &mut Harness, send: usize, waiting: u32) {
     let stamp = harness.sends[send].instance.clone();
     let end = ServerAnswer {
         load: load_report(waiting),
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -17,6 +17,7 @@
 use wheelmast_core::process::forward::machine::{ForwardMachine, ForwardOptions};
 use wheelmast_core::process::forward::suspect::record::SuspectRecord;
 use wheelmast_core::process::input::CallTag;
+use wheelmast_core::process::load::share_gate::ShareChange;
 use wheelmast_core::request::mark::{CallerFingerprint, ContentFingerprint, RequestFingerprint};
 use wheelmast_core::version::route_table::{
     CallerLimits, RouteDraft, RouteRule, RouteTable, RouteTarget, ServiceRule,
@@ -116,6 +117,8 @@
     pub(crate) raised_allowances: Vec<(SlotKey, u32)>,
     /// Published records of suspect requests, under which servers crashed.
     pub(crate) suspects: Vec<SuspectRecord>,
+    /// Workspaces limited to their share or released, in order.
+    pub(crate) share_changes: Vec<ShareChange>,
     /// Number of orders to close the idle connections to a server.
     pub(crate) idle_closes: usize,
     last_tag: u64,
@@ -165,6 +168,7 @@
             cancels: Vec::new(),
             raised_allowances: Vec::new(),
             suspects: Vec::new(),
+            share_changes: Vec::new(),
             idle_closes: 0,
             last_tag: 0,
         }
@@ -185,6 +189,7 @@
                 ForwardAction::CloseIdle(_) => self.idle_closes += 1,
                 ForwardAction::PublishSuspect(record) => self.suspects.push(record),
                 ForwardAction::RecordDecision(_) => {}
+                ForwardAction::RecordShareChange(change) => self.share_changes.push(change),
             }
         }
     }
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -30,3 +30,4 @@
 mod splits;
 mod unresponsive;
 mod versions;
+mod workspace_shares;
--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -269,7 +269,7 @@
                     self.entries[entry].idle.remove(&server);
                 }
                 ForwardAction::PublishSuspect(record) => self.tell_suspect(entry, record),
-                ForwardAction::RecordDecision(_) => {}
+                ForwardAction::RecordDecision(_) | ForwardAction::RecordShareChange(_) => {}
             }
         }
         let state = &mut self.entries[entry];
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -25,6 +25,7 @@
 use crate::process::forward::image::RequestImage;
 use crate::process::forward::measure::DriverCounts;
 use crate::process::forward::pool::{ServerPool, UpstreamRequest};
+use crate::process::forward::share_log::write_share_change;
 use crate::process::forward::story::DecisionLog;
 use crate::process::loop_watch::LoopDelayMonitor;
 use crate::process::output::count_dropped_lines;
@@ -219,6 +220,7 @@
                 self.suspects_changed.notify_one();
             }
             ForwardAction::RecordDecision(event) => self.decision_log.borrow_mut().record(event),
+            ForwardAction::RecordShareChange(change) => write_share_change(&change),
         }
     }
 
--- a/crates/node/src/process/forward/measure.rs
+++ b/crates/node/src/process/forward/measure.rs
@@ -104,6 +104,7 @@
             "wheelmast_forward_unaffordable_total",
             counts.denied_repeats,
         ),
+        ("wheelmast_forward_over_share_total", counts.over_share),
         ("wheelmast_forward_cancels_total", counts.cancels),
         ("wheelmast_forward_broken_total", counts.broken),
         ("wheelmast_forward_sent_late_total", driver.sent_late),
@@ -130,6 +131,8 @@
     let (suspects, quarantined) = machine.suspect_counts(now);
     gauge!("wheelmast_forward_suspects").set(suspects as f64);
     gauge!("wheelmast_forward_quarantined").set(quarantined as f64);
+    let limited_workspaces = machine.limited_workspaces(now);
+    gauge!("wheelmast_forward_limited_workspaces").set(limited_workspaces as f64);
     gauge!("wheelmast_servers_ready").set(machine.server_count() as f64);
     for (route, part, count) in machine.split_counts() {
         let labels = [
--- a/crates/node/src/process/forward/mod.rs
+++ b/crates/node/src/process/forward/mod.rs
@@ -14,4 +14,5 @@
 pub mod measure;
 pub mod pool;
 pub mod run;
+mod share_log;
 pub mod story;
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -12,6 +12,7 @@
 use wheelmast_core::process::input::CallTag;
 
 use crate::process::forward::measure::EntryMetrics;
+use crate::process::forward::share_log::summary_age_ms;
 
 /// One in this many partial or late merged answers is logged in full; for the others
 /// only the final line is written, or none if another entry relayed the request.
@@ -306,7 +307,8 @@
         | ForwardDecision::OmitShards { .. }
         | ForwardDecision::Reroute { .. }
         | ForwardDecision::NoServer { .. }
-        | ForwardDecision::BudgetSpent { .. } => false,
+        | ForwardDecision::BudgetSpent { .. }
+        | ForwardDecision::OverShare { .. } => false,
     }
 }
 
@@ -374,6 +376,11 @@
         ForwardDecision::BudgetSpent { service } => {
             tracing::info!(target: "entry", request, at_ms, %service, "route: repeat not affordable");
         }
+        ForwardDecision::OverShare { workspace, limit } => {
+            let (fraction, basis) = (limit.fraction, limit.basis.label());
+            let age_ms = summary_age_ms(limit.basis);
+            tracing::info!(target: "entry", request, at_ms, %workspace, fraction, basis, age_ms, "route: workspace over its share");
+        }
         ForwardDecision::End {
             outcome,
             parts,
