--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -45,7 +45,7 @@
             Ok(workspace) => workspace,
             Err(failure) => return self.reject_request(call.tag, failure, out),
         };
-        let state = self.build_call(&call, table, route, workspace, now);
+        let mut state = self.build_call(&call, table, route, workspace, now);
         let is_too_late = now >= state.deadlines.hard_deadline
             || (state.is_relayed && now >= state.deadlines.soft_deadline);
         if is_too_late {
@@ -56,6 +56,10 @@
         if let Some(failure) = self.check_suspect(&state, now) {
             return self.reject_request(call.tag, failure, out);
         }
+        if let Some(failure) = self.check_share(&mut state, now, out) {
+            self.credit_refused_parts(&state, now);
+            return self.reject_request(call.tag, failure, out);
+        }
         let limit = self.limit_by_rank(&state, now);
         let decision = self.decide_admission(&state, limit.as_ref(), now);
         let AdmissionDecision::Accept(omitted) = decision else {
@@ -63,6 +67,7 @@
             self.credit_refused_parts(&state, now);
             return self.reject_request(call.tag, ForwardFailure::Overload, out);
         };
+        self.record_admitted_work(&state, now);
         let (deadlines, part_count) = (state.deadlines, state.parts.len());
         let needs_canary = state.needs_canary();
         let (route_name, version) = (state.rule().name.as_str().into(), state.table.version());
@@ -154,6 +159,7 @@
             missing: 0,
             failed_answer: None,
             sends: 0,
+            work_ms: 0.0,
             suspicion: self.initial_suspicion(call, now),
             table,
         }
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -48,3 +48,4 @@
 mod suspicion;
 pub mod timing;
 mod version;
+mod workspace_share;
--- a/crates/core/src/process/load/mod.rs
+++ b/crates/core/src/process/load/mod.rs
@@ -5,7 +5,11 @@
 //! all entries share. The merged reports let all entries apply the same limits.
 
 pub mod board;
+pub mod share;
+pub mod share_gate;
 pub mod shortage;
+pub mod usage;
+pub mod usage_board;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -33,3 +33,4 @@
 mod splits;
 mod unresponsive;
 mod versions;
+mod workspace_shares;
--- a/crates/node/src/process/forward/mod.rs
+++ b/crates/node/src/process/forward/mod.rs
@@ -16,4 +16,5 @@
 pub mod measure;
 pub mod pool;
 pub mod run;
+mod share_log;
 pub mod story;
