Exchange the work of workspaces, and decide admission by rank by a setting

Cause: the merged reports did not reach the shares. Change: the board hands the workspace part to the usage board; admission by rank is off by default. Conclusion: hedges and repeats follow ranks; admission does where an operator asks for it.

--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -91,6 +91,9 @@
     pub stalls: StallStrategy,
     /// Which requests are first sent to a single server as a canary.
     pub canary: CanaryStrategy,
+    /// Whether ranks decide at admission, too: whether a request of a restricted rank is
+    /// refused, or kept from short shards. Without it, ranks decide on hedges and repeats.
+    pub rank_admission: bool,
 }
 
 impl Default for ForwardOptions {
@@ -108,6 +111,7 @@
             slowness: SlownessStrategy::default(),
             stalls: StallStrategy::default(),
             canary: CanaryStrategy::default(),
+            rank_admission: false,
         }
     }
 }
--- a/crates/core/src/process/forward/rank.rs
+++ b/crates/core/src/process/forward/rank.rs
@@ -168,7 +168,8 @@
     /// shards is short for its rank. A relayed request is not restricted: the entry that
     /// relayed it has decided on its admission.
     pub(super) fn limit_by_rank(&mut self, state: &CallState, now: Duration) -> Option<RankLimit> {
-        if state.is_relayed || self.ranks.watched.is_empty() {
+        let is_decided_here = self.options.rank_admission && !state.is_relayed;
+        if !is_decided_here || self.ranks.watched.is_empty() {
             return None;
         }
         let parts = state.parts.iter().enumerate();
--- a/crates/core/src/process/forward/shortage.rs
+++ b/crates/core/src/process/forward/shortage.rs
@@ -241,14 +241,16 @@
             }
         });
         let services: Vec<ServiceShortage> = rows.filter(|row| row.uses > 0).collect();
-        if services.is_empty() {
+        if services.is_empty() && !self.has_workspace_over_share(now) {
             return None;
         }
         self.ranks.reported_at = Some(now);
-        Some(LoadReport {
+        let mut report = LoadReport {
             services,
             ..LoadReport::default()
-        })
+        };
+        self.fill_workspace_report(&mut report, now);
+        Some(report)
     }
 
     /// Iterates over the services that several ranks use: name and shortage level.
--- a/crates/core/src/process/forward/workspace_share.rs
+++ b/crates/core/src/process/forward/workspace_share.rs
@@ -13,15 +13,10 @@
 use crate::process::load::{LoadReport, WorkspaceShare};
 use crate::version::route_table::RouteTable;
 
-/// Number of workspaces from which on they have shares.
-const MIN_WORKSPACES: usize = 2;
-
 /// Returns the weights of the table's workspaces, or `None` if there are too few for
 /// shares.
 fn share_weights(table: &RouteTable) -> Option<ShareWeights<'_>> {
-    let workspaces = table.workspaces()?;
-    let has_shares = workspaces.rules().len() >= MIN_WORKSPACES;
-    has_shares.then(|| ShareWeights::from_registry(workspaces))
+    table.workspaces().and_then(ShareWeights::of_sharing)
 }
 
 impl ForwardMachine {
--- a/crates/core/src/process/load/board.rs
+++ b/crates/core/src/process/load/board.rs
@@ -8,8 +8,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::process::load::share::ShareWeights;
+use crate::process::load::usage_board::{summary_shares, ListChange, UsageBoard};
+use crate::process::load::WorkspaceShare;
 use crate::process::load::{LoadReport, LoadSummary, ServiceLevel, ServiceShortage};
-use crate::process::load::{WorkspaceShare, WorkspaceWork};
 
 /// Age at which a report no longer counts. Reports arrive once a second, so two may be
 /// lost.
@@ -19,8 +21,6 @@
 const MAX_LEVEL: u8 = 15;
 /// Maximum number of services in a report.
 const MAX_SERVICES: usize = 1024;
-/// Maximum number of workspaces in a merged report.
-const MAX_WORKSPACES: usize = 64;
 /// Number of reporters below which the merged level of a service is 0, so that one entry
 /// does not determine it. In the first round, the summary lists a service with level 0,
 /// and the other entries that use it report too.
@@ -49,6 +49,8 @@
     entries: BTreeMap<Box<str>, TimedReport>,
     /// Merged reports of the other control instances.
     peers: BTreeMap<SocketAddr, TimedReport>,
+    /// Work by workspace, from the same reports.
+    usage: UsageBoard,
     /// Whether the last merged report had content, so that an empty one is to follow.
     had_share: bool,
     /// The last summary that was sent.
@@ -79,7 +81,8 @@
         for row in &mut report.services {
             row.level = row.level.min(MAX_LEVEL);
         }
-        report.workspaces.truncate(MAX_WORKSPACES);
+        self.usage.record_entry(entry, &report, now);
+        report.workspaces.clear();
         let received_at = now;
         self.entries.insert(
             entry.into(),
@@ -91,7 +94,9 @@
     }
 
     /// Records the merged report of another control instance.
-    pub fn record_share(&mut self, peer: SocketAddr, share: LoadReport, now: Duration) {
+    pub fn record_share(&mut self, peer: SocketAddr, mut share: LoadReport, now: Duration) {
+        self.usage.record_instance(&peer.to_string(), &share, now);
+        share.workspaces.clear();
         let received_at = now;
         self.peers.insert(
             peer,
@@ -124,8 +129,9 @@
     /// Returns the merged report for the other control instances. The first report after
     /// the last entry stopped reporting is empty; after that, returns `None` until there
     /// is something to report.
-    pub fn build_share(&mut self) -> Option<LoadReport> {
-        let mut share = merge_workspaces(self.entries.values().map(|timed| &timed.report));
+    pub fn build_share(&mut self, now: Duration) -> Option<LoadReport> {
+        let mut share = LoadReport::default();
+        self.usage.fill_share(&mut share, now);
         for (service, votes) in self.collect_votes() {
             let local = votes.into_iter().filter(|vote| vote.is_local);
             share.services.extend(merge_rows(service, local));
@@ -136,18 +142,25 @@
     }
 
     /// Returns the summary for the entries, and the services whose level differs from the
-    /// last summary. Returns `None` if there is nothing to report and the last summary
-    /// was empty as well.
-    pub fn build_summary(&mut self) -> Option<(LoadSummary, Vec<ServiceLevel>)> {
+    /// last summary. `weights` are the weights of the workspaces of the route table, or
+    /// `None` if they have no shares. Returns `None` if there is nothing to report and the
+    /// last summary was empty as well.
+    pub fn build_summary(
+        &mut self,
+        weights: Option<ShareWeights<'_>>,
+        now: Duration,
+    ) -> Option<(LoadSummary, Vec<ServiceLevel>)> {
         let services = self.collect_votes().into_iter();
         let short = services.filter(|(_, votes)| votes.iter().any(|vote| vote.level > 0));
         let services = short.map(|(service, votes)| ServiceLevel {
             service: service.into(),
             level: merge_level(votes),
         });
+        let services: Vec<ServiceLevel> = services.collect();
+        let is_short = services.iter().any(|row| row.level > 0);
         let summary = LoadSummary {
-            services: services.collect(),
-            workspaces: self.limit_workspaces(),
+            services,
+            workspaces: self.limit_workspaces(weights.filter(|_| is_short), now),
         };
         let is_empty = summary.services.is_empty() && summary.workspaces.is_empty();
         let last = std::mem::replace(&mut self.last_summary, summary.clone());
@@ -158,10 +171,23 @@
         Some((summary, changes))
     }
 
-    /// Returns the workspaces above their share. The fairness among workspaces is computed
-    /// from the merged reports of all entries; no workspace is limited yet.
-    fn limit_workspaces(&self) -> Vec<WorkspaceShare> {
-        Vec::new()
+    /// Returns the workspaces above their share; none if `weights` is `None`, because no
+    /// service is short or workspaces have no shares.
+    fn limit_workspaces(
+        &mut self,
+        weights: Option<ShareWeights<'_>>,
+        now: Duration,
+    ) -> Vec<WorkspaceShare> {
+        let Some(weights) = weights else {
+            self.usage.clear_list();
+            return Vec::new();
+        };
+        summary_shares(&self.usage.list_over_share(weights, now))
+    }
+
+    /// Removes and returns the changes of the list of limited workspaces, for the log.
+    pub fn take_share_changes(&mut self) -> Vec<ListChange> {
+        self.usage.take_changes()
     }
 
     /// Returns the votes on each service.
@@ -232,31 +258,6 @@
     rows
 }
 
-/// Merges the workspace part of reports: sums the work of each workspace, and keeps those
-/// with the most work. This is the only place where the workspace part of entries'
-/// reports is merged.
-fn merge_workspaces<'a>(reports: impl Iterator<Item = &'a LoadReport>) -> LoadReport {
-    let mut merged = LoadReport::default();
-    let mut work: BTreeMap<&str, u32> = BTreeMap::new();
-    for report in reports {
-        merged.total_work_ms = merged.total_work_ms.saturating_add(report.total_work_ms);
-        merged.served_work_ms = merged.served_work_ms.saturating_add(report.served_work_ms);
-        for row in &report.workspaces {
-            let sum = work.entry(&row.workspace).or_default();
-            *sum = sum.saturating_add(row.work_ms);
-        }
-    }
-    let mut work: Vec<(&str, u32)> = work.into_iter().collect();
-    work.sort_by_key(|(_, work_ms)| std::cmp::Reverse(*work_ms));
-    work.truncate(MAX_WORKSPACES);
-    let rows = work.into_iter().map(|(workspace, work_ms)| WorkspaceWork {
-        workspace: workspace.into(),
-        work_ms,
-    });
-    merged.workspaces = rows.collect();
-    merged
-}
-
 /// Returns the services whose level differs between two summaries. Both are sorted by
 /// service; a service that is not listed has level 0.
 fn find_changes(before: &[ServiceLevel], after: &[ServiceLevel]) -> Vec<ServiceLevel> {
--- a/crates/core/src/process/load/share.rs
+++ b/crates/core/src/process/load/share.rs
@@ -30,6 +30,9 @@
 /// Minimum weight of a workspace, for those whose cap is 0.
 const MIN_WEIGHT: f64 = 1e-6;
 
+/// Number of workspaces from which on they have shares.
+const MIN_WORKSPACES: usize = 2;
+
 /// Weights of the workspaces of a table.
 #[derive(Debug, Clone, Copy)]
 pub struct ShareWeights<'a> {
@@ -45,6 +48,13 @@
         }
     }
 
+    /// Returns the weights of a table's workspaces, or `None` if there are too few for
+    /// shares.
+    pub fn of_sharing(registry: &'a WorkspaceRegistry) -> Option<ShareWeights<'a>> {
+        let has_shares = registry.rules().len() >= MIN_WORKSPACES;
+        has_shares.then(|| ShareWeights::from_registry(registry))
+    }
+
     /// Returns the weight 1 for all workspaces.
     pub fn equal() -> ShareWeights<'static> {
         ShareWeights { registry: None }
--- a/crates/node/src/process/group/load.rs
+++ b/crates/node/src/process/group/load.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 
+use wheelmast_core::process::load::share::ShareWeights;
+use wheelmast_core::process::load::usage_board::ListChange;
 use wheelmast_core::process::load::LoadReport;
 use wheelmast_wire::group::GroupMessage;
 
@@ -37,11 +39,15 @@
     pub(super) fn exchange_load(&self) {
         let now = self.now();
         let mut state = self.state.borrow_mut();
+        let state = &mut *state;
         state.load_board.drop_expired(now);
-        if let Some(share) = state.load_board.build_share() {
+        if let Some(share) = state.load_board.build_share(now) {
             state.send_to_control(&GroupMessage::LoadShare(share));
         }
-        let Some((summary, changes)) = state.load_board.build_summary() else {
+        let weights = ShareWeights::of_sharing(&state.workspaces);
+        let summary = state.load_board.build_summary(weights, now);
+        write_share_changes(&state.load_board.take_share_changes());
+        let Some((summary, changes)) = summary else {
             return;
         };
         let reporters = state.load_board.reporter_count();
@@ -51,3 +57,19 @@
         state.send_to_full_subscribers(GroupMessage::LoadSummary(summary));
     }
 }
+
+/// Logs the workspaces that are limited to their share, and those that no longer are.
+fn write_share_changes(changes: &[ListChange]) {
+    for change in changes {
+        match change {
+            ListChange::Added(over) => {
+                let (work_ms, share_ms) = (over.work_ms.round(), over.share_ms.round());
+                let fraction = over.fraction;
+                tracing::info!(target: "group", workspace = %over.workspace, work_ms, share_ms, fraction, "share: listed");
+            }
+            ListChange::Removed(workspace) => {
+                tracing::info!(target: "group", %workspace, "share: no longer listed");
+            }
+        }
+    }
+}
--- a/crates/node/src/process/group/replica.rs
+++ b/crates/node/src/process/group/replica.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
+use wheelmast_core::finding::FindingList;
 use wheelmast_core::process::control::message::{
     ProposalResult, ReplicaAction, ReplicaInput, ReplicaTiming,
 };
 use wheelmast_core::process::control::replica::{ReplicaMachine, ReplicaStart, SafetyChecks};
 use wheelmast_core::process::control::state::ControlCommand;
+use wheelmast_core::version::workspace::WorkspaceRegistry;
 use wheelmast_wire::group::{ControlRevisions, GroupMessage, LeaderReply, LeaderRequest};
 use wheelmast_wire::pack::unpack;
 
@@ -234,12 +236,15 @@
         let services = table.services.iter();
         let services = services.map(|service| service.name.as_str().into());
         self.state.borrow_mut().services = services.collect();
+        // The table was checked when it was accepted.
         let workspaces = table.workspaces.unwrap_or_default();
-        let capped = workspaces.into_iter().filter_map(|workspace| {
+        let registry = WorkspaceRegistry::check(workspaces, &mut FindingList::default());
+        let capped = registry.rules().iter().filter_map(|workspace| {
             let cap = workspace.cap?;
-            Some((workspace.name.into(), cap))
+            Some((workspace.name.as_str().into(), cap))
         });
         let caps: Vec<_> = capped.collect();
+        self.state.borrow_mut().workspaces = registry;
         self.apply_caps(&caps);
     }
 
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -19,6 +19,7 @@
 use wheelmast_core::process::forward::suspect::registry::SuspectRegistry;
 use wheelmast_core::process::load::board::LoadBoard;
 use wheelmast_core::request::mark::RequestFingerprint;
+use wheelmast_core::version::workspace::WorkspaceRegistry;
 use wheelmast_wire::group::{ControlRevisions, GroupMessage, LeaderReply};
 
 use crate::connection::frame::write_frame;
@@ -204,6 +205,8 @@
     pub rollouts: PublishedRollouts,
     /// Services in the route table in force.
     pub services: HashSet<Box<str>>,
+    /// Workspaces in the route table in force.
+    pub workspaces: WorkspaceRegistry,
     /// All known servers.
     pub directory: ServerDirectory,
     /// Whether servers came or went since they were last written to disk.
