--- a/crates/fake/src/model/entry.rs
+++ b/crates/fake/src/model/entry.rs
@@ -44,6 +44,7 @@
             extra: spec.extra.with_reserve(),
             seed,
             stalls: spec.pause_way,
+            rank_admission: spec.rank_admission,
             canary: spec.canary,
             records_decisions: false,
             ..ForwardOptions::default()
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -66,6 +66,7 @@
         canary_bound: settings.canary,
         slowness: settings.slowness,
         stalls: settings.stalls,
+        rank_admission: settings.rank_admission,
         seed: rand::random(),
         ..ForwardOptions::default()
     };
