--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -209,9 +209,6 @@
     pub(super) next_probe_at: Duration,
     /// Work by workspace, and the workspaces that are limited to their share.
     pub(super) shares: ShareGate,
-    /// Time until which callers are assumed to move to an entry that has just
-    /// joined. Until then the budgets for extra load are spent more slowly.
-    pub(super) load_shifts_until: Duration,
     /// Time of the last contact with the control group.
     pub(super) control_seen_at: Duration,
     /// State of the decisions by rank.
@@ -253,7 +250,6 @@
             stall_intervals: IntervalHistogram::default(),
             next_probe_at: Duration::ZERO,
             shares: ShareGate::default(),
-            load_shifts_until: Duration::ZERO,
             control_seen_at: Duration::ZERO,
             ranks: RankControl::default(),
             step_time: Duration::ZERO,
