--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -24,8 +24,10 @@
 use crate::process::forward::extra::{ExtraBound, ExtraBudget};
 use crate::process::forward::input::ForwardInput;
 use crate::process::forward::place::RegionMap;
+use crate::process::forward::rank::RankControl;
 use crate::process::forward::server::ServerState;
 use crate::process::forward::server_end::watch::EndWatch;
+use crate::process::forward::shortage::UpstreamShortage;
 use crate::process::forward::slowness::SlownessStrategy;
 use crate::process::forward::split::SplitScheduler;
 use crate::process::forward::stall::{IntervalHistogram, StallStrategy};
@@ -34,6 +36,7 @@
 use crate::process::forward::timing::RouteTiming;
 use crate::process::forward::version::UpstreamRollout;
 use crate::process::input::CallTag;
+use crate::process::load::share_gate::ShareGate;
 use crate::process::rollout::share::CanaryBound;
 use crate::process::timer::TimerHeap;
 use crate::version::route_table::{RouteTable, RouteTarget, WeightedService};
@@ -88,6 +91,9 @@
     pub stalls: StallStrategy,
     /// Which requests are first sent to a single server as a canary.
     pub canary: CanaryStrategy,
+    /// Whether ranks decide at admission, too: whether a request of a restricted rank is
+    /// refused, or kept from short shards. Without it, ranks decide on hedges and repeats.
+    pub rank_admission: bool,
 }
 
 impl Default for ForwardOptions {
@@ -105,6 +111,7 @@
             slowness: SlownessStrategy::default(),
             stalls: StallStrategy::default(),
             canary: CanaryStrategy::default(),
+            rank_admission: false,
         }
     }
 }
@@ -141,6 +148,8 @@
     pub(super) group_key: Option<Box<str>>,
     /// Whether this entry owns the shard within its failure domain.
     pub(super) owns_shard: bool,
+    /// Shortage level of the service, for decisions by rank.
+    pub(super) shortage: UpstreamShortage,
     /// Latest roll-out of the service, if there was one.
     pub(super) rollout: Option<UpstreamRollout>,
 }
@@ -198,11 +207,12 @@
     /// Earliest time of the next probe: a request that is admitted to find out
     /// whether shards that were missing from recent bundles answer again.
     pub(super) next_probe_at: Duration,
-    /// Time until which callers are assumed to move to an entry that has just
-    /// joined. Until then the budgets for extra load are spent more slowly.
-    pub(super) load_shifts_until: Duration,
+    /// Work by workspace, and the workspaces that are limited to their share.
+    pub(super) shares: ShareGate,
     /// Time of the last contact with the control group.
     pub(super) control_seen_at: Duration,
+    /// State of the decisions by rank.
+    pub(super) ranks: RankControl,
     /// Time of the current step.
     step_time: Duration,
 }
@@ -239,8 +249,9 @@
             server_ends: EndWatch::default(),
             stall_intervals: IntervalHistogram::default(),
             next_probe_at: Duration::ZERO,
-            load_shifts_until: Duration::ZERO,
+            shares: ShareGate::default(),
             control_seen_at: Duration::ZERO,
+            ranks: RankControl::default(),
             step_time: Duration::ZERO,
         }
     }
@@ -281,7 +292,10 @@
             ForwardInput::Connections { server, idle, open } => {
                 self.handle_connections(server, idle, open, now, out)
             }
-            ForwardInput::LoadSummary(_) => {}
+            ForwardInput::LoadSummary(summary) => {
+                self.set_load_summary(&summary, now);
+                self.apply_workspace_shares(&summary.workspaces, now, out);
+            }
             ForwardInput::Wake => {}
         }
         self.run_timers(now, out);
@@ -396,6 +410,7 @@
             self.upstreams[upstream].cold_per_s = service.cold_per_s;
         }
         self.assign_shard_groups(&table);
+        self.assign_rank_groups(&table);
         self.end_unauthorized(&table, now, out);
         self.table = Some(table);
     }
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -187,6 +187,7 @@
             self.record_broken_attempt(&attempt, now, out);
         }
         self.update_server_stats(attempt_key, &attempt, &end, outcome, now, out);
+        self.observe_answer(&attempt, &end, now);
         self.update_version_stats(&attempt, &end, outcome, now);
         let hold = self.call_hold(attempt.call);
         self.record_server_sign(&attempt, &end, now, out);
--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -275,7 +275,7 @@
                 ForwardAction::CloseIdle(server) => self.idle_closed(entry, server),
                 ForwardAction::OpenConnection { server, .. } => self.open_connection(entry, server),
                 ForwardAction::PublishSuspect(record) => self.tell_suspect(entry, record),
-                ForwardAction::RecordDecision(_) => {}
+                ForwardAction::RecordDecision(_) | ForwardAction::RecordShareChange(_) => {}
             }
         }
         let state = &mut self.entries[entry];
--- a/crates/fake/src/model/spec.rs
+++ b/crates/fake/src/model/spec.rs
@@ -124,6 +124,8 @@
     pub pauses: Option<PauseSpec>,
     /// How the entries meet them.
     pub pause_way: StallStrategy,
+    /// Whether ranks decide at admission.
+    pub rank_admission: bool,
     /// Entries in each of the two failure domains.
     pub entries: usize,
     /// Entries in a third failure domain, which has no servers.
@@ -184,6 +186,7 @@
             canary: CanaryStrategy::default(),
             pauses: None,
             pause_way: StallStrategy::default(),
+            rank_admission: false,
             entries: 4,
             outlying: 0,
             shards: 20,
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -26,6 +26,7 @@
 use crate::process::forward::image::RequestImage;
 use crate::process::forward::measure::DriverCounts;
 use crate::process::forward::pool::{ServerPool, UpstreamRequest};
+use crate::process::forward::share_log::write_share_change;
 use crate::process::forward::story::DecisionLog;
 use crate::process::loop_watch::LoopDelayMonitor;
 use crate::process::output::count_dropped_lines;
@@ -56,7 +57,7 @@
 #[derive(Debug)]
 pub struct ForwardDriver<D> {
     /// State machine that makes all decisions.
-    machine: RefCell<ForwardMachine>,
+    pub(super) machine: RefCell<ForwardMachine>,
     /// Connections to upstream servers.
     pub pool: ServerPool,
     /// Admission of requests whose workspace has a usage cap.
@@ -88,6 +89,8 @@
     unpublished_suspects: RefCell<Vec<SuspectRecord>>,
     /// Signals a change of `unpublished_suspects`.
     suspects_changed: Notify,
+    /// Signals that a shortage level changed, so that a load report may be due.
+    pub(super) load_changed: Notify,
     dialect: PhantomData<D>,
 }
 
@@ -123,6 +126,7 @@
             wake_changed: Notify::new(),
             unpublished_suspects: RefCell::default(),
             suspects_changed: Notify::new(),
+            load_changed: Notify::new(),
             dialect: PhantomData,
         }
     }
@@ -155,11 +159,12 @@
     pub fn step(self: &Rc<Self>, input: ForwardInput) {
         let now = self.clock.elapsed();
         let mut actions = self.action_buffer.take();
-        let next = {
+        let (next, level_changes) = {
             let mut machine = self.machine.borrow_mut();
             machine.step(now, input, &mut actions);
-            machine.next_wake()
+            (machine.next_wake(), machine.take_level_changes())
         };
+        self.record_level_changes(level_changes);
         for action in actions.drain(..) {
             self.perform(action, now);
         }
@@ -223,6 +228,7 @@
                 self.suspects_changed.notify_one();
             }
             ForwardAction::RecordDecision(event) => self.decision_log.borrow_mut().record(event),
+            ForwardAction::RecordShareChange(change) => write_share_change(&change),
         }
     }
 
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -66,6 +66,7 @@
         canary_bound: settings.canary,
         slowness: settings.slowness,
         stalls: settings.stalls,
+        rank_admission: settings.rank_admission,
         seed: rand::random(),
         ..ForwardOptions::default()
     };
@@ -78,6 +79,7 @@
     tokio::task::spawn_local(entry.clone().run_timers());
     tokio::task::spawn_local(feed.clone().publish_suspects());
     tokio::task::spawn_local(feed.clone().forward_cap_requests());
+    tokio::task::spawn_local(feed.clone().publish_load());
     tokio::task::spawn_local(serve_health_checks(entry.clone(), ready));
     if let Some(address) = settings.metrics {
         let driver = entry.clone();
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -12,6 +12,7 @@
 use wheelmast_core::process::input::CallTag;
 
 use crate::process::forward::measure::EntryMetrics;
+use crate::process::forward::share_log::summary_age_ms;
 
 /// One in this many partial or late merged answers is logged in full; for the others
 /// only the final line is written, or none if another entry relayed the request.
@@ -304,14 +305,17 @@
         ForwardDecision::End { outcome, late, .. } => {
             !late && matches!(*outcome, "whole" | "served")
         }
-        ForwardDecision::Slow { .. } | ForwardDecision::Abandon { .. } => true,
+        ForwardDecision::Slow { .. }
+        | ForwardDecision::Abandon { .. }
+        | ForwardDecision::RankLimited { .. } => true,
         ForwardDecision::Lost { .. }
         | ForwardDecision::ServerBrokeOff { .. }
         | ForwardDecision::BreakVerdict { .. }
         | ForwardDecision::OmitShards { .. }
         | ForwardDecision::Reroute { .. }
         | ForwardDecision::NoServer { .. }
-        | ForwardDecision::BudgetSpent { .. } => false,
+        | ForwardDecision::BudgetSpent { .. }
+        | ForwardDecision::OverShare { .. } => false,
     }
 }
 
@@ -373,6 +377,18 @@
             let (verdict, evidence) = (verdict.label(), evidence.label());
             tracing::info!(target: "entry", request, %service, server = %instance, verdict, evidence, breaks, others, after_ms, "server_end: decided");
         }
+        ForwardDecision::RankLimited {
+            outcome,
+            rank,
+            level,
+            service,
+            parts,
+            admitted_fraction,
+            credit,
+        } => {
+            let (admitted_fraction, credit) = (hundredths(*admitted_fraction), hundredths(*credit));
+            tracing::info!(target: "entry", request, at_ms, outcome, rank, level, %service, parts, admitted_fraction, credit, "route: limited by rank");
+        }
         ForwardDecision::OmitShards { services } => {
             let services = services.join(", ");
             tracing::info!(target: "entry", request, at_ms, services, "route: shards not asked");
@@ -392,6 +408,11 @@
         ForwardDecision::BudgetSpent { service } => {
             tracing::info!(target: "entry", request, at_ms, %service, "route: repeat not affordable");
         }
+        ForwardDecision::OverShare { workspace, limit } => {
+            let (fraction, basis) = (limit.fraction, limit.basis.label());
+            let age_ms = summary_age_ms(limit.basis);
+            tracing::info!(target: "entry", request, at_ms, %workspace, fraction, basis, age_ms, "route: workspace over its share");
+        }
         ForwardDecision::End {
             outcome,
             parts,
@@ -429,6 +450,11 @@
     }
 }
 
+/// Returns a number rounded to two decimal places, for the log.
+fn hundredths(number: f64) -> f64 {
+    (number * 100.0).round() / 100.0
+}
+
 /// Returns the label of a cause in the log.
 fn cause_label(cause: AttemptCause) -> &'static str {
     match cause {
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -17,7 +17,9 @@
 use wheelmast_core::process::forward::roll::select_known_peers;
 use wheelmast_core::process::forward::source::ControlSite;
 use wheelmast_core::process::forward::suspect::registry::SuspectRegistry;
+use wheelmast_core::process::load::board::LoadBoard;
 use wheelmast_core::request::mark::RequestFingerprint;
+use wheelmast_core::version::workspace::WorkspaceRegistry;
 use wheelmast_wire::group::{ControlRevisions, GroupMessage, LeaderReply};
 
 use crate::connection::frame::write_frame;
@@ -203,6 +205,8 @@
     pub rollouts: PublishedRollouts,
     /// Services in the route table in force.
     pub services: HashSet<Box<str>>,
+    /// Workspaces in the route table in force.
+    pub workspaces: WorkspaceRegistry,
     /// All known servers.
     pub directory: ServerDirectory,
     /// Whether servers came or went since they were last written to disk.
@@ -247,6 +251,8 @@
     pub cap_owner: CapOwner,
     /// The tokens that this instance holds for the entries it serves.
     pub cap_stock: CapStock,
+    /// Load reports of the entries and of the other control instances.
+    pub load_board: LoadBoard,
     /// Records of suspect requests (requests under which servers crashed).
     pub suspects: SuspectRegistry,
     /// Fingerprints of the suspect requests whose records must be sent to other control
