Assign scarce connections to entries by a pure function

Cause: with 63 entries and 54 connections each entry was given one connection to each server and the server's domain more, so the sum exceeded the limit at all times. Change: connection_subset.rs divides 0.85 of a limit among the failure domains and, by rendezvous hashing, among their entries; two reserves are for entries without a place and without contact. connection_places.rs holds the views of the last 0.5 s and the back-off from a server at its limit. An entry knows only eight entries of each other domain (roll.rs), so the division among domains uses what all of them know. Conclusion: all entries with the same list keep a server's limit without messages.

--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -16,6 +16,8 @@
 pub mod canary;
 pub mod choose;
 pub mod cold;
+pub mod connection_places;
+pub mod connection_subset;
 pub mod counts;
 pub mod decay;
 pub mod directory;
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -9,6 +9,7 @@
 mod bundles;
 mod chance;
 mod cold;
+mod connection_subset;
 mod crashing;
 mod divided_shards;
 mod ends;
