Report the connections of entries in plays as the pool does

Cause: a play reported only idle connections, and only after an answer; the machine will limit all open ones and wait for reports of changes. A play's table stated 26 connections for 60 entries, while its servers accept any number. Change: a report at each change, with the connections in use; the connections that the table states are a setting of a play: 26 as before, 200 in the deployment of 60 entries, whose tests are about entries that ask each other, and 26 in a deployment of its own.

--- a/crates/fake/src/model/play.rs
+++ b/crates/fake/src/model/play.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use rand_distr::{Distribution, Exp};
-use wheelmast_core::arena::SlotKey;
+use wheelmast_core::arena::{ServerKey, SlotKey};
 use wheelmast_core::process::forward::answer::{AttemptOrder, ForwardAction, ForwardAnswer};
 use wheelmast_core::process::forward::input::{AttemptResult, ForwardCall, ForwardInput};
 use wheelmast_core::process::forward::roll::select_known_peers;
@@ -266,7 +266,9 @@
                 ForwardAction::Cancel(attempt) => self.cancel(entry, attempt),
                 ForwardAction::Answer { call, answer } => self.answered(entry, call, &answer),
                 ForwardAction::CloseIdle(server) => {
-                    self.entries[entry].idle.remove(&server);
+                    if self.entries[entry].idle.remove(&server).is_some() {
+                        self.report_connections(entry, server);
+                    }
                 }
                 ForwardAction::PublishSuspect(record) => self.tell_suspect(entry, record),
                 ForwardAction::RecordDecision(_) => {}
@@ -344,6 +346,12 @@
         self.events.push(self.now + after, event);
     }
 
+    /// Reports the connections of an entry to a server after a change.
+    pub(super) fn report_connections(&mut self, entry: usize, server: ServerKey) {
+        let connections = self.entries[entry].connections(server);
+        self.step(entry, connections);
+    }
+
     fn end_attempt(&mut self, entry: usize, attempt: SlotKey, end: AttemptResult, job: JobKey) {
         let state = &mut self.entries[entry];
         if state.is_cut(self.now) && matches!(end, AttemptResult::Answer(_)) {
@@ -353,9 +361,12 @@
             return;
         };
         if matches!(end, AttemptResult::Answer(_)) && !self.jobs[job].is_closed {
-            state.keep_idle(server, self.now);
+            state.keep_idle(server);
+            self.report_connections(entry, server);
+            return self.step(entry, ForwardInput::AttemptEnded { attempt, end });
         }
         self.step(entry, ForwardInput::AttemptEnded { attempt, end });
+        self.report_connections(entry, server);
     }
 
     fn answered(&mut self, entry: usize, call: CallTag, answer: &ForwardAnswer) {
--- a/crates/fake/src/model/relay.rs
+++ b/crates/fake/src/model/relay.rs
@@ -184,7 +184,8 @@
             return;
         }
         if matches!(end, AttemptResult::Bundle(_)) {
-            entry.keep_idle(call.server, self.now);
+            entry.keep_idle(call.server);
+            self.report_connections(call.asker, call.server);
         }
         let attempt = call.attempt;
         self.step(call.asker, ForwardInput::AttemptEnded { attempt, end });
--- a/crates/fake/src/model/spec.rs
+++ b/crates/fake/src/model/spec.rs
@@ -127,6 +127,9 @@
     pub outlying: usize,
     /// Shards; each has one server in each failure domain.
     pub shards: usize,
+    /// Connections that a server accepts from all entries, as the table states. The servers
+    /// of a play accept more.
+    pub connections: u32,
     /// Requests that a server works on at once.
     pub slots: u32,
     /// Requests that wait at a server at most.
@@ -184,6 +187,7 @@
             entries: 4,
             outlying: 0,
             shards: 20,
+            connections: 26,
             slots: 2,
             queue: 12,
             near_way: Duration::from_micros(200),
@@ -202,7 +206,8 @@
     /// Returns a deployment of 96 shards and 60 entries: each asks others of
     /// its failure domain for most of its shards, and those of a domain
     /// without servers ask one elsewhere for all. The two domains with servers
-    /// are near each other; a server is busy a tenth of the time.
+    /// are near each other; a server is busy a tenth of the time. A server accepts
+    /// three connections from each entry; see [`PlaySpec::of_scarce_connections`] for fewer.
     pub fn of_many_entries() -> PlaySpec {
         let sweep = KindSpec {
             name: "sweep",
@@ -231,6 +236,7 @@
             entries: 24,
             outlying: 12,
             shards: 96,
+            connections: 200,
             slots: 3,
             queue: 18,
             far_way: Duration::from_millis(2),
@@ -242,4 +248,13 @@
             ..PlaySpec::of_today()
         }
     }
+
+    /// Returns the deployment of [`PlaySpec::of_many_entries`] with servers that accept
+    /// fewer connections than there are entries.
+    pub fn of_scarce_connections() -> PlaySpec {
+        PlaySpec {
+            connections: 26,
+            ..PlaySpec::of_many_entries()
+        }
+    }
 }
