Limit the connections of an entry to its places where they are scarce

Change: the choice of a server and connection_cap use the assigned places where an equal share is less than one connection, and count all open ones; the former rule is unchanged elsewhere. The pool opens no more than the order allows, replaces an idle connection that must not carry an id twice, and writes the first request after a settle time of 3 ms. Parts without a place at this entry are relayed to an entry that has one (placeless.rs).

--- a/crates/core/src/process/forward/admit.rs
+++ b/crates/core/src/process/forward/admit.rs
@@ -96,9 +96,19 @@
         // only to shards that answer quickly, so that it does not delay requests
         // that are still in time.
         let time_left = time_left.max(times.objective.mul_f64(RETRY_TIME_FRACTION));
+        for part in &state.parts {
+            self.refresh_places(part.upstream, now);
+        }
+        let may_relay = self.may_relay_nearby(state, now);
         let parts = state.parts.iter();
         let capacities: Vec<ShardCapacity> = parts
-            .map(|part| self.estimate_capacity(part.upstream, times, time_left, now))
+            .map(|part| {
+                if !may_relay && !self.has_any_place(part.upstream) {
+                    // Neither this entry nor another one can send the part now.
+                    return ShardCapacity::Unknown;
+                }
+                self.estimate_capacity(part.upstream, times, time_left, now)
+            })
             .collect();
         self.record_shortages(state, &capacities, now);
         let min_parts = state.rule().least_coverage * state.parts.len() as f64;
--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::arena::{ServerKey, SlotKey};
+use crate::process::forward::connection_views::PlaceTotals;
 use crate::process::forward::input::{LoadReport, RelayOrder, ServerAnswer};
 use crate::process::forward::place::DomainProximity;
 use crate::process::forward::suspect::record::SuspectRecord;
@@ -154,6 +155,9 @@
     pub address: SocketAddr,
     /// Id of the intended incarnation of the server.
     pub instance: Arc<str>,
+    /// Maximum number of open connections to the server, if connections to its service are
+    /// scarce.
+    pub max_connections: Option<u32>,
     /// Deadline of the caller, since the process started, less a margin for the
     /// return. A point in time and not a remaining duration, because a connection
     /// may have to be opened before the request is written.
@@ -239,6 +243,30 @@
         /// Number of other attempts of this entry outstanding at the server.
         beside: usize,
     },
+    /// A server reset a new connection before a request was written: the server is at its
+    /// limit, and no connection to it is opened for a while.
+    ServerAtLimit {
+        /// Service of the attempt.
+        service: Arc<str>,
+        /// Server of the attempt.
+        instance: Arc<str>,
+        /// Number of connections of this entry to the server, including the reset one.
+        open: u32,
+        /// Time for which no connection is opened.
+        backoff: Duration,
+    },
+    /// The places of this entry changed: the connections that it may have open to servers
+    /// of services with scarce connections. Not about a single request.
+    PlacesChanged {
+        /// Number of all entries.
+        entries: u32,
+        /// Whether this entry is in contact with the control group.
+        in_contact: bool,
+        /// Places now.
+        places: PlaceTotals,
+        /// Places when this decision was last recorded.
+        former: PlaceTotals,
+    },
     /// A server's answer took much longer than is typical.
     Slow {
         /// Service of the attempt.
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -219,7 +219,7 @@
             return;
         }
         if let Err(reason) = self.send_part(call, part, AttemptCause::First, now, out) {
-            self.enqueue_or_give_up(call, part, reason, out);
+            self.enqueue_or_give_up(call, part, reason, now, out);
         }
     }
 }
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -295,6 +295,11 @@
     pub relay: RelayStatus,
     /// Whether this entry cancelled the attempt by closing the connection.
     pub is_cancelled: bool,
+    /// Whether a connection is opened for the attempt, as none was idle.
+    pub opens_connection: bool,
+    /// Whether no connection could be opened for the attempt because of a limit on
+    /// connections.
+    pub met_limit: bool,
     /// Whether this is the canary attempt of a suspect request: one server runs
     /// the request before any other server gets it.
     pub is_canary: bool,
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -7,8 +7,8 @@
 use rand::Rng;
 
 use crate::arena::{ServerKey, UpstreamKey};
-use crate::process::forward::bundle::MAX_RELAY_CONNECTIONS;
 use crate::process::forward::cold::{AdaptiveShare, ServerSharing, ShareStrategy};
+use crate::process::forward::connection_cap::ConnectionRoom;
 use crate::process::forward::directory::ServerLifecycle;
 use crate::process::forward::machine::ForwardMachine;
 use crate::process::forward::place::DomainProximity;
@@ -44,11 +44,6 @@
 /// Penalty for a server whose lease at the control group has expired, or that this entry
 /// backs off from.
 const UNAVAILABLE_COST: Duration = Duration::from_secs(2);
-/// Number of outstanding requests per slot that an entry may have at a server of its own
-/// failure domain. A server's slots are the requests that it processes at once.
-const REQUESTS_PER_SLOT: usize = 2;
-/// Fraction of a server's connection limit that all entries together may use.
-const SHARED_CONNECTION_USE: f64 = 0.85;
 
 /// Properties of a request that the choice of a server depends on.
 #[derive(Debug, Clone, Copy)]
@@ -83,7 +78,7 @@
 pub(super) enum SelectionFailure {
     /// The service has no ready server that the request may be sent to.
     NoServer,
-    /// All usable servers already have the maximum number of requests.
+    /// All usable servers already have the maximum number of requests or connections.
     Full,
 }
 
@@ -97,6 +92,7 @@
         criteria: SelectionCriteria,
         now: Duration,
     ) -> Result<ServerChoice, SelectionFailure> {
+        self.refresh_places(upstream, now);
         match self.choose_version_preference(upstream, !tried.is_empty(), now) {
             VersionPreference::Any => {
                 self.choose_server_of_version(upstream, None, tried, criteria, now)
@@ -144,13 +140,13 @@
             if !self.has_cold_capacity(*server, now) {
                 continue;
             }
-            let would_open = state.idle == 0;
-            let cap = self.connection_cap(*server);
-            if state.outstanding.len() >= cap
-                || (would_open && state.outstanding.len() >= state.slots as usize)
-            {
-                is_full = true;
-                continue;
+            match self.connection_room(*server, now) {
+                ConnectionRoom::Available => {}
+                ConnectionRoom::Full => {
+                    is_full = true;
+                    continue;
+                }
+                ConnectionRoom::NoPlace => continue,
             }
             candidates += 1;
             let expected = state.expected_response_time(
@@ -219,28 +215,6 @@
     fn owns_server(&self, state: &ServerState) -> bool {
         state.proximity == DomainProximity::Domain && self.is_owner_of(&state.id)
     }
-
-    /// Returns the maximum number of connections from this entry to a server: this
-    /// entry's share of the server's limit, which all entries share.
-    ///
-    /// A server gets most requests from the entries of its own failure domain, and if
-    /// there are many entries, from the one that owns its shard. These entries may
-    /// therefore keep all slots of the server busy and queue as many requests again.
-    pub fn connection_cap(&self, server: ServerKey) -> usize {
-        let state = &self.servers[server];
-        let upstream = &self.upstreams[state.upstream];
-        if upstream.is_entry {
-            return MAX_RELAY_CONNECTIONS;
-        }
-        let used = f64::from(upstream.connections) * SHARED_CONNECTION_USE;
-        let equal_share = (used / f64::from(self.entry_count.max(1))) as usize;
-        if state.proximity != DomainProximity::Domain {
-            return equal_share.max(1);
-        }
-        let domain_share = (used / f64::from(self.domain_entry_count)) as usize;
-        let slot_limit = state.slots as usize * REQUESTS_PER_SLOT;
-        equal_share.max(domain_share.min(slot_limit)).max(1)
-    }
 }
 
 /// Returns the penalty for a server's distance, as a fraction of the objective.
--- a/crates/core/src/process/forward/counts.rs
+++ b/crates/core/src/process/forward/counts.rs
@@ -41,4 +41,6 @@
     pub cancels: u64,
     /// Attempts whose connection broke while the server had the request.
     pub broken: u64,
+    /// New connections that a server reset before a request was written.
+    pub connection_resets: u64,
 }
--- a/crates/core/src/process/forward/extra.rs
+++ b/crates/core/src/process/forward/extra.rs
@@ -158,6 +158,16 @@
         true
     }
 
+    /// Takes back the count of one extra send that arrived at no server.
+    pub fn return_extra(&mut self, bound: &ExtraBound, now: Duration) {
+        let current = step_of(bound, now);
+        let live = self.steps.iter_mut();
+        let live = live.filter(|count| count.step + STEPS as u64 >= current && count.extras > 0);
+        if let Some(newest) = live.max_by_key(|count| count.step) {
+            newest.extras -= 1;
+        }
+    }
+
     /// Returns whether one more extra send keeps those in the newer half of the window within
     /// the constant allowance plus half of the earned budget.
     fn fits_half_window(
--- a/crates/core/src/process/forward/hedge.rs
+++ b/crates/core/src/process/forward/hedge.rs
@@ -10,7 +10,7 @@
 use crate::arena::SlotKey;
 use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardDecision};
 use crate::process::forward::call::PartState;
-use crate::process::forward::choose::ServerChoice;
+use crate::process::forward::choose::{SelectionFailure, ServerChoice};
 use crate::process::forward::extra::SpendRate;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::forward::place::DomainProximity;
@@ -107,8 +107,13 @@
         if let Some(state) = self.calls.get_mut(call) {
             state.parts[part].hedge_at = now + RECHECK_INTERVAL;
         }
-        let Ok(choice) = self.choose_server_for(call, part, now) else {
-            return;
+        let choice = match self.choose_server_for(call, part, now) {
+            Ok(choice) => choice,
+            Err(SelectionFailure::NoServer) => {
+                self.relay_placeless_part(call, part, now, out);
+                return;
+            }
+            Err(SelectionFailure::Full) => return,
         };
         let due = self.hedge_due_at(call, part, choice, now);
         if now < due {
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -153,6 +153,15 @@
     Broken,
 }
 
+/// Reason why no connection could be opened for an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionLimit {
+    /// The server reset the new connection: it has as many as it accepts now.
+    Server,
+    /// This entry has as many connections to the server as it may have.
+    Entry,
+}
+
 /// Input of the forward machine.
 #[derive(Debug, Clone)]
 pub enum ForwardInput {
@@ -208,6 +217,14 @@
         /// Number of all connections: idle, in use, and being opened.
         open: u32,
     },
+    /// No connection could be opened for an attempt because of a limit. Its result,
+    /// [`AttemptResult::Unsent`], follows.
+    ConnectionLimitReached {
+        /// The attempt.
+        attempt: SlotKey,
+        /// Which limit was reached.
+        limit: ConnectionLimit,
+    },
     /// Shortage levels and workspace shares, as merged by the control group.
     LoadSummary(LoadSummary),
     /// No event; only the timers that are due are to run.
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -17,6 +17,8 @@
 use crate::process::forward::call::{CallState, ForwardAttempt};
 use crate::process::forward::canary::CanaryStrategy;
 use crate::process::forward::cold::ColdBound;
+use crate::process::forward::connection_places::ViewHistory;
+use crate::process::forward::connection_views::PlaceTotals;
 use crate::process::forward::counts::{ForwardCounters, UpstreamCounts};
 use crate::process::forward::decay::DecayingRate;
 use crate::process::forward::directory::{ServerDirectory, ServerLifecycle};
@@ -55,6 +57,12 @@
     /// Time to cancel an attempt that is still outstanding after its request
     /// ended.
     Orphan(SlotKey),
+    /// Places that this entry gained by a change of the list of entries become usable.
+    PlacesSettled,
+    /// Check whether the control group is still in contact.
+    ContactCheck,
+    /// Connections may be opened again to a server that was at its limit.
+    OpeningAllowed(ServerKey),
 }
 
 /// Settings of a forward machine.
@@ -138,6 +146,11 @@
     pub(super) group_key: Option<Box<str>>,
     /// Whether this entry owns the shard within its failure domain.
     pub(super) owns_shard: bool,
+    /// Generation of the views and connection limit from which the places at the servers
+    /// were computed, if they were.
+    pub(super) places_key: Option<(u64, u32)>,
+    /// Servers for which the places were computed, and whether each got requests then.
+    pub(super) places_servers: Vec<(ServerKey, bool)>,
     /// Latest roll-out of the service, if there was one.
     pub(super) rollout: Option<UpstreamRollout>,
 }
@@ -198,6 +211,15 @@
     pub(super) load_shifts_until: Duration,
     /// Time of the last contact with the control group.
     pub(super) control_seen_at: Duration,
+    /// Views of the list of entries, from which the places at the servers of services with
+    /// scarce connections follow.
+    pub(super) views: ViewHistory,
+    /// Whether a list of the entries has named this entry.
+    pub(super) was_listed: bool,
+    /// Time of the first list of the entries.
+    pub(super) first_listed_at: Duration,
+    /// Places as last recorded for the log.
+    pub(super) logged_places: PlaceTotals,
     /// Time of the current step.
     step_time: Duration,
 }
@@ -235,6 +257,10 @@
             next_probe_at: Duration::ZERO,
             load_shifts_until: Duration::ZERO,
             control_seen_at: Duration::ZERO,
+            views: ViewHistory::default(),
+            was_listed: false,
+            first_listed_at: Duration::ZERO,
+            logged_places: PlaceTotals::default(),
             step_time: Duration::ZERO,
         }
     }
@@ -251,8 +277,8 @@
             ForwardInput::LeaseExpiry(id, expired) => self.set_expired(&id, expired, now),
             ForwardInput::EvacuatedDomains(domains) => self.set_evacuated(domains, now, out),
             ForwardInput::Rollouts(views) => self.set_rollouts(views, out),
-            ForwardInput::ControlContact => self.control_seen_at = now,
-            ForwardInput::EntryCount(entries) => self.entry_count = entries.max(1),
+            ForwardInput::ControlContact => self.record_contact(now, out),
+            ForwardInput::EntryCount(entries) => self.set_entry_count(entries, now, out),
             ForwardInput::Peers(peers) => self.set_peers(peers, now, out),
             ForwardInput::Suspects(records) => self.merge_suspects(&records, now, out),
             ForwardInput::Call(call) => self.begin_request(call, now, out),
@@ -270,8 +296,10 @@
                 self.servers[server].record_connection(took)
             }
             ForwardInput::Connections { server, idle, open } => {
-                self.servers[server].idle = idle;
-                self.servers[server].open = open;
+                self.record_connections(server, idle, open, now, out)
+            }
+            ForwardInput::ConnectionLimitReached { attempt, limit } => {
+                self.handle_connection_limit(attempt, limit, now, out)
             }
             ForwardInput::LoadSummary(_) => {}
             ForwardInput::Wake => {}
@@ -371,6 +399,11 @@
                 ForwardTimer::HardDeadline(call) => self.handle_hard_deadline(call, now, out),
                 ForwardTimer::Sweep(call) => self.sweep(call, now, out),
                 ForwardTimer::Orphan(attempt) => self.cancel_orphan(attempt, out),
+                ForwardTimer::PlacesSettled => self.handle_settled_places(now, out),
+                ForwardTimer::ContactCheck => self.review_contact(now, out),
+                ForwardTimer::OpeningAllowed(server) => {
+                    self.handle_opening_allowed(server, now, out)
+                }
             }
         }
     }
@@ -389,6 +422,7 @@
         self.assign_shard_groups(&table);
         self.end_unauthorized(&table, now, out);
         self.table = Some(table);
+        self.update_places_for_table(now, out);
     }
 
     /// Returns the key of a service, and registers the service if it is new.
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -69,6 +69,7 @@
             }
         }
         self.update_owned_shards();
+        self.update_entry_view(&peers, now, out);
     }
 
     /// Adds another entry to the servers, under the upstream of its failure domain.
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -20,7 +20,7 @@
 use crate::process::input::CallTag;
 
 /// Tag used in decisions about an attempt whose request has already ended.
-const NO_CALL: CallTag = CallTag(u64::MAX);
+pub(super) const NO_CALL: CallTag = CallTag(u64::MAX);
 /// Status (421 Misdirected Request) of a server that is not the one the request was
 /// addressed to.
 pub(super) const MISDIRECTED: u16 = 421;
@@ -47,6 +47,8 @@
     NotRun,
     /// The attempt did not reach the server, or another entry refused to take it.
     Unsent,
+    /// No connection for the attempt could be opened because of a limit on connections.
+    OverLimit,
     /// This entry dropped the attempt before writing it to a connection, because the
     /// request had timed out or had ended.
     Withdrawn,
@@ -93,6 +95,7 @@
             AttemptOutcome::Failure => "server_failure",
             AttemptOutcome::NotRun => "not_run",
             AttemptOutcome::Unsent => "unreachable",
+            AttemptOutcome::OverLimit => "over_limit",
             AttemptOutcome::Withdrawn => "withdrawn",
             AttemptOutcome::RefusedAsSuspect => "barred",
             AttemptOutcome::Broken => "broken",
@@ -155,7 +158,7 @@
     /// runs that the attempt was counted for when it was sent.
     fn uncount_unrun(&mut self, outcome: AttemptOutcome, runs: u32) {
         match outcome {
-            AttemptOutcome::Unsent | AttemptOutcome::Withdrawn => {
+            AttemptOutcome::Unsent | AttemptOutcome::OverLimit | AttemptOutcome::Withdrawn => {
                 self.runs -= runs;
                 self.arrivals -= 1;
             }
@@ -185,6 +188,9 @@
         if attempt.is_relay() {
             outcome = AttemptOutcome::of_relay(&end);
         }
+        if outcome == AttemptOutcome::Unsent && attempt.met_limit {
+            outcome = AttemptOutcome::OverLimit;
+        }
         if outcome == AttemptOutcome::Broken && !attempt.is_relay() && !attempt.is_cancelled {
             self.record_broken_attempt(&attempt, now, out);
         }
@@ -225,6 +231,7 @@
             AttemptOutcome::Broken => AttemptVerdict::Failed,
             AttemptOutcome::NotRun
             | AttemptOutcome::Unsent
+            | AttemptOutcome::OverLimit
             | AttemptOutcome::Withdrawn
             | AttemptOutcome::RefusedAsSuspect => return,
         };
@@ -274,7 +281,13 @@
     ) {
         let server = &mut self.servers[attempt.server];
         server.remove_attempt(attempt_key);
-        if ![AttemptOutcome::Final, AttemptOutcome::Withdrawn].contains(&outcome) {
+        if attempt.opens_connection && matches!(end, AttemptResult::Answer(_)) {
+            server.opening_backoff.record_accepted(attempt.sent_at);
+        }
+        if !matches!(
+            outcome,
+            AttemptOutcome::Final | AttemptOutcome::Withdrawn | AttemptOutcome::OverLimit
+        ) {
             self.upstreams[attempt.upstream].counts.losses += 1;
         }
         let server_time = (now - attempt.sent_at).saturating_sub(server.round_trip());
@@ -305,7 +318,7 @@
                 server.record_outcome(true);
             }
             AttemptOutcome::RefusedAsSuspect => server.answered_at = now,
-            AttemptOutcome::Withdrawn => {}
+            AttemptOutcome::Withdrawn | AttemptOutcome::OverLimit => {}
             AttemptOutcome::Broken if attempt.call.is_none() => {}
             AttemptOutcome::Unsent if attempt.is_relay() && server_time > RELAY_REFUSAL_TIME => {
                 server.back_off_at_least(UNRESPONSIVE_BACKOFF, now);
@@ -354,6 +367,7 @@
             return;
         };
         let tag = call.tag;
+        let is_over_limit = outcome == AttemptOutcome::OverLimit;
         let is_unsent_relay = attempt.is_relay() && outcome == AttemptOutcome::Unsent;
         let mut has_open_part = false;
         for part in &attempt.parts {
@@ -368,6 +382,11 @@
                 budget.count_request(&self.options.extra, now);
             }
         }
+        if is_over_limit {
+            for part in &attempt.parts {
+                self.undo_unopened_attempt(key, *part, attempt.server, now);
+            }
+        }
         if has_open_part && outcome != AttemptOutcome::Final {
             let (service, instance) = self.server_names(attempt.server);
             self.record_decision(tag, out, || ForwardDecision::Lost {
@@ -497,8 +516,10 @@
         let has_time = now < call.deadlines.hard_deadline;
         let is_allowed = may_repeat && has_time && state.runs < call.attempts;
         let is_last = state.attempts.is_empty();
-        // A part that is not idempotent is not scheduled for a later retry.
-        let may_wait = is_last && rule.idempotent;
+        // A part that is not idempotent is not scheduled for a later retry, unless it reached
+        // no server because connections are scarce.
+        let is_unsent = state.arrivals == 0 && self.is_scarce(state.upstream);
+        let may_wait = is_last && (rule.idempotent || is_unsent);
         let awaits_allowance =
             call.is_relayed && state.runs >= call.attempts && state.runs < rule.attempts;
         if is_last && may_repeat && has_time && awaits_allowance {
@@ -508,14 +529,24 @@
         if is_allowed && !state.attempts.is_full() {
             match self.choose_server_for(key, part, now) {
                 Ok(choice) if self.try_spend_budget(key, part, now, out) => {
-                    self.send_part_to(key, part, AttemptCause::Retry, choice, now, out);
+                    let cause = if is_unsent {
+                        AttemptCause::First
+                    } else {
+                        AttemptCause::Retry
+                    };
+                    self.send_part_to(key, part, cause, choice, now, out);
                     return self.schedule_sweep(key, now);
                 }
                 Ok(_) if may_wait => return self.schedule_recheck(key, part, now, out),
                 Err(reason @ SelectionFailure::Full) if may_wait => {
-                    self.enqueue_or_give_up(key, part, reason, out);
+                    self.enqueue_or_give_up(key, part, reason, now, out);
                     return self.check_end(key, now, out);
                 }
+                Err(SelectionFailure::NoServer)
+                    if self.relay_placeless_part(key, part, now, out) =>
+                {
+                    return;
+                }
                 _ => {}
             }
         }
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -153,6 +153,8 @@
             },
             relay: RelayStatus::Unacknowledged,
             is_cancelled: false,
+            opens_connection: server.idle == 0,
+            met_limit: false,
             is_canary,
             has_run: false,
         });
@@ -186,6 +188,8 @@
         if self.upstreams[server.upstream].cold_per_s > 0.0 {
             server.cold.record_send(now);
         }
+        let max_connections = self.count_connection(key);
+        let server = &mut self.servers[key];
         server.outstanding.push(OutstandingAttempt {
             attempt,
             sent_at: now,
@@ -218,6 +222,7 @@
             server: key,
             address,
             instance,
+            max_connections,
             until,
             workspace,
             forward_headers: !is_scatter_gather,
@@ -226,13 +231,14 @@
     }
 
     /// Handles a part for which no server was chosen: puts the part in its service's
-    /// queue if all servers are at capacity, or gives it up if there is no usable server
-    /// and the part has no other attempt.
+    /// queue if all servers are at capacity. If there is no usable server and the part has no
+    /// other attempt, relays it to an entry that has a place at one, or gives it up.
     pub(super) fn enqueue_or_give_up(
         &mut self,
         call: SlotKey,
         part: usize,
         reason: SelectionFailure,
+        now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
         let Some(state) = self.calls.get_mut(call) else {
@@ -245,7 +251,8 @@
                 let upstream = part_state.upstream;
                 self.upstreams[upstream].waiting.push_back((call, part));
             }
-        } else if part_state.attempts.is_empty() {
+        } else if part_state.attempts.is_empty() && !self.relay_placeless_part(call, part, now, out)
+        {
             self.give_up_part(call, part, out);
         }
     }
@@ -304,7 +311,7 @@
                 }
                 Ok(_) => self.schedule_recheck(call, part, now, out),
                 Err(reason) => {
-                    self.enqueue_or_give_up(call, part, reason, out);
+                    self.enqueue_or_give_up(call, part, reason, now, out);
                     self.check_end(call, now, out);
                 }
             }
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -12,6 +12,7 @@
 use crate::arena::{SlotKey, UpstreamKey};
 use crate::process::forward::backlog::ServerBacklog;
 use crate::process::forward::cold::{SendWindow, ASSUMED_COLD_TIME};
+use crate::process::forward::connection_places::{OpeningBackoff, ServerPlaces};
 use crate::process::forward::directory::ServerLifecycle;
 use crate::process::forward::expectation::ExpectationBasis;
 use crate::process::forward::input::LoadReport;
@@ -91,6 +92,11 @@
     pub idle: u32,
     /// Number of all connections to the server: idle, in use, and being opened.
     pub open: u32,
+    /// Connections that this entry may have open to the server, if connections to its
+    /// service are scarce.
+    pub places: ServerPlaces,
+    /// Back-off from opening connections, after the server reset a new one.
+    pub opening_backoff: OpeningBackoff,
     /// Estimate of how slow the server is relative to its peers.
     pub slowness_estimate: ServerSlowness,
     /// Prediction of the server's stalls: short periods in which it answers nothing,
@@ -135,6 +141,8 @@
             outstanding: Vec::new(),
             idle: 0,
             open: 0,
+            places: ServerPlaces::default(),
+            opening_backoff: OpeningBackoff::default(),
             slowness_estimate: ServerSlowness::new(SlownessStrategy::default()),
             stall_predictor: StallPredictor::default(),
             failure_rate: 0.0,
--- a/crates/core/src/process/forward/suspicion.rs
+++ b/crates/core/src/process/forward/suspicion.rs
@@ -87,6 +87,8 @@
             _ if self.options.canary == CanaryStrategy::Never => {}
             AttemptResult::Broken | AttemptResult::Unsent
                 if attempt.is_relay() || attempt.is_cancelled => {}
+            // The server was reachable, but it or this entry had too many connections.
+            AttemptResult::Unsent if attempt.met_limit => {}
             AttemptResult::Unsent if now < attempt.sent_at + REFUSAL_TIME => {
                 self.record_refused_connection(attempt, now);
             }
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -10,6 +10,7 @@
 mod chance;
 mod cold;
 mod connection_subset;
+mod connections;
 mod crashing;
 mod divided_shards;
 mod ends;
--- a/crates/fake/tests/plays/main.rs
+++ b/crates/fake/tests/plays/main.rs
@@ -5,4 +5,5 @@
 mod crashing;
 mod load;
 mod pauses;
+mod scarce;
 mod silent;
--- a/crates/node/src/connection/exchange.rs
+++ b/crates/node/src/connection/exchange.rs
@@ -105,7 +105,7 @@
 
 /// Returns whether an idle connection was closed by the server or has unexpected bytes
 /// to read.
-fn is_closed_or_readable(stream: &TcpStream) -> bool {
+pub fn is_closed_or_readable(stream: &TcpStream) -> bool {
     let mut probe = [0; 1];
     match stream.try_read(&mut probe) {
         Err(error) => error.kind() != ErrorKind::WouldBlock,
--- a/crates/node/src/process/forward/measure.rs
+++ b/crates/node/src/process/forward/measure.rs
@@ -106,6 +106,10 @@
         ),
         ("wheelmast_forward_cancels_total", counts.cancels),
         ("wheelmast_forward_broken_total", counts.broken),
+        (
+            "wheelmast_connection_resets_total",
+            counts.connection_resets,
+        ),
         ("wheelmast_forward_sent_late_total", driver.sent_late),
         ("wheelmast_held_up_total", driver.late_rounds),
         ("wheelmast_log_lines_dropped_total", driver.lines_dropped),
@@ -130,6 +134,8 @@
     let (suspects, quarantined) = machine.suspect_counts(now);
     gauge!("wheelmast_forward_suspects").set(suspects as f64);
     gauge!("wheelmast_forward_quarantined").set(quarantined as f64);
+    gauge!("wheelmast_connection_places").set(f64::from(machine.place_totals().places));
+    gauge!("wheelmast_connections_open").set(f64::from(machine.open_connections()));
     gauge!("wheelmast_servers_ready").set(machine.server_count() as f64);
     for (route, part, count) in machine.split_counts() {
         let labels = [
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -2,9 +2,15 @@
 //!
 //! Each connection is a task that carries one request at a time. An idle connection is
 //! reused for later requests until its idle time-out.
+//!
+//! If connections to a server are scarce, the order of each request states how many may be
+//! open. A server resets connections over its own limit right after it accepted them. The
+//! first request on a new connection is therefore written only after a short settle time
+//! without a reset: a request that was written may have run.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,12 +21,13 @@
 use wheelmast_core::arena::ServerKey;
 use wheelmast_core::process::forward::answer::AttemptOrder;
 use wheelmast_core::process::forward::input::{
-    AttemptResult, BundleAnswer, ForwardInput, LoadReport, ServerAnswer,
+    AttemptResult, BundleAnswer, ConnectionLimit, ForwardInput, LoadReport, ServerAnswer,
 };
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::connection::exchange::{
-    exchange_with_continue, CompleteAnswer, ExchangeFailure, DEFAULT_IDLE_TIMEOUT,
+    exchange_with_continue, is_closed_or_readable, CompleteAnswer, ExchangeFailure,
+    DEFAULT_IDLE_TIMEOUT,
 };
 use crate::process::forward::entry::ForwardDriver;
 use crate::process::forward::image::{
@@ -29,6 +36,8 @@
 
 /// Maximum time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time after a connection was established in which a server over its limit resets it.
+const SETTLE_TIME: Duration = Duration::from_millis(3);
 /// Time between the decision to send an attempt and its write from which the attempt
 /// counts as sent late.
 const LATE_SEND_THRESHOLD: Duration = Duration::from_millis(100);
@@ -46,10 +55,18 @@
     pub cancelled: oneshot::Receiver<()>,
 }
 
+/// A request that the pool hands over to the task of an idle connection.
+#[derive(Debug)]
+struct NextRequest {
+    request: UpstreamRequest,
+    /// Whether the connection must be closed and another one opened in its place.
+    reopens: bool,
+}
+
 /// Handle of an idle connection, by which its task receives the next request.
 #[derive(Debug)]
 struct IdleConnection {
-    request_sender: oneshot::Sender<UpstreamRequest>,
+    request_sender: oneshot::Sender<NextRequest>,
     /// When the connection is closed if it stays idle, since the process started.
     until: Duration,
     /// Id of the last request on the connection.
@@ -67,25 +84,49 @@
 
 impl ServerPool {
     /// Sends a request on an idle connection, or on a new one if none is usable.
+    ///
+    /// If the maximum number of connections is open, an idle connection that is not usable
+    /// for this request is replaced by a new one. Without an idle connection the request is
+    /// not sent.
     pub fn send<D: ForwardDialect>(&self, entry: &Rc<ForwardDriver<D>>, request: UpstreamRequest) {
         let now = entry.clock.elapsed();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(request.order.server).or_default();
-        connections
-            .retain(|connection| connection.until > now && !connection.request_sender.is_closed());
+        let max_connections = request.order.max_connections;
+        connections.retain(|connection| {
+            // An expired connection counts as open until its task ends, so it is kept for
+            // replacement if the number is limited.
+            let is_kept = connection.until > now || max_connections.is_some();
+            is_kept && !connection.request_sender.is_closed()
+        });
         // A server may answer the same request twice, the second time late. If the
         // request reaches the server again, through another entry, it must not use the
         // same connection: the late answer has the same request id and would be taken
         // for the answer to the new request.
-        let is_usable = |connection: &IdleConnection| connection.last_request != request.image.id;
-        if let Some(index) = connections.iter().rposition(is_usable) {
+        let is_usable = |connection: &IdleConnection| {
+            connection.until > now && connection.last_request != request.image.id
+        };
+        let usable = connections.iter().rposition(is_usable);
+        let is_full =
+            max_connections.is_some_and(|max| self.open_count(request.order.server) >= max);
+        let replaced = connections.len().checked_sub(1).filter(|_| is_full);
+        if let Some(index) = usable.or(replaced) {
             let connection = connections.remove(index);
             drop(idle);
-            if let Err(unsent) = connection.request_sender.send(request) {
-                self.send(entry, unsent);
+            let next_request = NextRequest {
+                request,
+                reopens: usable.is_none(),
+            };
+            if let Err(unsent) = connection.request_sender.send(next_request) {
+                self.send(entry, unsent.request);
             }
             return;
         }
+        drop(idle);
+        if is_full {
+            tokio::task::spawn_local(reject_over_limit(entry.clone(), request));
+            return;
+        }
         self.count_opened(request.order.server);
         tokio::task::spawn_local(run_connection(entry.clone(), request));
     }
@@ -115,6 +156,11 @@
         self.idle.borrow_mut().remove(&server);
     }
 
+    /// Returns the number of connections to a server: idle, in use, and being opened.
+    pub fn open_count(&self, server: ServerKey) -> u32 {
+        self.open.borrow().get(&server).copied().unwrap_or(0)
+    }
+
     /// Counts a connection that is about to be opened.
     fn count_opened(&self, server: ServerKey) {
         *self.open.borrow_mut().entry(server).or_default() += 1;
@@ -149,11 +195,10 @@
         });
         let idle_count = usable_count.unwrap_or(0) as u32;
         drop(idle);
-        let open_count = self.open.borrow().get(&server).copied().unwrap_or(0);
         entry.step(ForwardInput::Connections {
             server,
             idle: idle_count,
-            open: open_count,
+            open: self.open_count(server),
         });
     }
 
@@ -163,7 +208,7 @@
         server: ServerKey,
         until: Duration,
         last_request: Box<str>,
-    ) -> oneshot::Receiver<UpstreamRequest> {
+    ) -> oneshot::Receiver<NextRequest> {
         let (request_sender, receiver) = oneshot::channel();
         let mut idle = self.idle.borrow_mut();
         idle.entry(server).or_default().push(IdleConnection {
@@ -185,11 +230,40 @@
     entry.pool.report_connections(&entry, server);
 }
 
+/// Reports that a request was not sent, because this entry has as many connections to the
+/// server as it may have. The state machine did not know all of them: some are being closed.
+async fn reject_over_limit<D: ForwardDialect>(
+    entry: Rc<ForwardDriver<D>>,
+    request: UpstreamRequest,
+) {
+    let attempt = request.order.attempt;
+    entry.pool.report_connections(&entry, request.order.server);
+    entry.step(ForwardInput::ConnectionLimitReached {
+        attempt,
+        limit: ConnectionLimit::Entry,
+    });
+    report_result(&entry, &request.order, AttemptResult::Unsent);
+}
+
 /// Opens a connection, sends `first` on it, and then the requests that the pool hands
-/// over, until the connection ends or its idle time-out passes.
+/// over, until the connection ends or its idle time-out passes. Replaces the connection if
+/// the pool demands that.
 async fn serve_requests<D: ForwardDialect>(entry: &Rc<ForwardDriver<D>>, first: UpstreamRequest) {
-    let server = first.order.server;
     let mut request = first;
+    while let Some(stream) = open_connection(entry, &mut request).await {
+        match serve_connection(entry, stream, request).await {
+            Some(next) => request = next,
+            None => return,
+        }
+    }
+}
+
+/// Opens a connection for a request. Returns `None`, after reporting the result of the
+/// attempt, if the connection could not be opened or was reset at once.
+async fn open_connection<D: ForwardDialect>(
+    entry: &Rc<ForwardDriver<D>>,
+    request: &mut UpstreamRequest,
+) -> Option<TcpStream> {
     let opened = Instant::now();
     let connect = TcpStream::connect(request.order.address);
     let connected = tokio::select! {
@@ -197,28 +271,73 @@
         _ = &mut request.cancelled => None,
         connected = tokio::time::timeout(CONNECT_TIMEOUT, connect) => connected.ok(),
     };
-    let Some(Ok(mut stream)) = connected else {
-        return report_result(entry, &request.order, AttemptResult::Unsent);
+    let is_scarce = request.order.max_connections.is_some();
+    let stream = match connected {
+        Some(Ok(stream)) => stream,
+        Some(Err(error)) if is_scarce && error.kind() == ErrorKind::ConnectionReset => {
+            // The server accepted the connection and reset it before this task ran again.
+            report_server_limit(entry, &request.order);
+            report_result(entry, &request.order, AttemptResult::Unsent);
+            return None;
+        }
+        _ => {
+            report_result(entry, &request.order, AttemptResult::Unsent);
+            return None;
+        }
     };
     // Disables Nagle's algorithm, which delays small writes. An error is ignored, as the
     // connection works without the option.
     let _ = stream.set_nodelay(true);
     let took = opened.elapsed();
+    let server = request.order.server;
     entry.step(ForwardInput::Connected { server, took });
+    if is_scarce && is_closed_while_settling(&stream).await {
+        report_server_limit(entry, &request.order);
+        report_result(entry, &request.order, AttemptResult::Unsent);
+        return None;
+    }
+    Some(stream)
+}
+
+/// Reports that a server reset the new connection for an attempt.
+fn report_server_limit<D: ForwardDialect>(entry: &Rc<ForwardDriver<D>>, order: &AttemptOrder) {
+    entry.step(ForwardInput::ConnectionLimitReached {
+        attempt: order.attempt,
+        limit: ConnectionLimit::Server,
+    });
+}
+
+/// Waits for the settle time of a new connection. Returns early, with true, if the server
+/// resets or closes the connection.
+async fn is_closed_while_settling(stream: &TcpStream) -> bool {
+    let is_readable = tokio::time::timeout(SETTLE_TIME, stream.readable()).await;
+    // Nothing was requested yet, so a readable connection was closed or is not usable.
+    is_readable.is_ok() || is_closed_or_readable(stream)
+}
+
+/// Sends `first` on a connection, and then the requests that the pool hands over, until the
+/// connection ends or its idle time-out passes. Returns a request for which the connection
+/// must be replaced.
+async fn serve_connection<D: ForwardDialect>(
+    entry: &Rc<ForwardDriver<D>>,
+    mut stream: TcpStream,
+    first: UpstreamRequest,
+) -> Option<UpstreamRequest> {
+    let server = first.order.server;
+    let mut request = first;
     let mut buffer = BytesMut::new();
     let mut until = entry.clock.elapsed() + DEFAULT_IDLE_TIMEOUT;
     let mut last_request = Box::default();
+    let mut is_new = true;
     loop {
         let now = entry.clock.elapsed();
         if should_withdraw(entry, &mut request, now) {
             report_result(entry, &request.order, AttemptResult::Withdrawn);
         } else {
             last_request = request.image.id.clone();
-            let Some(keep_alive) =
-                send_request(entry, &mut stream, &mut buffer, request, now).await
-            else {
-                return;
-            };
+            let sending = send_request(entry, &mut stream, &mut buffer, request, is_new, now);
+            let keep_alive = sending.await?;
+            is_new = false;
             until = entry.clock.elapsed() + keep_alive;
         }
         let keep_alive = until.saturating_sub(entry.clock.elapsed());
@@ -227,12 +346,13 @@
         tokio::select! {
             biased;
             next = next_request => match next {
-                Ok(next) => request = next,
-                Err(_) => return,
+                Ok(next) if next.reopens => return Some(next.request),
+                Ok(next) => request = next.request,
+                Err(_) => return None,
             },
             // The server closed the connection or sent bytes without a request.
-            _ = stream.readable() => return,
-            () = tokio::time::sleep(keep_alive) => return,
+            _ = stream.readable() => return None,
+            () = tokio::time::sleep(keep_alive) => return None,
         }
     }
 }
@@ -254,12 +374,13 @@
 
 /// Writes one request at `now`, waits for the answer and reports the result to the state
 /// machine. Returns how long the connection may then be idle, or `None` if it must be
-/// closed.
+/// closed. `is_new` tells whether it is the first request on the connection.
 async fn send_request<D: ForwardDialect>(
     entry: &Rc<ForwardDriver<D>>,
     stream: &mut TcpStream,
     buffer: &mut BytesMut,
     request: UpstreamRequest,
+    is_new: bool,
     now: Duration,
 ) -> Option<Duration> {
     entry.pool.record_late_send(&request, now);
@@ -300,7 +421,13 @@
     let (attempt_result, keep_alive) = match result {
         Ok(answer) if order.relay.is_some() => read_bundle::<D>(answer, &image),
         Ok(answer) => read_answer::<D>(answer, &image, order.forward_headers),
-        Err(ExchangeFailure::Unsent) => (AttemptResult::Unsent, None),
+        Err(ExchangeFailure::Unsent) => {
+            if is_new && order.max_connections.is_some() {
+                // The reset came at the end of the settle time.
+                report_server_limit(entry, &order);
+            }
+            (AttemptResult::Unsent, None)
+        }
         Err(ExchangeFailure::Broken) => (AttemptResult::Broken, None),
     };
     report_result(entry, &order, attempt_result);
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -20,8 +20,9 @@
 const MAX_LINES_PER_REQUEST: usize = 160;
 /// Maximum number of log lines per second for ended requests.
 const MAX_LINES_PER_SECOND: f64 = 400.0;
-/// Maximum number of log lines per second about servers whose connection broke. They
-/// have a limit of their own, because the other lines are most numerous when servers crash.
+/// Maximum number of log lines per second about servers whose connection broke or was
+/// reset over a limit. They have a limit of their own, because the other lines are most
+/// numerous when servers crash.
 const MAX_BROKEN_LINES_PER_SECOND: f64 = 40.0;
 
 /// Buffered decisions about one request.
@@ -121,7 +122,7 @@
     partial_count: u64,
     /// Limit of the lines about ended requests.
     request_lines_limit: LineRateLimit,
-    /// Limit of the lines about servers whose connection broke.
+    /// Limit of the lines that are logged at once.
     broken_lines_limit: LineRateLimit,
     /// Lines dropped by the rate limits since the log last reported them.
     unreported_dropped: u64,
@@ -158,8 +159,8 @@
 
     /// Records a decision, and writes the request's lines if the request has ended.
     pub fn record(&mut self, event: ForwardEvent) {
-        if matches!(event.decision, ForwardDecision::ServerBrokeOff { .. }) {
-            return self.log_broken_server(&event);
+        if is_logged_at_once(&event.decision) {
+            return self.log_at_once(&event);
         }
         let Some(request_log) = self.requests.get_mut(&event.call) else {
             return;
@@ -242,9 +243,9 @@
         }
     }
 
-    /// Writes at once that the connection to a server broke: the request's other lines
-    /// are written late or not at all.
-    fn log_broken_server(&mut self, event: &ForwardEvent) {
+    /// Writes a decision that concerns a server or all servers at once: the other lines of
+    /// its request are written late or not at all.
+    fn log_at_once(&mut self, event: &ForwardEvent) {
         if !self.broken_lines_limit.try_consume(1, event.at) {
             self.unreported_dropped += 1;
             self.dropped_total += 1;
@@ -292,6 +293,16 @@
     }
 }
 
+/// Returns whether a decision is logged at once and not at the end of its request.
+fn is_logged_at_once(decision: &ForwardDecision) -> bool {
+    matches!(
+        decision,
+        ForwardDecision::ServerBrokeOff { .. }
+            | ForwardDecision::ServerAtLimit { .. }
+            | ForwardDecision::PlacesChanged { .. }
+    )
+}
+
 /// Returns whether a decision is normal for a request that succeeds without incident.
 fn is_routine(decision: &ForwardDecision) -> bool {
     match decision {
@@ -303,6 +314,8 @@
         ForwardDecision::Slow { .. } | ForwardDecision::Abandon { .. } => true,
         ForwardDecision::Lost { .. }
         | ForwardDecision::ServerBrokeOff { .. }
+        | ForwardDecision::ServerAtLimit { .. }
+        | ForwardDecision::PlacesChanged { .. }
         | ForwardDecision::OmitShards { .. }
         | ForwardDecision::Reroute { .. }
         | ForwardDecision::NoServer { .. }
@@ -355,6 +368,23 @@
             let after_ms = millis(*after);
             tracing::warn!(target: "entry", request, %mark, %service, server = %instance, after_ms, beside, "route: server broke off");
         }
+        ForwardDecision::ServerAtLimit {
+            service,
+            instance,
+            open,
+            backoff,
+        } => {
+            let backoff_ms = millis(*backoff);
+            tracing::warn!(target: "entry", request, %service, server = %instance, open, backoff_ms, "connection: reset over the server's limit");
+        }
+        ForwardDecision::PlacesChanged {
+            entries,
+            in_contact,
+            places,
+            former,
+        } => {
+            tracing::info!(target: "entry", entries, in_contact, servers = places.servers, places = places.places, former_servers = former.servers, former_places = former.places, "connection: places changed");
+        }
         ForwardDecision::OmitShards { services } => {
             let services = services.join(", ");
             tracing::info!(target: "entry", request, at_ms, services, "route: shards not asked");
