--- a/crates/core/src/process/forward/break_verdict.rs
+++ b/crates/core/src/process/forward/break_verdict.rs
@@ -91,17 +91,14 @@
         })
     }
 
-    /// Records the number of connections to a server.
-    pub(super) fn handle_connections(
+    /// Records the number of connections to a server as evidence on its breaks.
+    pub(super) fn record_open_connections(
         &mut self,
         server: ServerKey,
-        idle: u32,
         open: u32,
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
-        self.servers[server].idle = idle;
-        self.servers[server].open = open;
         if self.server_ends.is_watching(server) {
             let record = self
                 .server_ends
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -17,6 +17,8 @@
 use crate::process::forward::call::{CallState, ForwardAttempt};
 use crate::process::forward::canary::CanaryStrategy;
 use crate::process::forward::cold::ColdBound;
+use crate::process::forward::connection_places::ViewHistory;
+use crate::process::forward::connection_views::PlaceTotals;
 use crate::process::forward::counts::{ForwardCounters, UpstreamCounts};
 use crate::process::forward::decay::DecayingRate;
 use crate::process::forward::directory::{ServerDirectory, ServerLifecycle};
@@ -61,6 +63,12 @@
     Orphan(SlotKey),
     /// Check of the evidence on a server whose connections broke.
     BreakCheck(ServerKey),
+    /// Places that this entry gained by a change of the list of entries become usable.
+    PlacesSettled,
+    /// Check whether the control group is still in contact.
+    ContactCheck,
+    /// Connections may be opened again to a server that was at its limit.
+    OpeningAllowed(ServerKey),
 }
 
 /// Settings of a forward machine.
@@ -94,6 +102,9 @@
     /// Whether ranks decide at admission, too: whether a request of a restricted rank is
     /// refused, or kept from short shards. Without it, ranks decide on hedges and repeats.
     pub rank_admission: bool,
+    /// Whether entries divide the connections of servers that accept fewer than one from
+    /// each entry. Without it, every entry may have one.
+    pub connection_subsets: bool,
 }
 
 impl Default for ForwardOptions {
@@ -112,6 +123,7 @@
             stalls: StallStrategy::default(),
             canary: CanaryStrategy::default(),
             rank_admission: false,
+            connection_subsets: false,
         }
     }
 }
@@ -150,6 +162,11 @@
     pub(super) owns_shard: bool,
     /// Shortage level of the service, for decisions by rank.
     pub(super) shortage: UpstreamShortage,
+    /// Generation of the views and connection limit from which the places at the servers
+    /// were computed, if they were.
+    pub(super) places_key: Option<(u64, u32)>,
+    /// Servers for which the places were computed, and whether each got requests then.
+    pub(super) places_servers: Vec<(ServerKey, bool)>,
     /// Latest roll-out of the service, if there was one.
     pub(super) rollout: Option<UpstreamRollout>,
 }
@@ -213,6 +230,15 @@
     pub(super) control_seen_at: Duration,
     /// State of the decisions by rank.
     pub(super) ranks: RankControl,
+    /// Views of the list of entries, from which the places at the servers of services with
+    /// scarce connections follow.
+    pub(super) views: ViewHistory,
+    /// Whether a list of the entries has named this entry.
+    pub(super) was_listed: bool,
+    /// Time of the first list of the entries.
+    pub(super) first_listed_at: Duration,
+    /// Places as last recorded for the log.
+    pub(super) logged_places: PlaceTotals,
     /// Time of the current step.
     step_time: Duration,
 }
@@ -252,6 +278,10 @@
             shares: ShareGate::default(),
             control_seen_at: Duration::ZERO,
             ranks: RankControl::default(),
+            views: ViewHistory::default(),
+            was_listed: false,
+            first_listed_at: Duration::ZERO,
+            logged_places: PlaceTotals::default(),
             step_time: Duration::ZERO,
         }
     }
@@ -268,8 +298,8 @@
             ForwardInput::LeaseExpiry(id, expired) => self.set_expired(&id, expired, now, out),
             ForwardInput::EvacuatedDomains(domains) => self.set_evacuated(domains, now, out),
             ForwardInput::Rollouts(views) => self.set_rollouts(views, out),
-            ForwardInput::ControlContact => self.control_seen_at = now,
-            ForwardInput::EntryCount(entries) => self.entry_count = entries.max(1),
+            ForwardInput::ControlContact => self.record_contact(now, out),
+            ForwardInput::EntryCount(entries) => self.set_entry_count(entries, now, out),
             ForwardInput::Peers(peers) => self.set_peers(peers, now, out),
             ForwardInput::Suspects(records) => self.merge_suspects(&records, now, out),
             ForwardInput::Call(call) => self.begin_request(call, now, out),
@@ -290,7 +320,11 @@
                 self.handle_connection_refused(server, took, now, out)
             }
             ForwardInput::Connections { server, idle, open } => {
-                self.handle_connections(server, idle, open, now, out)
+                self.record_connections(server, idle, open, now, out);
+                self.record_open_connections(server, open, now, out);
+            }
+            ForwardInput::ConnectionLimitReached { attempt, limit } => {
+                self.handle_connection_limit(attempt, limit, now, out)
             }
             ForwardInput::LoadSummary(summary) => {
                 self.set_load_summary(&summary, now);
@@ -394,6 +428,11 @@
                 ForwardTimer::Sweep(call) => self.sweep(call, now, out),
                 ForwardTimer::Orphan(attempt) => self.cancel_orphan(attempt, out),
                 ForwardTimer::BreakCheck(server) => self.check_breaks(server, now, out),
+                ForwardTimer::PlacesSettled => self.handle_settled_places(now, out),
+                ForwardTimer::ContactCheck => self.review_contact(now, out),
+                ForwardTimer::OpeningAllowed(server) => {
+                    self.handle_opening_allowed(server, now, out)
+                }
             }
         }
     }
@@ -413,6 +452,7 @@
         self.assign_rank_groups(&table);
         self.end_unauthorized(&table, now, out);
         self.table = Some(table);
+        self.update_places_for_table(now, out);
     }
 
     /// Returns the key of a service, and registers the service if it is new.
--- a/crates/core/src/process/forward/shortage.rs
+++ b/crates/core/src/process/forward/shortage.rs
@@ -215,7 +215,7 @@
     }
 
     /// Removes and returns the level changes since the last call, at most
-    /// [`MAX_LEVEL_CHANGES`].
+    /// 64.
     pub fn take_level_changes(&mut self) -> Vec<LevelChange> {
         std::mem::take(&mut self.ranks.changes)
     }
--- a/crates/fake/src/model/entry.rs
+++ b/crates/fake/src/model/entry.rs
@@ -45,6 +45,7 @@
             seed,
             stalls: spec.pause_way,
             rank_admission: spec.rank_admission,
+            connection_subsets: spec.connection_subsets,
             canary: spec.canary,
             records_decisions: false,
             ..ForwardOptions::default()
--- a/crates/fake/tests/plays/main.rs
+++ b/crates/fake/tests/plays/main.rs
@@ -7,4 +7,5 @@
 mod lost_answers;
 mod pauses;
 mod ranks;
+mod scarce;
 mod silent;
--- a/crates/node/src/process/forward/measure.rs
+++ b/crates/node/src/process/forward/measure.rs
@@ -116,6 +116,10 @@
         ("wheelmast_forward_over_share_total", counts.over_share),
         ("wheelmast_forward_cancels_total", counts.cancels),
         ("wheelmast_forward_broken_total", counts.broken),
+        (
+            "wheelmast_connection_resets_total",
+            counts.connection_resets,
+        ),
         ("wheelmast_forward_sent_late_total", driver.sent_late),
         ("wheelmast_held_up_total", driver.late_rounds),
         ("wheelmast_log_lines_dropped_total", driver.lines_dropped),
@@ -151,6 +155,8 @@
     gauge!("wheelmast_forward_quarantined").set(quarantined as f64);
     let limited_workspaces = machine.limited_workspaces(now);
     gauge!("wheelmast_forward_limited_workspaces").set(limited_workspaces as f64);
+    gauge!("wheelmast_connection_places").set(f64::from(machine.place_totals().places));
+    gauge!("wheelmast_connections_open").set(f64::from(machine.open_connections()));
     gauge!("wheelmast_servers_ready").set(machine.server_count() as f64);
     for (route, part, count) in machine.split_counts() {
         let labels = [
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -67,6 +67,7 @@
         slowness: settings.slowness,
         stalls: settings.stalls,
         rank_admission: settings.rank_admission,
+        connection_subsets: settings.connection_subsets,
         seed: rand::random(),
         ..ForwardOptions::default()
     };
