--- a/crates/core/src/process/forward/connection_cap.rs
+++ b/crates/core/src/process/forward/connection_cap.rs
@@ -48,7 +48,7 @@
 
     /// Returns the maximum number of connections from this entry to a server: this
     /// entry's share of the server's limit, which all entries share. If connections to the
-    /// service are scarce, the number is that of the last [`ForwardMachine::refresh_places`].
+    /// service are scarce, the number is that of the last `refresh_places`.
     ///
     /// A server gets most requests from the entries of its own failure domain, and if
     /// there are many entries, from the one that owns its shard. These entries may
--- a/crates/core/src/process/forward/rank.rs
+++ b/crates/core/src/process/forward/rank.rs
@@ -8,7 +8,7 @@
 //! restricted.
 //!
 //! The ranks are enabled for services that are used with at least two different ranks.
-//! Services that the same routes use form a [`RankGroup`], so that a request over many
+//! Services that the same routes use form a `RankGroup`, so that a request over many
 //! shards is counted once.
 
 use std::collections::BTreeMap;
