--- a/crates/core/src/process/forward/counts.rs
+++ b/crates/core/src/process/forward/counts.rs
@@ -49,4 +49,6 @@
     pub lost_answers: u64,
     /// Of these, those whose server could no longer be reached.
     pub unreachable_breaks: u64,
+    /// New connections that a server reset before a request was written.
+    pub connection_resets: u64,
 }
--- a/crates/core/src/process/forward/extra.rs
+++ b/crates/core/src/process/forward/extra.rs
@@ -185,6 +185,17 @@
         true
     }
 
+    /// Takes back the count of one extra send that arrived at no server.
+    pub fn return_extra(&mut self, bound: &ExtraBound, now: Duration) {
+        let current = step_of(bound, now);
+        let live = self.steps.iter_mut();
+        let live = live.filter(|count| count.step + STEPS as u64 >= current && count.extras > 0);
+        if let Some(newest) = live.max_by_key(|count| count.step) {
+            newest.extras -= 1;
+            newest.peak_excess = (newest.peak_excess - 1.0).max(0.0);
+        }
+    }
+
     /// Returns how many more extra sends fit this entry's budget now.
     pub fn remaining(
         &self,
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -9,6 +9,8 @@
 mod bundles;
 mod chance;
 mod cold;
+mod connection_subset;
+mod connections;
 mod crashing;
 mod divided_shards;
 mod ends;
--- a/crates/fake/src/model/spec.rs
+++ b/crates/fake/src/model/spec.rs
@@ -126,12 +126,17 @@
     pub pause_way: StallStrategy,
     /// Whether ranks decide at admission.
     pub rank_admission: bool,
+    /// Whether entries divide scarce connections.
+    pub connection_subsets: bool,
     /// Entries in each of the two failure domains.
     pub entries: usize,
     /// Entries in a third failure domain, which has no servers.
     pub outlying: usize,
     /// Shards; each has one server in each failure domain.
     pub shards: usize,
+    /// Connections that a server accepts from all entries, as the table states. The servers
+    /// of a play accept more.
+    pub connections: u32,
     /// Requests that a server works on at once.
     pub slots: u32,
     /// Requests that wait at a server at most.
@@ -187,9 +192,11 @@
             pauses: None,
             pause_way: StallStrategy::default(),
             rank_admission: false,
+            connection_subsets: false,
             entries: 4,
             outlying: 0,
             shards: 20,
+            connections: 26,
             slots: 2,
             queue: 12,
             near_way: Duration::from_micros(200),
@@ -237,6 +244,7 @@
             entries: 24,
             outlying: 12,
             shards: 96,
+            connections: 26,
             slots: 3,
             queue: 18,
             far_way: Duration::from_millis(2),
@@ -248,4 +256,13 @@
             ..PlaySpec::of_today()
         }
     }
+
+    /// Returns the deployment of [`PlaySpec::of_many_entries`] with servers that accept
+    /// fewer connections than there are entries.
+    pub fn of_scarce_connections() -> PlaySpec {
+        PlaySpec {
+            connection_subsets: true,
+            ..PlaySpec::of_many_entries()
+        }
+    }
 }
--- a/crates/node/src/process/forward/evidence.rs
+++ b/crates/node/src/process/forward/evidence.rs
@@ -9,7 +9,7 @@
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::process::forward::entry::ForwardDriver;
-use crate::process::forward::pool::{open_stream, serve_stream};
+use crate::process::forward::pool::{open_stream, serve_requests, serve_stream};
 
 /// Opens a connection to a server in a task of its own, and keeps it as an idle one.
 pub fn spawn_evidence_connection<D: ForwardDialect>(
@@ -28,8 +28,11 @@
 ) {
     entry.pool.report_connections(&entry, server);
     let opened = Instant::now();
-    if let Some(stream) = open_stream(&entry, server, address, opened).await {
-        serve_stream(&entry, server, stream, None).await;
+    if let Ok(stream) = open_stream(&entry, server, address, opened).await {
+        let replaced_for = serve_stream(&entry, server, stream, None).await;
+        if let Some(request) = replaced_for {
+            serve_requests(&entry, request).await;
+        }
     }
     entry.pool.count_closed(server);
     entry.pool.report_connections(&entry, server);
--- a/crates/node/src/settings/role.rs
+++ b/crates/node/src/settings/role.rs
@@ -98,6 +98,9 @@
     /// Whether ranks decide at admission while a service is short: requests of restricted
     /// ranks are then refused, or kept from short shards.
     pub rank_admission: bool,
+    /// Whether entries divide the connections of servers that accept fewer than one from
+    /// each entry.
+    pub connection_subsets: bool,
     /// Time without an announcement after which a server's lease expires.
     pub lease: Duration,
     /// Time for a graceful shutdown.
@@ -159,6 +162,7 @@
     let log_plain_every = reader.read_integer("log_plain_every", 1, 1_000_000, findings);
     let slowness = reader.read_choice("server_pace", &SlownessStrategy::NAMES, findings);
     let stalls = reader.read_choice("server_pauses", &StallStrategy::NAMES, findings);
+    let connection_subsets = reader.read_bool("connection_subsets", findings);
     let rank_admission = reader.read_bool("rank_admission", findings);
     let log_level = reader.read_choice("log_level", &LOG_LEVELS, findings);
     let extra = reader.read_object("extra_load", findings);
@@ -201,6 +205,7 @@
             .unwrap_or_default(),
         stalls: stalls.map(StallStrategy::from_name).unwrap_or_default(),
         rank_admission: rank_admission.unwrap_or(false),
+        connection_subsets: connection_subsets.unwrap_or(false),
         lease: lease.map_or_else(|| lease_for(announce_interval), to_duration),
         grace: grace.map_or(DEFAULT_GRACE_PERIOD, to_duration),
         log_level: log_level.unwrap_or("info").to_string(),
