--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use wheelmast_core::process::load::board::LoadBoard;
+use wheelmast_core::process::load::share::ShareWeights;
 use wheelmast_core::process::load::shortage::{ShortageEvidence, ShortageTracker, UseWindow};
 use wheelmast_core::process::load::{LoadReport, ServiceShortage, WorkspaceWork};
 
@@ -239,3 +240,30 @@
     assert_eq!((share.total_work_ms, share.served_work_ms), (100, 80));
     assert_eq!(share.workspaces[0].work_ms, 60);
 }
+
+/// Guards against shares that never reach the entries, and against a workspace that is
+/// limited while no service is short.
+#[test]
+fn a_workspace_over_its_share_is_listed_only_while_a_service_is_short() {
+    for (level, is_listed) in [(1, true), (0, false)] {
+        let mut board = LoadBoard::default();
+        let work = |workspace: &str, work_ms| WorkspaceWork {
+            workspace: workspace.into(),
+            work_ms,
+        };
+        for entry in ["e0", "e1"] {
+            let report = LoadReport {
+                workspaces: vec![work("hot", 800), work("usual", 100)],
+                total_work_ms: 900,
+                served_work_ms: 400,
+                ..report(level, 4)
+            };
+            board.record_report(entry, report, |name| name == "s", ms(0));
+        }
+        let summary = board.build_summary(Some(ShareWeights::equal()), ms(0));
+        let shares = summary.map_or(Vec::new(), |(summary, _)| summary.workspaces);
+        let names: Vec<&str> = shares.iter().map(|share| &*share.workspace).collect();
+        let expected: &[&str] = if is_listed { &["hot"] } else { &[] };
+        assert_eq!(names, expected, "level {level}");
+    }
+}
