Check the loss to a hot workspace over its whole time

The test of the target counted from the third second on, after the first seconds had missed it, though the target names no such time. Change: a test over all 12 s with the same bound of 0.05.

--- a/crates/core/tests/shares/many_entries.rs
+++ b/crates/core/tests/shares/many_entries.rs
@@ -286,6 +286,28 @@
     }
 }
 
+/// Guards against a target that holds only once the shares have settled: the others may lose
+/// 0.05 of what they are served without the hot workspace, from its first second on.
+#[test]
+fn others_lose_little_over_the_whole_time_that_a_workspace_is_hot() {
+    for hot in HOT_WORKSPACES {
+        let without = Play {
+            has_shares: false,
+            ..FULL_LOAD
+        };
+        let hot_play = Play {
+            hot: Some((hot, HOT_FACTOR)),
+            ..FULL_LOAD
+        };
+        let (without, limited) = (run(hot, without), run(hot, hot_play));
+        println!("workspace {hot}: {without:?} {limited:?}");
+        assert!(
+            without.others - limited.others <= 0.05,
+            "workspace {hot}: {without:?} {limited:?}"
+        );
+    }
+}
+
 /// Guards against shares that follow too slowly: a workspace stays above its usual rate
 /// for 5 to 8 s, so the seconds until the shares follow count as well.
 #[test]
