--- a/review/cases.rs
+++ b/review/cases.rs
@@ -1,5 +1,7 @@
 //! The cases: each plays its disruption and returns whether its rule was broken.
 
+use std::collections::{BTreeMap, HashMap};
+
 use super::*;
 
 /// Number of shards, as on the small installations.
@@ -188,6 +190,14 @@
     world.stopped.store(true, Ordering::Relaxed);
     let [sent, wide, narrow, other, wrong] =
         [sent, wide, narrow, other, wrong].map(|count| count.load(Ordering::Relaxed));
+    let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for run in world.runs.lock().expect("the runs").iter() {
+        let server = run.server.trim_start_matches("i-").to_string();
+        runs.entry(run.request.clone()).or_default().push(server);
+    }
+    for (request, servers) in &runs {
+        record.write(&format!("{request} ran at {}", servers.join(" ")));
+    }
     record.say(&format!("{sent} requests sent; successes with the greatest {WIDE_TOP} {wide}, with the greatest {NARROW_TOP} {narrow}; not served {other}; wrong successes {wrong}; {} changes", version - 1));
     if wide + narrow < sent / 2 {
         stage.give_up("fewer than half of the requests were served");
@@ -226,11 +236,14 @@
 
     let stopped = AtomicBool::new(false);
     let (sent, served) = (AtomicU64::new(0), AtomicU64::new(0));
+    // When clients sent their requests.
+    let sent_at: Mutex<HashMap<String, Duration>> = Mutex::default();
     let mut confirmed_at = Duration::ZERO;
     let mut calm_at = Duration::ZERO;
     std::thread::scope(|scope| {
         for client in 0..8_usize {
             let (stopped, record, sent, served) = (&stopped, &record, &sent, &served);
+            let sent_at = &sent_at;
             let front = stage.front(client % 2);
             scope.spawn(move || {
                 std::thread::sleep(Duration::from_millis(client as u64 * 25));
@@ -239,6 +252,9 @@
                     number += 1;
                     let id = format!("c{client}n{number}");
                     sent.fetch_add(1, Ordering::Relaxed);
+                    let mut times = sent_at.lock().expect("the times");
+                    times.insert(id.clone(), record.now());
+                    drop(times);
                     let answer = Connection::open(front, Duration::from_secs(6)).and_then(|mut open| {
                         let lines = format!("X-Request-Id: {id}\r\nX-Deadline-Ms: 6000\r\nConnection: close\r\n");
                         open.call("GET", &format!("/orders/{number}"), &lines, b"")
@@ -286,14 +302,18 @@
     world.stopped.store(true, Ordering::Relaxed);
     let due_at = (confirmed_at + EVACUATE + UNSETTLED_GRACE).max(calm_at);
     let runs = world.runs.lock().expect("the runs").clone();
-    let late = runs
-        .iter()
-        .filter(|run| run.zone == "hall-b" && run.at > due_at)
-        .count();
-    let after = runs.iter().filter(|run| run.at > due_at).count();
+    let sent_at = sent_at.into_inner().expect("the times");
+    // Both the client's send and the run count from then on.
+    let is_counted = |run: &&Run| {
+        let sent_at = sent_at.get(&run.request);
+        run.at > due_at && sent_at.is_some_and(|sent_at| *sent_at > due_at)
+    };
+    let after = runs.iter().filter(is_counted).count();
+    let late = runs.iter().filter(is_counted);
+    let late = late.filter(|run| run.zone == "hall-b").count();
     let (sent, served) = (sent.load(Ordering::Relaxed), served.load(Ordering::Relaxed));
     record.say(&format!(
-        "{sent} requests sent, {served} served; later than {} ms, {after} arrived at servers, {late} of them in the evacuated hall-b (evacuation confirmed at {} ms)",
+        "{sent} requests sent, {served} served; sent later than {} ms, {after} arrived at servers, {late} of them in the evacuated hall-b (evacuation confirmed at {} ms)",
         due_at.as_millis(),
         confirmed_at.as_millis()
     ));
@@ -332,12 +352,15 @@
 
     let stopped = AtomicBool::new(false);
     let (sent, served) = (AtomicU64::new(0), AtomicU64::new(0));
+    // When clients sent their requests.
+    let sent_at: Mutex<HashMap<String, Duration>> = Mutex::default();
     let mut confirmed_at = Duration::ZERO;
     let mut back_at = Duration::ZERO;
     let fronts = [stage.front(0), stage.front(1)];
     std::thread::scope(|scope| {
         for client in 0..6_usize {
             let (stopped, record, sent, served) = (&stopped, &record, &sent, &served);
+            let sent_at = &sent_at;
             let front = fronts[client % 2];
             scope.spawn(move || {
                 std::thread::sleep(Duration::from_millis(client as u64 * 90));
@@ -346,6 +369,9 @@
                     number += 1;
                     let id = format!("c{client}n{number}");
                     sent.fetch_add(1, Ordering::Relaxed);
+                    let mut times = sent_at.lock().expect("the times");
+                    times.insert(id.clone(), record.now());
+                    drop(times);
                     let answer = Connection::open(front, Duration::from_secs(6)).and_then(|mut open| {
                         let lines = format!("X-Request-Id: {id}\r\nX-Deadline-Ms: 6000\r\nConnection: close\r\n");
                         open.call("GET", &format!("/orders/{number}"), &lines, b"")
@@ -374,16 +400,19 @@
     // A final fault that took most of the core doubles the time until machines are in touch.
     let due_at = (confirmed_at + DRAIN).max(back_at + STABILITY * 2);
     let runs = world.runs.lock().expect("the runs").clone();
-    let late = runs
-        .iter()
-        .filter(|run| {
-            run.server == leaving.id && run.at > due_at && run.at < confirmed_at + SERVES_ON
-        })
-        .count();
-    let after = runs.iter().filter(|run| run.at > due_at).count();
+    let sent_at = sent_at.into_inner().expect("the times");
+    // Both the client's send and the run count from then on.
+    let is_counted = |run: &&Run| {
+        let sent_at = sent_at.get(&run.request);
+        let is_after = run.at > due_at && sent_at.is_some_and(|sent_at| *sent_at > due_at);
+        is_after && run.at < confirmed_at + SERVES_ON
+    };
+    let after = runs.iter().filter(is_counted).count();
+    let late = runs.iter().filter(is_counted);
+    let late = late.filter(|run| run.server == leaving.id).count();
     let (sent, served) = (sent.load(Ordering::Relaxed), served.load(Ordering::Relaxed));
     record.say(&format!(
-        "{sent} requests sent, {served} served; later than {} ms, {after} ran at servers, {late} of them at the server that has left (confirmed at {} ms)",
+        "{sent} requests sent, {served} served; sent later than {} ms, {after} ran at servers, {late} of them at the server that has left (confirmed at {} ms)",
         due_at.as_millis(),
         confirmed_at.as_millis()
     ));
--- a/review/stage.rs
+++ b/review/stage.rs
@@ -9,6 +9,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -23,6 +24,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// Time after which the operator moves on to another node.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which a case ends as one that could not run.
+const MAX_PLAY: Duration = Duration::from_secs(110);
 /// Failure domains, with their regions.
 const ZONES: [(&str, &str); 3] = [
     ("hall-a", "oulu"),
@@ -176,6 +179,7 @@
 #[derive(Debug, Clone)]
 struct Run {
     at: Duration,
+    request: String,
     server: String,
     zone: String,
 }
@@ -329,15 +333,17 @@
         self.running.fetch_add(1, Ordering::Relaxed);
         self.world.runs.lock().expect("the runs").push(Run {
             at,
+            request: id.to_string(),
             server: self.id.clone(),
             zone: self.zone.clone(),
         });
-        self.world.record.write(&format!(
-            "server {} in {} runs {method} {path} {id}, body of {} bytes",
-            self.id,
-            self.zone,
-            request.body.len()
-        ));
+        // The runs of gathered requests are written together when the play has ended.
+        if self.world.part_records == 0 {
+            self.world.record.write(&format!(
+                "server {} in {} runs {method} {path} {id}",
+                self.id, self.zone
+            ));
+        }
         std::thread::sleep(self.work_of(id));
         let served = self.served.fetch_add(1, Ordering::Relaxed);
         let running = self.running.fetch_sub(1, Ordering::Relaxed) - 1;
@@ -360,7 +366,15 @@
 
 // ------------------------------------------------------------------------------- daemons
 
-/// A process of wheelmast. It is killed when the value is dropped.
+extern "C" {
+    fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
+}
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+/// A process of wheelmast. It is killed when the value is dropped, and when the stage
+/// ends in any other way.
 struct Daemon {
     child: Child,
 }
@@ -521,13 +535,17 @@
         std::fs::write(&path, settings).expect("the settings can be written");
         let output = File::create(self.folder.join(format!("{name}.out"))).expect("an output file");
         let errors = output.try_clone().expect("an output file");
-        let child = Command::new(PROGRAM)
-            .arg("--settings")
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(output)
-            .stderr(errors)
-            .spawn();
+        let mut command = Command::new(PROGRAM);
+        command.arg("--settings").arg(&path);
+        command.stdin(Stdio::null()).stdout(output).stderr(errors);
+        // SAFETY: the closure makes one system call and touches no memory.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
+        let child = command.spawn();
         let Ok(child) = child else {
             eprintln!("{PROGRAM} does not start; build the deploy file's programs first");
             std::process::exit(2);
@@ -632,6 +650,11 @@
             std::process::exit(2);
         }
     };
+    std::thread::spawn(|| {
+        std::thread::sleep(MAX_PLAY);
+        eprintln!("could not run: the play took too long");
+        std::process::exit(2);
+    });
     // A panic of the stage itself is no result. The processes are ended by then.
     let is_broken = std::panic::catch_unwind(|| check(&folder));
     std::process::exit(is_broken.map_or(2, i32::from));
