Merge relayed shards for as many records as the asking entry needs

Cause: the entry that is asked finds the route anew in its own table, which may be newer, and merges by that route's number of records. Evidence: the wrong answers have 50 records of which about 40 are right, and with the lookup as before the test below gets 1 record where 3 are ordered. Ruled out: a bundle lost or counted twice (property test in merged.rs).

Change: a relay states how many records to merge, and the answer repeats it. An entry of the version before ignores the header; its answer is used only if it has that many records. A relay without the header is refused unless both tables are the same. A relay for which the newer table has no route is refused as not run, no longer with 404, which used up the shards' attempts.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -19,8 +19,8 @@
 /// Reason why a request failed without a server's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ForwardFailure {
-    /// This entry has no route table yet, or an older one than the entry that
-    /// relayed the request.
+    /// This entry has no route table yet, or one by which it cannot process the
+    /// request that another entry relayed.
     NoTable,
     /// No route matches the host and path.
     NoRoute,
@@ -122,6 +122,8 @@
         shards: Vec<Arc<str>>,
         /// Number of shards omitted.
         missing: usize,
+        /// Maximum number of records for which the parts were merged.
+        top: usize,
         /// Merged records.
         body: Vec<u8>,
     },
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -35,8 +35,19 @@
             // the entry that admitted it.
             return self.reject_request(call.tag, ForwardFailure::NoTable, out);
         }
+        if relay_order.is_some_and(|order| order.top.is_none() && order.version != table.version())
+        {
+            // The order does not say how many records to merge, and the newer route table
+            // of this entry may have another route for the request.
+            return self.reject_request(call.tag, ForwardFailure::NoTable, out);
+        }
         let Some(route) = table.find(&call.host, &call.path) else {
-            return self.reject_request(call.tag, ForwardFailure::NoRoute, out);
+            // The entry that relayed the request has a route for it in an older table.
+            let failure = match relay_order {
+                Some(_) => ForwardFailure::NoTable,
+                None => ForwardFailure::NoRoute,
+            };
+            return self.reject_request(call.tag, failure, out);
         };
         if self.calls.len() >= self.options.max_in_flight {
             return self.reject_request(call.tag, ForwardFailure::Overload, out);
@@ -130,10 +141,13 @@
             }
             None => self.target_upstreams(rule),
         };
+        let ordered_top = call.relayed.as_ref().and_then(|order| order.top);
         CallState {
             tag: call.tag,
             mark: call.mark,
-            is_scatter_gather: matches!(rule.target, RouteTarget::Gather(_)),
+            is_scatter_gather: ordered_top.is_some()
+                || matches!(rule.target, RouteTarget::Gather(_)),
+            top: ordered_top.unwrap_or(rule.top),
             is_relayed: call.relayed.is_some(),
             may_divide: call.relayed.as_ref().is_none_or(|order| order.may_divide),
             credits_budget: call
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -124,6 +124,9 @@
     pub timing: usize,
     /// Whether the request is sent to several shards and their records merged.
     pub is_scatter_gather: bool,
+    /// Maximum number of records in the merged answer. For a relayed request the
+    /// sending entry sets this number.
+    pub top: usize,
     /// Whether another entry relayed the request here. Such a request is
     /// answered at the soft deadline with whatever parts are answered by then.
     pub is_relayed: bool,
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -116,7 +116,7 @@
         let Some(state) = self.remove_call(call, ORPHAN_GRACE, now, out) else {
             return;
         };
-        let mut merge = RecordMerge::new(state.rule().top);
+        let mut merge = RecordMerge::new(state.top);
         let mut stamps = Vec::with_capacity(state.answered);
         for part in &state.parts {
             if let PartStatus::Answered { stamp, body, .. } = &part.status {
@@ -141,6 +141,7 @@
             stamps,
             shards,
             missing,
+            top: state.top,
             body: merge.finish(),
         };
         out.push(ForwardAction::Answer {
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -15,6 +15,7 @@
 use crate::process::load::LoadSummary;
 use crate::process::rollout::RolloutView;
 use crate::request::mark::RequestFingerprint;
+use crate::request::records::RECORD_BYTES;
 use crate::version::route_table::RouteTable;
 use crate::version::workspace::KeyDigest;
 
@@ -64,6 +65,10 @@
     pub may_divide: bool,
     /// Workspace (customer) that the sending entry identified by the caller's key.
     pub workspace: Option<Arc<str>>,
+    /// Maximum number of records in the merged answer, by the sending entry's route.
+    /// The receiving entry may have a newer table with another route for the request.
+    /// `None` if the sending entry runs a version that does not state it.
+    pub top: Option<usize>,
     /// Names of the services that hold the shards.
     pub shards: Vec<Arc<str>>,
 }
@@ -74,10 +79,23 @@
 pub struct BundleAnswer {
     /// Service and server stamp of each answered part.
     pub parts: Vec<(Box<str>, Box<str>)>,
+    /// Maximum number of records for which the parts were merged. `None` if the
+    /// answering entry runs a version that does not state it.
+    pub top: Option<usize>,
     /// Merged records of these parts.
     pub body: Bytes,
 }
 
+impl BundleAnswer {
+    /// Returns whether the body holds all of the greatest `top` records of its parts. An
+    /// answer that does not state for how many records it was merged does so for certain
+    /// only if it has as many.
+    pub fn covers(&self, top: usize) -> bool {
+        let merged = self.top.unwrap_or(self.body.len() / RECORD_BYTES);
+        merged >= top
+    }
+}
+
 /// Another entry instance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryPeer {
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -135,6 +135,7 @@
                 && parts.iter().all(|part| state.parts[*part].arrivals == 0),
             may_divide,
             workspace: state.workspace.clone(),
+            top: Some(state.top),
             shards: shards.collect(),
         };
         let plan = AttemptPlan {
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -75,9 +75,11 @@
     }
 
     /// Returns the outcome of a relay, an attempt that was sent to another entry. That
-    /// entry's own refusal does not count as a failure of a server.
-    fn of_relay(end: &AttemptResult) -> AttemptOutcome {
+    /// entry's own refusal does not count as a failure of a server. An answer that may lack
+    /// some of the greatest `top` records of its parts cannot be used.
+    fn of_relay(end: &AttemptResult, top: usize) -> AttemptOutcome {
         match end {
+            AttemptResult::Bundle(bundle) if !bundle.covers(top) => AttemptOutcome::Broken,
             AttemptResult::Bundle(_) => AttemptOutcome::Final,
             AttemptResult::Unsent => AttemptOutcome::Unsent,
             AttemptResult::Withdrawn => AttemptOutcome::Withdrawn,
@@ -184,7 +186,8 @@
         };
         let mut outcome = AttemptOutcome::of_server(&end);
         if attempt.is_relay() {
-            outcome = AttemptOutcome::of_relay(&end);
+            let call = attempt.call.and_then(|call| self.calls.get(call));
+            outcome = AttemptOutcome::of_relay(&end, call.map_or(0, |call| call.top));
         }
         if outcome == AttemptOutcome::Unsent && attempt.met_limit {
             outcome = AttemptOutcome::OverLimit;
@@ -403,7 +406,7 @@
             self.record_slow_answer(attempt, &end, tag, now, out);
         }
         match end {
-            AttemptResult::Bundle(bundle) => {
+            AttemptResult::Bundle(bundle) if outcome == AttemptOutcome::Final => {
                 self.accept_bundle(key, attempt_key, &attempt.parts, &bundle);
                 self.mark_domain_tried(key, &attempt.parts, attempt.server);
                 self.check_end(key, now, out);
--- a/crates/core/tests/forward/arrived.rs
+++ b/crates/core/tests/forward/arrived.rs
@@ -94,6 +94,7 @@
             credits_budget: true,
             may_divide: false,
             workspace: None,
+            top: Some(3),
             shards: vec!["s0".into(), "s1".into()],
         });
         let tag = CallTag(1);
--- a/crates/core/tests/forward/bundles.rs
+++ b/crates/core/tests/forward/bundles.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use wheelmast_core::process::forward::answer::{ForwardAnswer, ForwardFailure};
-use wheelmast_core::process::forward::input::{AttemptResult, RelayOrder};
+use wheelmast_core::process::forward::input::{AttemptResult, BundleAnswer, RelayOrder};
+use wheelmast_core::request::records::RECORD_BYTES;
 use wheelmast_core::version::route_table::RouteRule;
 
 use crate::harness::{route, shards, table, Harness, LOCAL_DOMAIN};
@@ -38,6 +39,20 @@
         .expect("a bundle")
 }
 
+/// Returns the order with which another entry relays the two local shards.
+fn local_order(harness: &Harness) -> RelayOrder {
+    RelayOrder {
+        version: 3,
+        answer_by: harness.now + Duration::from_millis(30),
+        attempts: 1,
+        credits_budget: true,
+        may_divide: true,
+        workspace: None,
+        top: Some(3),
+        shards: vec!["s0".into(), "s1".into()],
+    }
+}
+
 #[test]
 fn far_shards_are_sent_in_one_bundle() {
     let mut harness = new_harness();
@@ -142,15 +157,7 @@
 #[test]
 fn a_relayed_request_is_answered_in_time_with_the_parts_received() {
     let mut harness = new_harness();
-    let order = RelayOrder {
-        version: 3,
-        answer_by: harness.now + Duration::from_millis(30),
-        attempts: 1,
-        credits_budget: true,
-        may_divide: true,
-        workspace: None,
-        shards: vec!["s0".into(), "s1".into()],
-    };
+    let order = local_order(&harness);
     let call = harness.call_with("q", None, Some(order));
     assert!(harness.sends.iter().all(|order| order.relay.is_none()));
     harness.answer_ok(1, b"");
@@ -175,6 +182,7 @@
         credits_budget: true,
         may_divide: true,
         workspace: None,
+        top: Some(3),
         shards: vec!["s0".into()],
     };
     let call = harness.call_with("q", None, Some(order));
@@ -206,3 +214,141 @@
         assert_eq!(sends.any(|order| order.relay.is_some()), is_relayed);
     }
 }
+
+struct TopCase {
+    name: &'static str,
+    /// Whether the receiving entry has a newer table than the sending entry.
+    is_newer: bool,
+    /// Number of records that the order asks for.
+    ordered_top: Option<usize>,
+    /// Number of records in the answer; `None` if the relay is refused.
+    records: Option<usize>,
+}
+
+/// Guards against merged answers that lack records of relayed shards: an entry with a
+/// newer table merged a relay by another route, which selected fewer records.
+#[test]
+fn a_relay_is_merged_for_as_many_records_as_ordered() {
+    let cases = [
+        TopCase {
+            name: "same table",
+            is_newer: false,
+            ordered_top: Some(3),
+            records: Some(3),
+        },
+        TopCase {
+            name: "newer table with a narrower route",
+            is_newer: true,
+            ordered_top: Some(3),
+            records: Some(3),
+        },
+        TopCase {
+            name: "same table, number not stated",
+            is_newer: false,
+            ordered_top: None,
+            records: Some(3),
+        },
+        TopCase {
+            name: "newer table, number not stated",
+            is_newer: true,
+            ordered_top: None,
+            records: None,
+        },
+    ];
+    for case in cases {
+        let mut harness = new_harness();
+        if case.is_newer {
+            let narrower = RouteRule {
+                prefix: "/q/x".to_string(),
+                top: 1,
+                ..route("narrower", shards(6))
+            };
+            harness.set_table(table(4, vec![route("q", shards(6)), narrower]));
+        }
+        let order = RelayOrder {
+            top: case.ordered_top,
+            ..local_order(&harness)
+        };
+        let call = harness.call_with("q", None, Some(order));
+        for send in 0..harness.sends.len() {
+            harness.answer_ok(send, &[7; 64]);
+        }
+        let records = match harness.answer_to(call).expect(case.name) {
+            ForwardAnswer::Gathered { body, .. } => Some(body.len() / RECORD_BYTES),
+            _ => None,
+        };
+        assert_eq!(records, case.records, "{}", case.name);
+        if records.is_none() {
+            let failure = harness.failure_of(call);
+            assert_eq!(failure, Some(ForwardFailure::NoTable), "{}", case.name);
+            assert!(harness.sends.is_empty(), "{}", case.name);
+        }
+    }
+}
+
+/// Guards against lost shards while a route is removed: the sending entry took the answer
+/// 404 for a failure in which servers may have run the shards.
+#[test]
+fn a_relay_on_a_removed_route_is_refused_as_not_run() {
+    let mut harness = new_harness();
+    harness.set_table(table(4, vec![route("other", shards(6))]));
+    let order = local_order(&harness);
+    let call = harness.call_with("q", None, Some(order));
+    assert_eq!(harness.failure_of(call), Some(ForwardFailure::NoTable));
+}
+
+struct CoverCase {
+    name: &'static str,
+    /// Number of records for which the other entry says that it merged.
+    stated_top: Option<usize>,
+    records: usize,
+    is_used: bool,
+}
+
+/// Guards against the use of an answer of an entry of an earlier version, which merges by
+/// its own table.
+#[test]
+fn a_bundle_that_may_lack_records_is_not_used() {
+    let cases = [
+        CoverCase {
+            name: "as many as asked for",
+            stated_top: Some(3),
+            records: 1,
+            is_used: true,
+        },
+        CoverCase {
+            name: "fewer than asked for",
+            stated_top: Some(2),
+            records: 2,
+            is_used: false,
+        },
+        CoverCase {
+            name: "not stated, enough records",
+            stated_top: None,
+            records: 3,
+            is_used: true,
+        },
+        CoverCase {
+            name: "not stated, too few records",
+            stated_top: None,
+            records: 2,
+            is_used: false,
+        },
+    ];
+    for case in cases {
+        let mut harness = new_harness();
+        harness.call("q");
+        let bundle = bundle_index(&harness);
+        let answer = BundleAnswer {
+            parts: vec![("s2".into(), "s2-far".into())],
+            top: case.stated_top,
+            body: vec![7; case.records * RECORD_BYTES].into(),
+        };
+        harness.end(bundle, AttemptResult::Bundle(answer));
+        let resent = harness.sends[3..].iter();
+        let resent = resent
+            .filter(|order| order.instance.starts_with("s2"))
+            .count();
+        assert_eq!(resent, usize::from(!case.is_used), "{}", case.name);
+    }
+}
--- a/crates/core/tests/forward/divided_shards.rs
+++ b/crates/core/tests/forward/divided_shards.rs
@@ -78,6 +78,7 @@
             credits_budget: true,
             may_divide,
             workspace: None,
+            top: Some(3),
             shards: (0..SHARDS)
                 .map(|shard| format!("s{shard}").into())
                 .collect(),
--- a/crates/core/tests/forward/harness.rs
+++ b/crates/core/tests/forward/harness.rs
@@ -346,8 +346,10 @@
         let parts = shards
             .iter()
             .map(|shard| ((*shard).into(), format!("{shard}-far").into()));
+        let order = self.sends[send].relay.as_ref().expect("a relay");
         let bundle = BundleAnswer {
             parts: parts.collect(),
+            top: order.top,
             body: Bytes::from_static(body),
         };
         self.end(send, AttemptResult::Bundle(bundle));
--- a/crates/core/tests/forward/keys.rs
+++ b/crates/core/tests/forward/keys.rs
@@ -54,6 +54,7 @@
         credits_budget: true,
         may_divide: false,
         workspace: workspace.map(Into::into),
+        top: Some(3),
         shards: vec!["s0".into()],
     }
 }
--- a/crates/core/tests/forward/merged.rs
+++ b/crates/core/tests/forward/merged.rs
@@ -78,6 +78,7 @@
     let body = greatest(named.iter().map(|(_, stamp)| &**stamp));
     AttemptResult::Bundle(BundleAnswer {
         parts: named,
+        top: Some(TOP),
         body: Bytes::from(body),
     })
 }
--- a/crates/core/tests/forward/ranks.rs
+++ b/crates/core/tests/forward/ranks.rs
@@ -241,6 +241,7 @@
         credits_budget: true,
         may_divide: false,
         workspace: None,
+        top: Some(3),
         shards: ALL_SHARDS.iter().map(|name| Arc::from(*name)).collect(),
     }
 }
--- a/crates/core/tests/forward/reroute.rs
+++ b/crates/core/tests/forward/reroute.rs
@@ -100,6 +100,7 @@
         credits_budget: true,
         may_divide: false,
         workspace: None,
+        top: Some(3),
         shards: vec!["s0".into(), "s1".into()],
     };
     let call = harness.call_with("q", None, Some(order));
@@ -128,6 +129,7 @@
             credits_budget: true,
             may_divide: false,
             workspace: None,
+            top: Some(3),
             shards: vec!["s0".into(), "s1".into()],
         };
         let call = harness.call_with("q", None, Some(order));
@@ -166,6 +168,7 @@
             credits_budget: true,
             may_divide: true,
             workspace: None,
+            top: Some(3),
             shards: (0..30).map(|shard| format!("s{shard}").into()).collect(),
         };
         harness.add_local_entries(6);
@@ -337,6 +340,7 @@
         credits_budget: true,
         may_divide: false,
         workspace: None,
+        top: Some(3),
         shards: vec!["s0".into(), "s1".into()],
     };
     let call = harness.call_with("q", None, Some(order));
--- a/crates/core/tests/forward/workspace_shares.rs
+++ b/crates/core/tests/forward/workspace_shares.rs
@@ -87,6 +87,7 @@
         credits_budget: true,
         may_divide: false,
         workspace: Some("hot".into()),
+        top: Some(3),
         shards: vec!["s0".into()],
     }
 }
--- a/crates/fake/src/model/relay.rs
+++ b/crates/fake/src/model/relay.rs
@@ -153,12 +153,18 @@
             return true;
         }
         let end = match answer {
-            ForwardAnswer::Gathered { stamps, shards, .. } => {
+            ForwardAnswer::Gathered {
+                stamps,
+                shards,
+                top,
+                ..
+            } => {
                 let parts = shards.iter().zip(stamps);
                 AttemptResult::Bundle(BundleAnswer {
                     parts: parts
                         .map(|(shard, stamp)| ((**shard).into(), stamp.clone()))
                         .collect(),
+                    top: Some(*top),
                     body: bytes::Bytes::new(),
                 })
             }
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -40,7 +40,7 @@
 use crate::process::forward::grant::AllowanceReader;
 use crate::process::forward::image::{
     parse_fingerprint, parse_relay_order, render_suspect, RequestImage, RELAY_HEADER,
-    SHARDS_HEADER, SUSPECT_HEADER,
+    SHARDS_HEADER, SUSPECT_HEADER, TOP_HEADER,
 };
 
 /// Minimum size of a connection's buffer that the HTTP library accepts, in bytes.
@@ -344,9 +344,10 @@
         "relayed request does not name this incarnation of the entry"
     );
     let workspace = header_text(D::HEADERS.workspace);
+    let top = header_text(TOP_HEADER).and_then(|top| top.parse().ok());
     let order_text = value.to_str().ok();
     let order =
-        order_text.and_then(|order_text| parse_relay_order(order_text, workspace, arrived_at));
+        order_text.and_then(|order_text| parse_relay_order(order_text, workspace, top, arrived_at));
     Ok(Some(order.context(
         "could not parse the relay order of another entry",
     )?))
@@ -360,6 +361,7 @@
             stamps,
             shards,
             missing,
+            top,
             body,
         } => {
             let mut response = Response::builder()
@@ -368,7 +370,9 @@
                 .header(D::HEADERS.parts, stamps.join(LIST_SEPARATOR))
                 .header(D::HEADERS.missing, missing);
             if !shards.is_empty() {
-                response = response.header(SHARDS_HEADER, shards.join(LIST_SEPARATOR));
+                response = response
+                    .header(SHARDS_HEADER, shards.join(LIST_SEPARATOR))
+                    .header(TOP_HEADER, top);
             }
             let response = response.body(Full::new(Bytes::from(body)));
             response.unwrap_or_else(|_| failure_response(ForwardFailure::Failed, None))
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -17,6 +17,10 @@
 pub const RELAY_HEADER: &str = "wheelmast-relayed";
 /// Request header of a relay: fingerprint of the request's content and of its caller.
 pub const FINGERPRINT_HEADER: &str = "wheelmast-mark";
+/// Header of a relay: maximum number of records in the merged answer. The request states
+/// it, and the answer repeats it. Versions without this header merge by the route of their
+/// own table.
+pub const TOP_HEADER: &str = "wheelmast-top";
 /// Answer header of a relay: comma-separated names of the answered shards.
 pub const SHARDS_HEADER: &str = "wheelmast-shards";
 /// Answer header of a relay: the suspect record of a request that the entry refused to
@@ -124,6 +128,9 @@
         if let Some(relay) = &order.relay {
             let relay = render_relay_order(relay, now);
             push_header(&mut bytes, RELAY_HEADER, relay.as_bytes());
+            if let Some(top) = order.relay.as_ref().and_then(|relay| relay.top) {
+                push_header(&mut bytes, TOP_HEADER, top.to_string().as_bytes());
+            }
             if let Some(fingerprint) = self.fingerprint {
                 push_header(
                     &mut bytes,
@@ -189,10 +196,11 @@
 }
 
 /// Parses the relay order of a request that arrived at `arrived_at`, since the process
-/// started.
+/// started. `workspace` and `top` come from headers of their own.
 pub fn parse_relay_order(
     text: &str,
     workspace: Option<&str>,
+    top: Option<usize>,
     arrived_at: Duration,
 ) -> Option<RelayOrder> {
     let mut fields = text.splitn(RELAY_ORDER_FIELDS, ';');
@@ -209,6 +217,7 @@
         credits_budget,
         may_divide,
         workspace: workspace.map(Into::into),
+        top,
         shards,
     })
 }
@@ -224,6 +233,7 @@
         D::HEADERS.workspace,
         RELAY_HEADER,
         FINGERPRINT_HEADER,
+        TOP_HEADER,
     ];
     // CGI-like servers turn both dashes and underscores of header names into underscores,
     // so a name with underscores could pass for a header that must not be forwarded.
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -33,6 +33,7 @@
 use crate::process::forward::entry::ForwardDriver;
 use crate::process::forward::image::{
     is_hop_by_hop, parse_suspect, render_allowance, RequestImage, SHARDS_HEADER, SUSPECT_HEADER,
+    TOP_HEADER,
 };
 
 /// Maximum time to open a connection.
@@ -551,8 +552,11 @@
     if !is_bundle {
         return (AttemptResult::Broken, None);
     }
+    let top = find_header(&answer.headers, TOP_HEADER)
+        .and_then(|top| std::str::from_utf8(top).ok()?.trim().parse().ok());
     let bundle = BundleAnswer {
         parts: shards.into_iter().zip(stamps).collect(),
+        top,
         body: answer.body,
     };
     (AttemptResult::Bundle(bundle), answer.keep_alive)
--- a/crates/node/tests/forward/relayed.rs
+++ b/crates/node/tests/forward/relayed.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+use wheelmast_core::request::records::RECORD_BYTES;
 use wheelmast_fake::shard::FakeShard;
 use wheelmast_node::connection::frame::FrameReader;
 use wheelmast_wire::group::GroupMessage;
@@ -14,6 +15,9 @@
 use crate::harness::{route_table, send_request, wait_until, Deployment, TEST_TIMEOUT};
 use crate::news::{send_message, subscribe_as_entry};
 
+/// Number of records that the route of the table selects.
+const TABLE_TOP: usize = 4;
+
 /// Reads until the received bytes end with `end`, and returns them in lower case.
 fn read_until(stream: &mut TcpStream, end: &[u8]) -> String {
     let mut bytes = Vec::new();
@@ -54,12 +58,13 @@
 }
 
 /// Sends the head of a relay as an entry does, but holds back the body with the attempt
-/// allowance: how many servers the other entry may try per shard.
-fn send_relay_head(stream: &mut TcpStream, id: &str, identity: &str) {
+/// allowance: how many servers the other entry may try per shard. `lines` are further
+/// header lines.
+fn send_relay_head(stream: &mut TcpStream, id: &str, identity: &str, lines: &str) {
     let request = format!(
         "GET /q/x HTTP/1.1\r\nhost: shop\r\nwheelmast-request: {id}\r\n\
          wheelmast-time-left-ms: 2000\r\nwheelmast-relayed: 5;400;1;1;0;s0,s1\r\n\
-         wheelmast-expect-server: {identity}\r\n\
+         wheelmast-expect-server: {identity}\r\n{lines}\
          expect: 100-continue\r\ncontent-length: 1\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).expect("written");
@@ -114,10 +119,16 @@
         assert_eq!(reply.status, 503, "{name}");
     }
 
-    // Two relays on one connection check that the body of the first, sent after the
-    // acknowledgement, leaves no unread bytes on the connection.
-    for id in ["r1", "r2"] {
-        send_relay_head(&mut stream, id, &identity);
+    // Several relays on one connection check that the body of the first, sent after the
+    // acknowledgement, leaves no unread bytes on the connection. The last one orders fewer
+    // records than the route of this entry selects.
+    let relays = [
+        ("r1", "", TABLE_TOP),
+        ("r2", "", TABLE_TOP),
+        ("r3", "wheelmast-top: 1\r\n", 1),
+    ];
+    for (id, lines, top) in relays {
+        send_relay_head(&mut stream, id, &identity, lines);
         let acknowledgement = read_until(&mut stream, b"\r\n\r\n");
         assert!(
             acknowledgement.starts_with("http/1.1 100"),
@@ -127,12 +138,15 @@
         let head = read_until(&mut stream, b"\r\n\r\n");
         assert!(head.starts_with("http/1.1 200"), "{head}");
         assert!(head.contains("wheelmast-shards: s0, s1"), "{head}");
+        let top_line = format!("wheelmast-top: {top}\r\n");
+        assert!(head.contains(&top_line), "{head}");
         let length = head
             .lines()
             .find_map(|line| line.strip_prefix("content-length: "));
         let length: usize = length.expect("a length").parse().expect("a number");
         let mut body = vec![0; length];
         stream.read_exact(&mut body).expect("the body");
+        assert_eq!(body.len(), top * RECORD_BYTES, "{id}");
         for shard in &shards[..2] {
             assert!(shard.seen().contains(&id.to_string()), "{}", shard.id);
         }
