Serve relayed shards only in regions that both tables allow

A request that was relayed to a region by the old homes could be sent on by the new ones to servers which the old ones exclude, so that no single table allows its whole way.

Cause: the homes come from the route that the other entry finds in its own table. Change: a relay states the regions that the asking entry's table allows, if not all, and both tables bind. An entry of the version before ignores the header and applies its own table alone, as until now.

--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -131,6 +131,10 @@
             allowed_regions = allowed_regions
                 .intersection(self.options.regions.allowed_regions(&workspace.homes));
         }
+        if let Some(order) = &call.relayed {
+            allowed_regions =
+                allowed_regions.intersection(self.options.regions.allowed_regions(&order.homes));
+        }
         let mut deadlines =
             self.timings[timing].compute_deadlines(rule, call.time_left, call.arrived_at);
         let upstreams = match &call.relayed {
--- a/crates/core/src/process/forward/input.rs
+++ b/crates/core/src/process/forward/input.rs
@@ -69,6 +69,9 @@
     /// The receiving entry may have a newer table with another route for the request.
     /// `None` if the sending entry runs a version that does not state it.
     pub top: Option<usize>,
+    /// Regions in which the sending entry's table allows the request; empty allows all.
+    /// Those that the receiving entry's table does not allow are not used either.
+    pub homes: Vec<String>,
     /// Names of the services that hold the shards.
     pub shards: Vec<Arc<str>>,
 }
--- a/crates/core/src/process/forward/place.rs
+++ b/crates/core/src/process/forward/place.rs
@@ -80,6 +80,17 @@
         RegionSet::of(indexes.map(RegionKey::new))
     }
 
+    /// Returns the names of the regions in a set, for [`RegionMap::allowed_regions`]; none
+    /// if the set contains all regions.
+    pub fn names_of(&self, regions: RegionSet) -> Vec<String> {
+        if regions == RegionSet::ANYWHERE {
+            return Vec::new();
+        }
+        let names = self.names.iter().enumerate();
+        let names = names.filter(|(index, _)| regions.contains(RegionKey::new(*index)));
+        names.map(|(_, name)| name.to_string()).collect()
+    }
+
     /// Returns whether the settings name a failure domain. True for every domain if the
     /// settings name none.
     pub fn is_known(&self, domain: &str) -> bool {
--- a/crates/core/src/process/forward/relay.rs
+++ b/crates/core/src/process/forward/relay.rs
@@ -136,6 +136,7 @@
             may_divide,
             workspace: state.workspace.clone(),
             top: Some(state.top),
+            homes: self.options.regions.names_of(state.allowed_regions),
             shards: shards.collect(),
         };
         let plan = AttemptPlan {
--- a/crates/core/tests/forward/allowed_regions.rs
+++ b/crates/core/tests/forward/allowed_regions.rs
@@ -1,8 +1,10 @@
 //! Allowed regions of a route (setting `homes`): none of its requests is sent to another
 //! region.
 
+use std::time::Duration;
+
 use wheelmast_core::process::forward::answer::{AttemptOrder, ForwardAnswer, ForwardFailure};
-use wheelmast_core::process::forward::input::AttemptResult;
+use wheelmast_core::process::forward::input::{AttemptResult, RelayOrder};
 use wheelmast_core::process::forward::machine::ForwardOptions;
 use wheelmast_core::process::forward::place::RegionMap;
 use wheelmast_core::process::forward::region_set::{RegionKey, RegionSet};
@@ -178,3 +180,90 @@
     assert!(many.contains(RegionKey::new(62)));
     assert!(!many.contains(RegionKey::new(63)));
 }
+
+struct RelayRegionCase {
+    name: &'static str,
+    /// Regions that the table of the receiving entry allows.
+    own: &'static [&'static str],
+    /// Regions that the table of the sending entry allows.
+    ordered: &'static [&'static str],
+    /// Failure domains that may receive the shards.
+    allowed: &'static [&'static str],
+}
+
+/// Guards against a relay that leaves the regions which the sending entry's table allows,
+/// as the receiving entry has a newer table that allows others.
+#[test]
+fn a_relay_stays_in_the_regions_that_both_tables_allow() {
+    let all = &[LOCAL_DOMAIN, NEAR_DOMAIN, FAR_DOMAIN, THIRD_DOMAIN];
+    let cases = [
+        RelayRegionCase {
+            name: "neither restricts",
+            own: &[],
+            ordered: &[],
+            allowed: all,
+        },
+        RelayRegionCase {
+            name: "the older table restricts",
+            own: &[],
+            ordered: &["east"],
+            allowed: &[FAR_DOMAIN],
+        },
+        RelayRegionCase {
+            name: "the newer table restricts",
+            own: &["east"],
+            ordered: &[],
+            allowed: &[FAR_DOMAIN],
+        },
+        RelayRegionCase {
+            name: "both restrict",
+            own: &["west", "east"],
+            ordered: &["east", "south"],
+            allowed: &[FAR_DOMAIN],
+        },
+        RelayRegionCase {
+            name: "no region is allowed by both",
+            own: &["west"],
+            ordered: &["south"],
+            allowed: &[],
+        },
+    ];
+    for case in cases {
+        let mut harness = new_harness(shards(1), case.own, all, &[]);
+        let order = RelayOrder {
+            version: 2,
+            answer_by: harness.now + Duration::from_millis(80),
+            attempts: 2,
+            credits_budget: true,
+            may_divide: false,
+            workspace: None,
+            top: Some(3),
+            homes: case.ordered.iter().map(ToString::to_string).collect(),
+            shards: vec!["s0".into()],
+        };
+        let call = harness.call_with("q", None, Some(order));
+        if !harness.sends.is_empty() {
+            harness.end(0, AttemptResult::Broken);
+        }
+        if case.allowed.is_empty() {
+            assert!(harness.sends.is_empty(), "{}", case.name);
+            let failure = harness.failure_of(call);
+            assert_eq!(failure, Some(ForwardFailure::NoServer), "{}", case.name);
+        } else {
+            check_domains(case.name, case.allowed, &harness.sends);
+        }
+    }
+}
+
+#[test]
+fn a_relay_states_the_regions_that_its_table_allows() {
+    for (allowed, stated) in [(&[][..], &[][..]), (&["west"], &["west"])] {
+        let peers = &[NEAR_DOMAIN];
+        let mut harness = new_harness(shards(4), allowed, &[NEAR_DOMAIN], peers);
+        harness.call("q");
+        let orders = harness.sends.iter();
+        let relays: Vec<_> = orders.filter_map(|order| order.relay.as_ref()).collect();
+        assert_eq!(relays.len(), 1);
+        assert_eq!(relays[0].homes, stated);
+    }
+}
--- a/crates/core/tests/forward/arrived.rs
+++ b/crates/core/tests/forward/arrived.rs
@@ -95,6 +95,7 @@
             may_divide: false,
             workspace: None,
             top: Some(3),
+            homes: Vec::new(),
             shards: vec!["s0".into(), "s1".into()],
         });
         let tag = CallTag(1);
--- a/crates/core/tests/forward/bundles.rs
+++ b/crates/core/tests/forward/bundles.rs
@@ -49,6 +49,7 @@
         may_divide: true,
         workspace: None,
         top: Some(3),
+        homes: Vec::new(),
         shards: vec!["s0".into(), "s1".into()],
     }
 }
@@ -183,6 +184,7 @@
         may_divide: true,
         workspace: None,
         top: Some(3),
+        homes: Vec::new(),
         shards: vec!["s0".into()],
     };
     let call = harness.call_with("q", None, Some(order));
--- a/crates/core/tests/forward/divided_shards.rs
+++ b/crates/core/tests/forward/divided_shards.rs
@@ -79,6 +79,7 @@
             may_divide,
             workspace: None,
             top: Some(3),
+            homes: Vec::new(),
             shards: (0..SHARDS)
                 .map(|shard| format!("s{shard}").into())
                 .collect(),
--- a/crates/core/tests/forward/keys.rs
+++ b/crates/core/tests/forward/keys.rs
@@ -55,6 +55,7 @@
         may_divide: false,
         workspace: workspace.map(Into::into),
         top: Some(3),
+        homes: Vec::new(),
         shards: vec!["s0".into()],
     }
 }
--- a/crates/core/tests/forward/ranks.rs
+++ b/crates/core/tests/forward/ranks.rs
@@ -242,6 +242,7 @@
         may_divide: false,
         workspace: None,
         top: Some(3),
+        homes: Vec::new(),
         shards: ALL_SHARDS.iter().map(|name| Arc::from(*name)).collect(),
     }
 }
--- a/crates/core/tests/forward/reroute.rs
+++ b/crates/core/tests/forward/reroute.rs
@@ -101,6 +101,7 @@
         may_divide: false,
         workspace: None,
         top: Some(3),
+        homes: Vec::new(),
         shards: vec!["s0".into(), "s1".into()],
     };
     let call = harness.call_with("q", None, Some(order));
@@ -130,6 +131,7 @@
             may_divide: false,
             workspace: None,
             top: Some(3),
+            homes: Vec::new(),
             shards: vec!["s0".into(), "s1".into()],
         };
         let call = harness.call_with("q", None, Some(order));
@@ -169,6 +171,7 @@
             may_divide: true,
             workspace: None,
             top: Some(3),
+            homes: Vec::new(),
             shards: (0..30).map(|shard| format!("s{shard}").into()).collect(),
         };
         harness.add_local_entries(6);
@@ -341,6 +344,7 @@
         may_divide: false,
         workspace: None,
         top: Some(3),
+        homes: Vec::new(),
         shards: vec!["s0".into(), "s1".into()],
     };
     let call = harness.call_with("q", None, Some(order));
--- a/crates/core/tests/forward/workspace_shares.rs
+++ b/crates/core/tests/forward/workspace_shares.rs
@@ -88,6 +88,7 @@
         may_divide: false,
         workspace: Some("hot".into()),
         top: Some(3),
+        homes: Vec::new(),
         shards: vec!["s0".into()],
     }
 }
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -348,11 +348,9 @@
         is_for_local_id,
         "relayed request does not name this incarnation of the entry"
     );
-    let workspace = header_text(D::HEADERS.workspace);
-    let top = header_text(TOP_HEADER).and_then(|top| top.parse().ok());
     let order_text = value.to_str().ok();
     let order =
-        order_text.and_then(|order_text| parse_relay_order(order_text, workspace, top, arrived_at));
+        order_text.and_then(|order_text| parse_relay_order::<D>(order_text, headers, arrived_at));
     Ok(Some(order.context(
         "could not parse the relay order of another entry",
     )?))
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -21,6 +21,9 @@
 /// it, and the answer repeats it. Versions without this header merge by the route of their
 /// own table.
 pub const TOP_HEADER: &str = "wheelmast-top";
+/// Request header of a relay: comma-separated regions in which the sending entry's table
+/// allows the request. Without it, only the receiving entry's table counts.
+pub const HOMES_HEADER: &str = "wheelmast-homes";
 /// Answer header of a relay: comma-separated names of the answered shards.
 pub const SHARDS_HEADER: &str = "wheelmast-shards";
 /// Answer header of a relay: the suspect record of a request that the entry refused to
@@ -126,11 +129,14 @@
         }
         let length = self.body.len();
         if let Some(relay) = &order.relay {
-            let relay = render_relay_order(relay, now);
-            push_header(&mut bytes, RELAY_HEADER, relay.as_bytes());
-            if let Some(top) = order.relay.as_ref().and_then(|relay| relay.top) {
+            let order_text = render_relay_order(relay, now);
+            push_header(&mut bytes, RELAY_HEADER, order_text.as_bytes());
+            if let Some(top) = relay.top {
                 push_header(&mut bytes, TOP_HEADER, top.to_string().as_bytes());
             }
+            if !relay.homes.is_empty() {
+                push_header(&mut bytes, HOMES_HEADER, relay.homes.join(",").as_bytes());
+            }
             if let Some(fingerprint) = self.fingerprint {
                 push_header(
                     &mut bytes,
@@ -195,14 +201,15 @@
     serde_json::from_slice(value).ok()
 }
 
-/// Parses the relay order of a request that arrived at `arrived_at`, since the process
-/// started. `workspace` and `top` come from headers of their own.
-pub fn parse_relay_order(
+/// Parses the relay order `text` of a request that arrived at `arrived_at`, since the
+/// process started. The other fields of the order come from the request's other headers.
+pub fn parse_relay_order<D: ForwardDialect>(
     text: &str,
-    workspace: Option<&str>,
-    top: Option<usize>,
+    headers: &HeaderMap,
     arrived_at: Duration,
 ) -> Option<RelayOrder> {
+    let header_text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let homes = header_text(HOMES_HEADER).map(|homes| homes.split(',').map(Into::into));
     let mut fields = text.splitn(RELAY_ORDER_FIELDS, ';');
     let version = fields.next()?.parse().ok()?;
     let millis = Duration::from_millis(fields.next()?.parse().ok()?);
@@ -216,8 +223,9 @@
         attempts,
         credits_budget,
         may_divide,
-        workspace: workspace.map(Into::into),
-        top,
+        workspace: header_text(D::HEADERS.workspace).map(Into::into),
+        top: header_text(TOP_HEADER).and_then(|top| top.parse().ok()),
+        homes: homes.map_or_else(Vec::new, Iterator::collect),
         shards,
     })
 }
@@ -234,6 +242,7 @@
         RELAY_HEADER,
         FINGERPRINT_HEADER,
         TOP_HEADER,
+        HOMES_HEADER,
     ];
     // CGI-like servers turn both dashes and underscores of header names into underscores,
     // so a name with underscores could pass for a header that must not be forwarded.
--- a/crates/node/tests/forward/relayed.rs
+++ b/crates/node/tests/forward/relayed.rs
@@ -151,4 +151,10 @@
             assert!(shard.seen().contains(&id.to_string()), "{}", shard.id);
         }
     }
+
+    // A relay for regions in which this entry knows no servers is refused before its body
+    // is read.
+    send_relay_head(&mut stream, "r4", &identity, "wheelmast-homes: nowhere\r\n");
+    let head = read_until(&mut stream, b"\r\n\r\n");
+    assert!(head.starts_with("http/1.1 503"), "{head}");
 }
