Keep the departures of servers on disk before they are acknowledged

Cause: a departure was acknowledged once enough control instances had it in memory, while the list of live servers on disk, up to a second older, still had the server. Ruled out: leases, by which a silent server stays a last choice as designed.

Change: draining and departed servers are kept in a file of their own and restored over the list of live ones. An instance acknowledges a departure, to the server or to another instance, once the file is synced; departures within 5 ms share a write.

--- a/crates/node/src/process/group/disk.rs
+++ b/crates/node/src/process/group/disk.rs
@@ -1,5 +1,5 @@
-//! Disk thread of a replica: writes the replicated log, the known servers and the
-//! suspect requests.
+//! Disk thread of a replica: writes the replicated log, the known servers, their
+//! departures and the suspect requests.
 //!
 //! All batches that wait in the queue are written with a single sync. After a failed
 //! write or sync, the thread does not retry it, because a later success would not prove
@@ -42,6 +42,17 @@
     /// The suspect requests (requests under which servers crashed), encoded, to restore
     /// after a restart.
     pub suspects: Option<Vec<u8>>,
+    /// The servers that are draining or have left.
+    pub departures: Option<DepartureWrite>,
+}
+
+/// Servers that are draining or have left, to restore after a restart.
+#[derive(Debug)]
+pub struct DepartureWrite {
+    /// Number of departures recorded so far, all of which this list covers.
+    pub recorded: u64,
+    /// The servers, encoded.
+    pub servers: Vec<u8>,
 }
 
 /// What the disk thread reports to the control instance.
@@ -49,6 +60,8 @@
 pub enum DiskEvent {
     /// All batches up to this number are synced to disk.
     Synced(u64),
+    /// As many departures of servers as this are synced to disk.
+    DeparturesSynced(u64),
     /// A write or sync failed; no later batch of this epoch will be synced.
     Failed(String),
     /// The store was reopened; holds the new epoch and the state that the disk holds.
@@ -123,6 +136,7 @@
         let mut last_batch = None;
         let mut servers = None;
         let mut suspects = None;
+        let mut departures = None;
         let mut next = Some(first);
         while let Some(write) = next {
             if write.epoch == self.epoch {
@@ -132,6 +146,7 @@
                 last_batch = Some(write.batch);
                 servers = write.servers.or(servers);
                 suspects = write.suspects.or(suspects);
+                departures = write.departures.or(departures);
             }
             next = self.writes.try_recv().ok();
         }
@@ -146,6 +161,11 @@
         if let Some(suspects) = suspects {
             folder.replace_remembered(RememberedFile::Suspects, &suspects)?;
         }
+        if let Some(departures) = departures {
+            folder.replace_remembered(RememberedFile::Departures, &departures.servers)?;
+            let event = DiskEvent::DeparturesSynced(departures.recorded);
+            self.events.put_blocking(event);
+        }
         Ok(last_batch)
     }
 
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -139,7 +139,12 @@
         }
         GroupMessage::Keep { tag, announcement } => {
             node.apply_announcement(*announcement);
-            send_to_peer(node, peer, GroupMessage::Kept(tag));
+            let node = node.clone();
+            tokio::task::spawn_local(async move {
+                if node.wait_departures_synced().await {
+                    send_to_peer(&node, peer, GroupMessage::Kept(tag));
+                }
+            });
         }
         GroupMessage::Suspects(records) => {
             node.merge_suspects(records, SuspectSource::Control);
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -70,6 +70,10 @@
     pub suspects_to_persist: Notify,
     /// Notified when records of suspect requests changed and must be sent to others.
     pub suspects_to_send: Notify,
+    /// Notified when a server's departure was recorded and must be written to disk.
+    pub departures_to_persist: Notify,
+    /// Notified when departures were synced to disk.
+    pub departures_synced: Notify,
     /// Notified when an entry requested tokens of a capped workspace.
     pub caps_used: Notify,
     /// Parses a route table in the operators' dialect.
@@ -104,6 +108,8 @@
             state_published: Notify::new(),
             suspects_to_persist: Notify::new(),
             suspects_to_send: Notify::new(),
+            departures_to_persist: Notify::new(),
+            departures_synced: Notify::new(),
             caps_used: Notify::new(),
             read_table,
             clock,
--- a/crates/node/src/process/group/replica.rs
+++ b/crates/node/src/process/group/replica.rs
@@ -389,6 +389,7 @@
         while let Some(event) = events.recv().await {
             match event {
                 DiskEvent::Synced(batch) => self.run_synced_actions(batch),
+                DiskEvent::DeparturesSynced(recorded) => self.record_departures_synced(recorded),
                 DiskEvent::Failed(error) => {
                     tracing::error!(target: "group", "disk: write failed; the replica stops until the store is reopened, {error}");
                     let mut state = self.state.borrow_mut();
@@ -408,9 +409,10 @@
                     }
                     self.publish();
                     self.wake_changed.notify_one();
-                    // Writes of suspect records for the previous epoch were dropped;
-                    // write the records again.
+                    // Writes of suspect records and departures for the previous epoch were
+                    // dropped; write them again.
                     self.suspects_to_persist.notify_one();
+                    self.departures_to_persist.notify_one();
                 }
             }
         }
--- a/crates/node/src/process/group/run.rs
+++ b/crates/node/src/process/group/run.rs
@@ -62,6 +62,11 @@
         tracing::warn!(target: "group", "disk: known servers could not be restored, {error:#}");
         Vec::new()
     });
+    let departures = store.folder().remembered(RememberedFile::Departures);
+    let departures = departures.unwrap_or_else(|error| {
+        tracing::warn!(target: "group", "disk: departures could not be restored, {error:#}");
+        Vec::new()
+    });
     let suspects = store.folder().remembered(RememberedFile::Suspects);
     let suspects = suspects.unwrap_or_else(|error| {
         tracing::warn!(target: "group", "disk: suspects could not be restored, {error:#}");
@@ -96,6 +101,7 @@
         D::read_table,
     ));
     node.restore_servers(servers);
+    node.restore_departures(departures);
     node.restore_suspects(suspects);
     node.publish();
     node.set_seeds(seeds);
@@ -105,6 +111,7 @@
     tokio::task::spawn_local(node.clone().watch_loop_delay());
     tokio::task::spawn_local(node.clone().persist_suspects());
     tokio::task::spawn_local(node.clone().send_suspects());
+    tokio::task::spawn_local(node.clone().persist_departures());
     tokio::task::spawn_local(node.clone().refill_cap_stock());
     tokio::task::spawn_local(node.clone().run_rollouts());
     tokio::task::spawn_local(accept_peers(node.clone(), peer_listener));
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -12,13 +12,15 @@
 };
 use wheelmast_wire::group::GroupMessage;
 
-use crate::process::group::disk::DiskWrite;
+use crate::process::group::disk::{DepartureWrite, DiskWrite};
 use crate::process::group::node::GroupNode;
 use crate::process::group::state::ReplicationWait;
 use crate::process::store::remembered::encode_records;
 
 /// Longest wait until other control instances acknowledge that a server is leaving.
 const REPLICATION_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time to collect further departures before they are written to disk.
+const PERSIST_DELAY: Duration = Duration::from_millis(5);
 /// Shortest time between two log lines on refused announcements.
 const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -73,6 +75,8 @@
         let announcement = record.announcement.clone();
         tracing::info!(target: "group", server = %id, service = %announcement.service, standing = ?announcement.standing, sequence = announcement.sequence, "server: changed");
         if announcement.standing != ServerLifecycle::Ready {
+            state.departures_recorded += 1;
+            self.departures_to_persist.notify_one();
             state.send_to_urgent_subscribers(GroupMessage::Notices(vec![
                 announcement.lifecycle_only()
             ]));
@@ -125,8 +129,8 @@
     }
 
     /// Handles an announcement that a server made at this instance. Returns whether it
-    /// may be acknowledged. A server's departure must be stored by enough other
-    /// instances to survive the loss of this one. The announcement
+    /// may be acknowledged. A server's departure must be on the disks of this instance and
+    /// of enough other ones to survive a restart of all and the loss of some. The announcement
     /// of a live server must be able to reach enough other instances, which would
     /// otherwise consider its lease expired.
     pub async fn handle_announcement(self: &Rc<Self>, announcement: ServerAnnouncement) -> bool {
@@ -141,7 +145,11 @@
             self.state.borrow_mut().unsent_renewals.insert(id, position);
         }
         if is_leaving {
-            return self.replicate_leave(announcement).await;
+            let (is_replicated, is_synced) = tokio::join!(
+                self.replicate_leave(announcement),
+                self.wait_departures_synced()
+            );
+            return is_replicated && is_synced;
         }
         if effect == AnnouncementEffect::Changed {
             let message = GroupMessage::Notices(vec![announcement]);
@@ -177,6 +185,79 @@
         matches!(replicated, Ok(Ok(())))
     }
 
+    /// Waits for a limited time until all departures recorded so far are synced to disk.
+    /// Returns whether that succeeded.
+    pub async fn wait_departures_synced(&self) -> bool {
+        let recorded = self.state.borrow().departures_recorded;
+        if self.state.borrow().departures_synced < recorded {
+            // An earlier write may have been dropped because the disk stalled.
+            self.departures_to_persist.notify_one();
+        }
+        let wait = async {
+            loop {
+                let synced = self.departures_synced.notified();
+                if self.state.borrow().departures_synced >= recorded {
+                    return;
+                }
+                synced.await;
+            }
+        };
+        tokio::time::timeout(REPLICATION_TIMEOUT, wait)
+            .await
+            .is_ok()
+    }
+
+    /// Records that the first `recorded` departures are synced to disk.
+    pub fn record_departures_synced(&self, recorded: u64) {
+        let mut state = self.state.borrow_mut();
+        state.departures_synced = state.departures_synced.max(recorded);
+        self.departures_synced.notify_waiters();
+    }
+
+    /// Writes the servers that are draining or have left to disk whenever one was added,
+    /// until the instance ends.
+    pub async fn persist_departures(self: Rc<Self>) {
+        loop {
+            self.departures_to_persist.notified().await;
+            tokio::time::sleep(PERSIST_DELAY).await;
+            let state = self.state.borrow();
+            let records = state.directory.iter();
+            let departed = records
+                .map(|record| &record.announcement)
+                .filter(|announcement| announcement.standing != ServerLifecycle::Ready);
+            let departed: Vec<ServerAnnouncement> =
+                departed.map(ServerAnnouncement::lifecycle_only).collect();
+            let departed: Vec<&ServerAnnouncement> = departed.iter().collect();
+            let Ok(servers) = encode_records(&departed) else {
+                continue;
+            };
+            let departures = DepartureWrite {
+                recorded: state.departures_recorded,
+                servers,
+            };
+            let write = DiskWrite {
+                departures: Some(departures),
+                ..state.new_disk_write()
+            };
+            if self.disk.try_send(write).is_err() {
+                // The disk stalls. The departures are not acknowledged; their servers
+                // announce them again.
+                tracing::warn!(target: "group", "disk: write queue is full; departures not saved");
+            }
+        }
+    }
+
+    /// Restores the departures that were known before a restart. They go before the
+    /// servers that [`GroupNode::restore_servers`] has restored.
+    pub fn restore_departures(&self, departed: Vec<ServerAnnouncement>) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        tracing::info!(target: "group", servers = departed.len(), "server: departures remembered");
+        for announcement in departed {
+            state.directory.apply(announcement, now);
+        }
+    }
+
     /// Records that another control instance has stored a server's departure.
     pub fn record_replication_ack(&self, tag: u64) {
         let mut state = self.state.borrow_mut();
--- a/crates/node/src/process/group/state.rs
+++ b/crates/node/src/process/group/state.rs
@@ -211,6 +211,10 @@
     pub directory: ServerDirectory,
     /// Whether servers came or went since they were last written to disk.
     pub servers_changed: bool,
+    /// Number of departures of servers that were recorded since the start.
+    pub departures_recorded: u64,
+    /// Number of these departures that are synced to disk.
+    pub departures_synced: u64,
     /// Servers that this instance has started to observe since it last sent such a list
     /// to the other control instances.
     pub unsent_renewals: HashMap<Box<str>, AnnouncementPosition>,
@@ -272,6 +276,7 @@
             actions: Vec::new(),
             servers: None,
             suspects: None,
+            departures: None,
         }
     }
 
--- a/crates/node/src/process/store/remembered.rs
+++ b/crates/node/src/process/store/remembered.rs
@@ -18,6 +18,10 @@
     /// listed in it are trusted only briefly, and every request names the
     /// server that it is meant for.
     Servers,
+    /// The servers that are draining or have left, without details. A departure is
+    /// acknowledged once it is in this file, because [`RememberedFile::Servers`] may be
+    /// older than the departure and list the server as live.
+    Departures,
     /// The suspect requests, under which servers crashed. A caller may send such
     /// a request again after a loss of all power, so the list must outlive it.
     Suspects,
@@ -28,6 +32,7 @@
     fn file_name(self) -> &'static str {
         match self {
             RememberedFile::Servers => "servers",
+            RememberedFile::Departures => "departures",
             RememberedFile::Suspects => "suspects",
         }
     }
--- a/crates/node/tests/forward/main.rs
+++ b/crates/node/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod keyed;
 
 mod crashing;
+mod departures;
 mod disks;
 mod evacuate;
 mod extra;
