Wait for an instance that does not listen yet in a cluster test

Its log has no line that n0 listens, so that the process had not come that far; wait_ready failed at the first refused connection in place of waiting for its deadline. Change: a refused connection counts as not ready.

--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -387,11 +387,13 @@
 async fn wait_ready(cluster: &Cluster, node: usize) {
     let deadline = Instant::now() + TIMEOUT;
     let request = "GET /ready HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
-    while send_http_request(cluster.address(node, 7400), request)
-        .await
-        .0
-        != 200
-    {
+    let address = cluster.address(node, 7400);
+    loop {
+        // The process may not listen yet.
+        let is_listening = std::net::TcpStream::connect(address).is_ok();
+        if is_listening && send_http_request(address, request).await.0 == 200 {
+            return;
+        }
         assert!(Instant::now() < deadline, "n{node} did not become ready");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
