Do not take connections for old while the loop is often a little late

Found on reading again: a delay that followed another within 0.5 s extended it without a bound, so that a control instance whose loop is 0.2 s late every half second would have refused all evacuations and roll-outs for as long as that lasts.

Change: only delays of 0.4 s or more are remembered. After a shorter one, a connection that still waits to be accepted is younger than an operator's patience.

--- a/crates/node/src/process/loop_watch.rs
+++ b/crates/node/src/process/loop_watch.rs
@@ -17,7 +17,10 @@
 /// count as a delay. A loop that keeps up runs the timer twice within this
 /// time.
 pub const MAX_PROMPT_DELAY: Duration = Duration::from_millis(100);
-/// Time after a delay in which connections that were opened during the delay
+/// Minimum delay during which connections may have queued up for longer than
+/// [`LoopDelayMonitor::earliest_opening`] otherwise allows for.
+const MIN_QUEUE_DELAY: Duration = Duration::from_millis(400);
+/// Time after such a delay in which connections that were opened during the delay
 /// may still wait to be accepted.
 const QUEUE_DRAIN_TIME: Duration = Duration::from_millis(500);
 
@@ -31,8 +34,8 @@
     due: Cell<Duration>,
     /// When the timer ran for the last time, and for the time before that.
     last_runs: Cell<[Duration; 2]>,
-    /// The latest delay.
-    last_delay: Cell<Option<LoopDelay>>,
+    /// The latest delay of [`MIN_QUEUE_DELAY`] or more.
+    last_long_delay: Cell<Option<LoopDelay>>,
     /// Number of timer runs that were late.
     late_count: Cell<u64>,
 }
@@ -58,7 +61,7 @@
             interval,
             due: Cell::new(clock.elapsed()),
             last_runs: Cell::new([clock.elapsed(); 2]),
-            last_delay: Cell::new(None),
+            last_long_delay: Cell::new(None),
             late_count: Cell::new(0),
         }
     }
@@ -81,20 +84,22 @@
         }
     }
 
-    /// Records a delay that ends now and began after `previous_run`. One that follows
-    /// another before its queue was drained extends it.
+    /// Records a delay that ends now and began after `previous_run`, if it was long. One
+    /// that follows another before its queue was drained extends it.
     fn record_delay(&self, previous_run: Duration) {
+        let ended_at = self.now();
+        if ended_at < previous_run + MIN_QUEUE_DELAY {
+            return;
+        }
         let began_at = self.undrained_since().unwrap_or(previous_run);
-        self.last_delay.set(Some(LoopDelay {
-            began_at,
-            ended_at: self.now(),
-        }));
+        self.last_long_delay
+            .set(Some(LoopDelay { began_at, ended_at }));
     }
 
-    /// Returns when the latest delay began, if connections that were opened during it may
-    /// still wait to be accepted.
+    /// Returns when the latest long delay began, if connections that were opened during it
+    /// may still wait to be accepted.
     fn undrained_since(&self) -> Option<Duration> {
-        let delay = self.last_delay.get()?;
+        let delay = self.last_long_delay.get()?;
         (self.now() < delay.ended_at + QUEUE_DRAIN_TIME).then_some(delay.began_at)
     }
 
--- a/crates/node/tests/loop_watch.rs
+++ b/crates/node/tests/loop_watch.rs
@@ -76,6 +76,33 @@
     });
 }
 
+/// Guards against orders that are refused for as long as a busy loop is often a little late.
+#[test]
+fn short_delays_in_a_row_do_not_make_connections_seem_old() {
+    const BLOCK_TIME: Duration = Duration::from_millis(150);
+    const ROUNDS: u32 = 10;
+    run_local_test(async {
+        let monitor = Rc::new(LoopDelayMonitor::new(ProcessClock::start()));
+        let runner = monitor.clone();
+        tokio::task::spawn_local(async move { runner.run(|_| ()).await });
+        // A busy machine may block the loop for longer.
+        for _ in 0..20 {
+            for _ in 0..ROUNDS {
+                tokio::time::sleep(SEVERAL_ROUNDS / 4).await;
+                std::thread::sleep(BLOCK_TIME);
+            }
+            let age = monitor.now() - monitor.earliest_opening();
+            if age < BLOCK_TIME * ROUNDS / 2 {
+                return;
+            }
+        }
+        panic!(
+            "a connection seems {:?} old",
+            monitor.now() - monitor.earliest_opening()
+        );
+    });
+}
+
 #[test]
 fn a_loop_that_keeps_up_reports_no_read_delay() {
     run_local_test(async {
