Accept a withdrawal without a start time on new connections only

Change: for servers that state when they started, such a withdrawal is treated like an order without a version. Others, whose ids are not used again, are withdrawn on any connection as before.

--- a/crates/node/src/process/group/answer.rs
+++ b/crates/node/src/process/group/answer.rs
@@ -74,18 +74,21 @@
         call,
         ControlCall::Evacuate(_) | ControlCall::EndEvacuation(_) | ControlCall::StartRollout
     );
-    if is_unversioned_order && deadline.time_left(node.now()).is_none() {
-        tracing::warn!(target: "group", ?call, "order: refused, it may be late");
-        return late_order_response();
+    let is_late = deadline.time_left(node.now()).is_none();
+    if is_late && is_unversioned_order {
+        return refuse_late_order(&call);
     }
     match call {
         ControlCall::Announce(id) => match D::read_announcement(&id, &body) {
             Ok(announcement) => handle_announcement::<D>(&node, announcement).await,
             Err(findings) => refuse_call(&node, &id, findings.to_string()),
         },
-        ControlCall::Withdraw(id) => match D::read_withdrawal(&id, &body) {
+        ControlCall::Withdraw(ref id) => match D::read_withdrawal(id, &body) {
+            Ok(announcement) if is_late && node.lacks_start_time(&announcement) => {
+                refuse_late_order(&call)
+            }
             Ok(announcement) => handle_announcement::<D>(&node, announcement).await,
-            Err(findings) => refuse_call(&node, &id, findings.to_string()),
+            Err(findings) => refuse_call(&node, id, findings.to_string()),
         },
         ControlCall::PutTable => put_table::<D>(&node, body).await,
         ControlCall::GetTable => get_table(&node).await,
@@ -265,9 +268,10 @@
     (!is_published).then(|| unavailable_response("not in force here yet"))
 }
 
-/// Returns the response to an order that may be a late copy. An operator that still waits
-/// for it sends it again on a new connection.
-fn late_order_response() -> FullResponse {
+/// Logs an order that may be a late copy, and returns the response to it. A caller that
+/// still waits for it sends it again on a new connection.
+fn refuse_late_order(call: &ControlCall) -> FullResponse {
+    tracing::warn!(target: "group", ?call, "order: refused, it may be late");
     let mut response = unavailable_response("send the order on a new connection");
     let close = HeaderValue::from_static("close");
     response.headers_mut().insert(CONNECTION, close);
--- a/crates/node/src/process/group/servers.rs
+++ b/crates/node/src/process/group/servers.rs
@@ -112,6 +112,14 @@
             .then_some("the server is another one by what it said before")
     }
 
+    /// Returns whether an announcement does not say which incarnation of its server it is
+    /// from, although the server's announcements do.
+    pub fn lacks_start_time(&self, announcement: &ServerAnnouncement) -> bool {
+        let state = self.state.borrow();
+        let known = state.directory.get(&announcement.id);
+        announcement.born == 0 && known.is_some_and(|known| known.announcement.born != 0)
+    }
+
     /// Counts a refused announcement and logs it, at most once per log interval, since
     /// a faulty sender may send many.
     pub fn record_refusal(&self, id: &str, reason: &str) {
--- a/crates/node/tests/forward/late_orders.rs
+++ b/crates/node/tests/forward/late_orders.rs
@@ -96,34 +96,70 @@
 
 struct AgeCase {
     name: &'static str,
-    /// Age of the connection on which the order is sent.
+    /// Age of the connection on which the call is sent.
     age: Duration,
+    method: &'static str,
+    path: &'static str,
     status: u16,
 }
 
+/// Returns the text of a server's announcement with this start time.
+fn announcement(born: u64) -> String {
+    format!(
+        r#"{{"service":"desk","address":"127.0.0.1:9","failure_domain":"here","slots":2,"draining":false,"sequence":1,"born":{born}}}"#
+    )
+}
+
 /// Guards against an order that the network has held back: it is no older than its
-/// connection, so that only one on a new connection is known to be current.
+/// connection, so that only one on a new connection is known to be current. A withdrawal
+/// without a start time is such an order if the server may have started again since.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_order_is_accepted_on_a_new_connection_only() {
     let deployment = Deployment::start(34);
     deployment.put_first_table(&route_table(1));
     order_until_accepted(&deployment, 0, "POST", EVACUATION);
+    for (path, born) in [("/v1/servers/dated", 7), ("/v1/servers/undated", 0)] {
+        let address = deployment.front_address(0);
+        wait_until(
+            path,
+            || send_request(address, "PUT", path, "", &announcement(born)),
+            |reply| reply.status == 200,
+        );
+    }
     let cases = [
         AgeCase {
-            name: "new connection",
+            name: "order on a new connection",
             age: Duration::ZERO,
+            method: "POST",
+            path: EVACUATION,
             status: 200,
         },
         AgeCase {
-            name: "connection as old as an operator waits",
+            name: "order on a connection as old as an operator waits",
+            age: OPERATOR_TIMEOUT,
+            method: "POST",
+            path: EVACUATION,
+            status: 503,
+        },
+        AgeCase {
+            name: "withdrawal that does not say of which start",
             age: OPERATOR_TIMEOUT,
+            method: "DELETE",
+            path: "/v1/servers/dated",
             status: 503,
         },
+        AgeCase {
+            name: "withdrawal of a server that never says when it started",
+            age: OPERATOR_TIMEOUT,
+            method: "DELETE",
+            path: "/v1/servers/undated",
+            status: 200,
+        },
     ];
     for case in cases {
         let mut stream = connect(deployment.front_address(0));
         std::thread::sleep(case.age);
-        write_order(&mut stream, "POST", EVACUATION, "");
+        write_order(&mut stream, case.method, case.path, "");
         let read_timeout = Some(OPERATOR_TIMEOUT);
         stream.set_read_timeout(read_timeout).expect("a timeout");
         let mut response = [0; 512];
