--- a/crates/core/tests/forward/bundles.rs
+++ b/crates/core/tests/forward/bundles.rs
@@ -178,14 +178,8 @@
     let mut harness = new_harness();
     let order = RelayOrder {
         version: 4,
-        answer_by: harness.now + Duration::from_millis(30),
-        attempts: 1,
-        credits_budget: true,
-        may_divide: true,
-        workspace: None,
-        top: Some(3),
-        homes: Vec::new(),
         shards: vec!["s0".into()],
+        ..local_order(&harness)
     };
     let call = harness.call_with("q", None, Some(order));
     assert_eq!(harness.failure_of(call), Some(ForwardFailure::NoTable));
