--- a/crates/node/src/process/group/mod.rs
+++ b/crates/node/src/process/group/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod answer;
 pub mod caps;
+mod departures;
 pub mod disk;
 mod evacuate;
 pub mod followers;
