--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -319,7 +319,7 @@
         let file =
             File::create(case_folder.join("record.txt")).unwrap_or_else(|_| stop("no record"));
         let pid = std::process::id();
-        let folder = std::env::temp_dir().join(format!("wheelmast-review-{pid}"));
+        let folder = temporary_folder();
         std::fs::create_dir_all(&folder).unwrap_or_else(|_| stop("no temporary folder"));
         let block = (100 + (pid >> 8) as u8 % 100, pid as u8);
         let probe = TcpListener::bind((Ipv4Addr::new(127, block.0, block.1, 1), 0));
@@ -526,6 +526,9 @@
         }
         self.record
             .note("system: ready, first manifest acknowledged");
+        // The sheet of the site: traffic starts 10 s after the machines do. By then the core is
+        // stable and all machines are in touch.
+        thread::sleep(Duration::from_secs(10).saturating_sub(self.record.begin.elapsed()));
     }
 
     /// Ids of the requests that servers began to run, with how often.
@@ -553,10 +556,18 @@
     }
 }
 
+/// Folder of this play for settings, data and logs.
+fn temporary_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("wheelmast-review-{}", std::process::id()))
+}
+
 /// Ends the case: it could not run.
 fn stop(reason: &str) -> ! {
     eprintln!("could not run: {reason}");
     end_all();
+    if std::env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(temporary_folder());
+    }
     std::process::exit(2)
 }
 
