Answer 502 to requests whose servers crashed under them

Callers of routes that are not idempotent got 503, the promise that a request has not run, for requests that servers had begun to run, and repeated them. Cause: the status of a failure was chosen by a list with 503 for all others, and ServersCrashed was not on it. The failure of a running request comes from a quarantine, decided here or reported by another entry.

Now each failure is named, in failure_status and in is_known_unrun, so that a new one doesn't compile without a status.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -65,13 +65,24 @@
 impl ForwardFailure {
     /// Returns whether the request certainly has not run and will not.
     pub fn is_known_unrun(self) -> bool {
-        !matches!(
-            self,
+        match self {
+            ForwardFailure::NoTable
+            | ForwardFailure::NoRoute
+            | ForwardFailure::NoServer
+            | ForwardFailure::Overload
+            | ForwardFailure::RejectedByServers
+            | ForwardFailure::TimedOutUnrun
+            | ForwardFailure::Quarantined
+            | ForwardFailure::AwaitingCanary
+            | ForwardFailure::NoKey
+            | ForwardFailure::CapReached
+            | ForwardFailure::CapUnknown
+            | ForwardFailure::OverShare => true,
             ForwardFailure::TimedOut
-                | ForwardFailure::Failed
-                | ForwardFailure::ServersCrashed
-                | ForwardFailure::KeyRevoked
-        )
+            | ForwardFailure::Failed
+            | ForwardFailure::ServersCrashed
+            | ForwardFailure::KeyRevoked => false,
+        }
     }
 
     /// Returns whether the request was refused as suspect. An entry that relayed
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -397,17 +397,31 @@
     response.unwrap_or_else(|_| failure_response(ForwardFailure::Failed, None))
 }
 
-/// Returns the response for a request that failed without a server's answer. The status
-/// 503 (service unavailable) means that the request has not run and will not.
-fn failure_response(failure: ForwardFailure, retry_after: Option<Duration>) -> FullResponse {
-    let status = match failure {
+/// Returns the HTTP status for a failure. Only a failure for which
+/// [`ForwardFailure::is_known_unrun`] holds has status 429 or 503, because a caller repeats a
+/// request after these even if the request must not run twice.
+pub fn failure_status(failure: ForwardFailure) -> StatusCode {
+    match failure {
         ForwardFailure::NoRoute => StatusCode::NOT_FOUND,
         ForwardFailure::NoKey | ForwardFailure::KeyRevoked => StatusCode::UNAUTHORIZED,
         ForwardFailure::CapReached => StatusCode::TOO_MANY_REQUESTS,
         ForwardFailure::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-        ForwardFailure::Failed => StatusCode::BAD_GATEWAY,
-        _ => StatusCode::SERVICE_UNAVAILABLE,
-    };
+        ForwardFailure::Failed | ForwardFailure::ServersCrashed => StatusCode::BAD_GATEWAY,
+        ForwardFailure::NoTable
+        | ForwardFailure::NoServer
+        | ForwardFailure::Overload
+        | ForwardFailure::RejectedByServers
+        | ForwardFailure::TimedOutUnrun
+        | ForwardFailure::Quarantined
+        | ForwardFailure::AwaitingCanary
+        | ForwardFailure::CapUnknown
+        | ForwardFailure::OverShare => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Returns the response for a request that failed without a server's answer.
+fn failure_response(failure: ForwardFailure, retry_after: Option<Duration>) -> FullResponse {
+    let status = failure_status(failure);
     let mut response = typed_response(status, TEXT_CONTENT_TYPE, failure.label());
     if let Some(after) = retry_after {
         set_retry_after(&mut response, after);
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod entry;
 pub mod guarded;
 
 use std::net::SocketAddr;
