Answer 502 where a server's own 503 would repeat a request

A server's answer is returned unchanged. With status 408, 429 or 503 its caller takes it for the promise that the request has not run, although the server states that with a header of its own and had run it: a request that must not run twice was repeated.

Where the route is not idempotent, such an answer becomes the failure 'failed'. Idempotent requests still get the server's answer.

--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -36,6 +36,9 @@
 const ORPHAN_GRACE: Duration = Duration::from_millis(400);
 /// Like [`ORPHAN_GRACE`], for a request that ended because its caller left.
 const CALLER_LEFT_GRACE: Duration = Duration::from_millis(250);
+/// Statuses that callers take for the statement that the request has not run: request
+/// timeout, misdirected request, too many requests, service unavailable.
+const UNRUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 impl ForwardMachine {
     /// Ends a request if all its parts are answered or given up, if its required
@@ -163,6 +166,9 @@
     }
 
     /// Ends a request with the unchanged answer of one server.
+    ///
+    /// A request that must not run twice fails instead if the status of the answer would make
+    /// its caller repeat it, although the server did not state that it has not run.
     pub(super) fn end_served(
         &mut self,
         call: SlotKey,
@@ -170,6 +176,13 @@
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
+        let Some(state) = self.calls.get(call) else {
+            return;
+        };
+        let invites_repeat = UNRUN_STATUSES.contains(&answer.status) && !answer.not_run;
+        if invites_repeat && !state.rule().idempotent {
+            return self.end_failed(call, ForwardFailure::Failed, now, out);
+        }
         let Some(mut state) = self.remove_call(call, ORPHAN_GRACE, now, out) else {
             return;
         };
--- a/crates/node/tests/unrun_statuses.rs
+++ b/crates/node/tests/unrun_statuses.rs
@@ -111,6 +111,53 @@
     });
 }
 
+struct AnswerCase {
+    path: &'static str,
+    /// Status line and headers of the server's answer.
+    answer: &'static str,
+    /// Status of the response to the caller.
+    status: u16,
+}
+
+/// Guards against a server's own 503 that makes the caller repeat a request which has run.
+#[test]
+fn a_server_that_does_not_say_so_has_run_the_request() {
+    let unrun = "503 Full\r\nwheelmast-not-run: 1";
+    let case = |path, answer, status| AnswerCase {
+        path,
+        answer,
+        status,
+    };
+    let cases = [
+        case("/once/a", "503 Broken", 502),
+        case("/once/b", "429 Slow Down", 502),
+        case("/once/c", "408 Slow", 502),
+        case("/once/d", "500 Broken", 500),
+        case("/once/e", "404 Unknown", 404),
+        case("/once/f", "201 Made", 201),
+        case("/once/g", unrun, 503),
+        case("/twice/a", "503 Broken", 503),
+        case("/twice/b", "429 Slow Down", 429),
+        case("/twice/c", unrun, 503),
+    ];
+    run_local_test(async move {
+        let (_is_up_sender, is_up) = watch::channel(true);
+        for case in cases {
+            let entry = LocalEntry::start(TABLE).await;
+            let runs = RunLog::default();
+            let address = start_server(runs.clone(), is_up.clone(), Some(case.answer.into())).await;
+            entry.add_server("desk-1", "desk", address);
+            let request = post(case.path, "r");
+            let (status, text) = request_from([127, 0, 0, 1], entry.address, &request).await;
+            assert_eq!(status, case.status, "{} {}", case.path, case.answer);
+            let is_passed_on = text.contains("wheelmast-stamp");
+            let is_changed = status == 502 || case.answer == unrun;
+            assert_eq!(is_passed_on, !is_changed, "{} {}", case.path, case.answer);
+            assert_eq!(runs.borrow().len(), 1, "{} {}", case.path, case.answer);
+        }
+    });
+}
+
 /// Guards against a failure that may follow a run and has no status of its own.
 #[test]
 fn only_failures_of_unrun_requests_have_a_status_that_says_so() {
