Try quarantined requests at one server from time to time

Callers of a page under which all servers of a service had crashed got 503 for it for good, at all entries and over restarts, though other requests to the service were served. Cause: three ends of servers quarantine a request 1.5 s later if no canary attempt has a result, and no server was left for one; a quarantine ended only when a server completed the request, which no server got. The same state came from four ends of two callers, and from requests for one server, which count as canaries as soon as one server has ended.

Now a quarantined request has trials, sent to one server once, at growing intervals; the entries take turns; refusals say when to come back. The number of failed trials is stored as one more end of the record, in the form that the version before reads.

--- a/crates/core/src/process/forward/answer.rs
+++ b/crates/core/src/process/forward/answer.rs
@@ -371,6 +371,14 @@
         /// tried already or cannot be used.
         servers: usize,
     },
+    /// The request is quarantined and is sent to one server, to find out whether it still
+    /// crashes servers.
+    Trial {
+        /// Fingerprint of the request's content and of its caller.
+        mark: RequestFingerprint,
+        /// Number of earlier trials that crashed their server.
+        failed_trials: u32,
+    },
     /// A retry or hedge was not sent because the budget for extra load is spent.
     BudgetSpent {
         /// Service whose budget is spent.
--- a/crates/core/src/process/forward/begin.rs
+++ b/crates/core/src/process/forward/begin.rs
@@ -64,10 +64,11 @@
             // server.
             return self.reject_request(call.tag, ForwardFailure::TimedOutUnrun, out);
         }
-        if let Some(failure) = self.check_suspect(&state, now) {
-            return self.reject_request(call.tag, failure, out);
+        if let Err(refusal) = self.check_suspect(&mut state, now, out) {
+            return self.reject_suspect(call.tag, refusal, out);
         }
         if let Some(failure) = self.check_share(&mut state, now, out) {
+            self.withdraw_unrun_trial(&state);
             self.credit_refused_parts(&state, now);
             return self.reject_request(call.tag, failure, out);
         }
@@ -75,6 +76,7 @@
         let decision = self.decide_admission(&state, limit.as_ref(), now);
         let AdmissionDecision::Accept(omitted) = decision else {
             self.record_rank_decision(&state, limit.as_ref(), None, now, out);
+            self.withdraw_unrun_trial(&state);
             self.credit_refused_parts(&state, now);
             return self.reject_request(call.tag, ForwardFailure::Overload, out);
         };
--- a/crates/core/src/process/forward/break_verdict.rs
+++ b/crates/core/src/process/forward/break_verdict.rs
@@ -43,6 +43,7 @@
             call: attempt.call,
             mark: attempt.mark,
             is_canary: attempt.is_canary,
+            is_trial: attempt.is_trial,
             has_run,
             is_counted,
             at: now,
--- a/crates/core/src/process/forward/call.rs
+++ b/crates/core/src/process/forward/call.rs
@@ -309,6 +309,8 @@
     /// Whether this is the canary attempt of a suspect request: one server runs
     /// the request before any other server gets it.
     pub is_canary: bool,
+    /// Whether this is the trial of a quarantined request, which is sent to one server.
+    pub is_trial: bool,
     /// Whether some server had completed the request when the request ended at this
     /// entry. A crash under this attempt is then no evidence against the request.
     pub has_run: bool,
--- a/crates/core/src/process/forward/canary.rs
+++ b/crates/core/src/process/forward/canary.rs
@@ -11,7 +11,9 @@
 use rand::Rng;
 
 use crate::arena::SlotKey;
-use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardFailure};
+use crate::process::forward::answer::{
+    AttemptCause, ForwardAction, ForwardDecision, ForwardFailure,
+};
 use crate::process::forward::call::CallState;
 use crate::process::forward::choose::SelectionFailure;
 use crate::process::forward::hedge::RECHECK_INTERVAL;
@@ -21,8 +23,16 @@
     SuspectRecord, CANARY_CRASHES_TO_QUARANTINE, CRASHES_TO_QUARANTINE,
 };
 use crate::process::forward::suspect::registry::SuspectStatus;
+use crate::process::rendezvous::rank;
 use crate::request::mark::RequestFingerprint;
 
+/// Time in which each entry has one turn to begin a trial of a quarantined request.
+const TRIAL_CYCLE: Duration = Duration::from_secs(4);
+/// Minimum length of a turn. The other entries hear of a crash within this time.
+const MIN_TRIAL_TURN: Duration = Duration::from_millis(150);
+/// Maximum length of the cycle, however many entries there are.
+const MAX_TRIAL_CYCLE: Duration = Duration::from_secs(8);
+
 /// Which requests are sent to one server as a canary before other servers get them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum CanaryStrategy {
@@ -55,6 +65,9 @@
     pub starts_with_canary: bool,
     /// Whether a server completed the request, which clears it of suspicion.
     pub has_run: bool,
+    /// Number of failed trials of the request before this one, if the request is a trial: it
+    /// is quarantined, and is sent to one server to find out whether it still crashes servers.
+    pub trial: Option<u32>,
 }
 
 impl CallSuspicion {
@@ -80,12 +93,20 @@
     /// to be crashes. It then gets no further canary before these are decided.
     fn awaits_quarantine(&self) -> bool {
         let canaries = self.canary_crashes + self.undecided_canaries;
-        self.undecided > 0
-            && self.possible_crashes() >= CRASHES_TO_QUARANTINE
-            && canaries >= CANARY_CRASHES_TO_QUARANTINE
+        let has_enough_crashes = self.possible_crashes() >= CRASHES_TO_QUARANTINE
+            && canaries >= CANARY_CRASHES_TO_QUARANTINE;
+        self.undecided > 0 && (self.trial.is_some() || has_enough_crashes)
     }
 }
 
+/// Refusal of a new request as suspect.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SuspectRefusal {
+    pub(super) failure: ForwardFailure,
+    /// Time until the next trial of the request is due.
+    pub(super) retry_in: Duration,
+}
+
 /// Why a request may not be sent to all shards at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallHold {
@@ -120,18 +141,86 @@
 }
 
 impl ForwardMachine {
-    /// Returns the status of a request according to the recorded crashes.
+    /// Returns the status of a request according to the recorded crashes. The trial of a
+    /// quarantined request may proceed until it or another trial fails.
     pub(super) fn suspect_status(&self, state: &CallState, now: Duration) -> SuspectStatus {
-        self.suspects.status_of(state.mark, now)
+        let status = self.suspects.status_of(state.mark, now);
+        let failed_trials = self.suspects.failed_trials(state.mark);
+        if status > SuspectStatus::Suspect && state.suspicion.trial == Some(failed_trials) {
+            return SuspectStatus::Suspect;
+        }
+        status
     }
 
-    /// Returns the failure with which a new request must be refused at once, if it is
-    /// quarantined or another entry is making canary attempts with it.
-    pub(super) fn check_suspect(&self, state: &CallState, now: Duration) -> Option<ForwardFailure> {
+    /// Decides whether a new request may be sent to servers, if it is quarantined or another
+    /// entry is making canary attempts with it: begins a trial of the request, or returns the
+    /// refusal.
+    pub(super) fn check_suspect(
+        &mut self,
+        state: &mut CallState,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) -> Result<(), SuspectRefusal> {
         match self.suspect_status(state, now) {
-            SuspectStatus::Quarantined => Some(ForwardFailure::Quarantined),
-            SuspectStatus::CanaryRunning => Some(ForwardFailure::AwaitingCanary),
-            SuspectStatus::Suspect | SuspectStatus::Clear => None,
+            SuspectStatus::Suspect | SuspectStatus::Clear => Ok(()),
+            SuspectStatus::CanaryRunning => Err(SuspectRefusal {
+                failure: ForwardFailure::AwaitingCanary,
+                retry_in: Duration::ZERO,
+            }),
+            SuspectStatus::Quarantined => {
+                let trial_at = self.suspects.next_trial_at(state.mark).unwrap_or(now);
+                if !state.is_relayed && self.has_trial_turn(state.mark, trial_at, now) {
+                    self.begin_trial(state, now, out);
+                    return Ok(());
+                }
+                Err(SuspectRefusal {
+                    failure: ForwardFailure::Quarantined,
+                    retry_in: trial_at.saturating_sub(now),
+                })
+            }
+        }
+    }
+
+    /// Returns whether this entry may begin a trial of a quarantined request that is due since
+    /// `trial_at`. The entries take turns, so that a request which still crashes servers does
+    /// not crash one for each entry.
+    fn has_trial_turn(&self, mark: RequestFingerprint, trial_at: Duration, now: Duration) -> bool {
+        let Some(elapsed) = now.checked_sub(trial_at) else {
+            return false;
+        };
+        let key = format!("{:x}/{}", mark.content.0, self.suspects.failed_trials(mark));
+        let local_rank = rank(&key, &self.options.local_id);
+        let domains = self.peer_domains.iter();
+        let peers = domains.flat_map(|(_, entries)| &self.upstreams[*entries].servers);
+        let peer_ranks = peers.map(|peer| rank(&key, &self.servers[*peer].id));
+        let peer_ranks: Vec<u64> = peer_ranks.collect();
+        let position = peer_ranks.iter().filter(|peer| **peer > local_rank).count() as u128;
+        let turns = self.entry_count.max(peer_ranks.len() as u32 + 1);
+        let turn_time = (TRIAL_CYCLE / turns).max(MIN_TRIAL_TURN);
+        let turn_time = turn_time.min(MAX_TRIAL_CYCLE / turns);
+        elapsed.as_nanos() / turn_time.as_nanos().max(1) % u128::from(turns) == position
+    }
+
+    /// Lets a quarantined request be sent to one server.
+    fn begin_trial(&mut self, state: &mut CallState, now: Duration, out: &mut Vec<ForwardAction>) {
+        let failed_trials = self.suspects.failed_trials(state.mark);
+        self.suspects
+            .begin_trial(state.mark, state.deadlines.hard_deadline, now);
+        state.suspicion.trial = Some(failed_trials);
+        state.suspicion.starts_with_canary = true;
+        state.attempts = 1;
+        self.counters.trials += 1;
+        self.record_decision(state.tag, out, || ForwardDecision::Trial {
+            mark: state.mark,
+            failed_trials,
+        });
+    }
+
+    /// Lets another trial of a request begin at once if the request ended as a trial that no
+    /// server began.
+    pub(super) fn withdraw_unrun_trial(&mut self, state: &CallState) {
+        if state.suspicion.trial.is_some() && !state.may_have_run() {
+            self.suspects.withdraw_trial(state.mark);
         }
     }
 
--- a/crates/core/src/process/forward/counts.rs
+++ b/crates/core/src/process/forward/counts.rs
@@ -39,6 +39,8 @@
     pub denied_repeats: u64,
     /// Requests refused because their workspace was over its share.
     pub over_share: u64,
+    /// Trials of quarantined requests.
+    pub trials: u64,
     /// Attempts cancelled after their request ended.
     pub cancels: u64,
     /// Attempts whose connection broke while the server had the request.
--- a/crates/core/src/process/forward/end.rs
+++ b/crates/core/src/process/forward/end.rs
@@ -12,6 +12,7 @@
     ForwardAction, ForwardAnswer, ForwardDecision, ForwardFailure,
 };
 use crate::process::forward::call::{CallState, PartStatus};
+use crate::process::forward::canary::SuspectRefusal;
 use crate::process::forward::input::ServerAnswer;
 use crate::process::forward::machine::{ForwardMachine, ForwardTimer};
 use crate::process::input::CallTag;
@@ -231,7 +232,10 @@
             return;
         };
         self.record_end(&state, failure.label(), now, out);
-        self.refuse(state.tag, failure, out);
+        let trial_at = self.suspects.next_trial_at(state.mark);
+        let retry_in = trial_at.filter(|_| failure == ForwardFailure::Quarantined);
+        let retry_in = retry_in.map(|trial_at| trial_at.saturating_sub(now));
+        self.refuse(state.tag, failure, retry_in, out);
     }
 
     /// Refuses a request that was not admitted.
@@ -240,6 +244,27 @@
         call: CallTag,
         failure: ForwardFailure,
         out: &mut Vec<ForwardAction>,
+    ) {
+        self.record_rejection(call, failure, out);
+        self.refuse(call, failure, None, out);
+    }
+
+    /// Refuses a suspect request that was not admitted.
+    pub(super) fn reject_suspect(
+        &mut self,
+        call: CallTag,
+        refusal: SuspectRefusal,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        self.record_rejection(call, refusal.failure, out);
+        self.refuse(call, refusal.failure, Some(refusal.retry_in), out);
+    }
+
+    fn record_rejection(
+        &self,
+        call: CallTag,
+        failure: ForwardFailure,
+        out: &mut Vec<ForwardAction>,
     ) {
         self.record_decision(call, out, || ForwardDecision::End {
             outcome: failure.label(),
@@ -250,17 +275,24 @@
             sends: 0,
             late: false,
         });
-        self.refuse(call, failure, out);
     }
 
-    /// Sends a failure answer, with a time to retry after if a retry can succeed.
-    fn refuse(&mut self, call: CallTag, failure: ForwardFailure, out: &mut Vec<ForwardAction>) {
+    /// Sends a failure answer, with a time to retry after if a retry can succeed. It cannot
+    /// before `retry_in` if this time is known.
+    fn refuse(
+        &mut self,
+        call: CallTag,
+        failure: ForwardFailure,
+        retry_in: Option<Duration>,
+        out: &mut Vec<ForwardAction>,
+    ) {
         self.counters.failed += 1;
         // For these failures a retry would be refused again.
-        let is_permanent = matches!(
-            failure,
-            ForwardFailure::NoRoute | ForwardFailure::Quarantined | ForwardFailure::NoKey
-        );
+        let is_permanent = match failure {
+            ForwardFailure::NoRoute | ForwardFailure::NoKey => true,
+            ForwardFailure::Quarantined => retry_in.is_none(),
+            _ => false,
+        };
         let may_retry = failure.is_known_unrun() && !is_permanent;
         let retry_after = may_retry.then(|| {
             let (min, spread) = match failure {
@@ -268,7 +300,7 @@
                 ForwardFailure::AwaitingCanary => (CANARY_RETRY_AFTER, RETRY_SPREAD),
                 _ => (MIN_RETRY_AFTER, RETRY_SPREAD),
             };
-            min + spread.mul_f64(self.rng.random())
+            retry_in.unwrap_or_default() + min + spread.mul_f64(self.rng.random())
         });
         out.push(ForwardAction::Answer {
             call,
@@ -306,6 +338,7 @@
     ) -> Option<CallState> {
         let state = self.calls.remove(call)?;
         self.calls_by_tag.remove(&state.tag);
+        self.withdraw_unrun_trial(&state);
         self.record_bundle_misses(&state, now);
         self.retract_unserved_work(&state, now);
         for attempt in state.parts.iter().flat_map(|part| &part.attempts) {
@@ -321,7 +354,14 @@
             // period to its own attempts. A request that may crash servers is also
             // cancelled at once, before further servers start to process it.
             let is_immediate = orphan.is_relay() || state.needs_canary();
-            let closes_in = if is_immediate { Duration::ZERO } else { grace };
+            let closes_in = if orphan.is_trial {
+                // The result of the trial is needed, also without the caller.
+                state.deadlines.hard_deadline.saturating_sub(now) + grace
+            } else if is_immediate {
+                Duration::ZERO
+            } else {
+                grace
+            };
             let (server, sent_at) = (orphan.server, orphan.sent_at);
             if now >= orphan.ack_due_at {
                 self.back_off_if_unresponsive(server, sent_at, now);
--- a/crates/core/src/process/forward/send.rs
+++ b/crates/core/src/process/forward/send.rs
@@ -126,6 +126,7 @@
         let AttemptPlan { cause, choice, .. } = plan;
         let starts_with_canary = self.suspects.status_of(state.mark, now) != SuspectStatus::Clear;
         let is_canary = state.needs_canary() || (starts_with_canary && !state.is_scatter_gather);
+        let is_trial = state.suspicion.trial.is_some() && !state.suspicion.has_run;
         let typical = self.timings[plan.timing].typical(state.rule());
         let slow_threshold = slow_threshold(typical, state.rule().objective());
         let key = choice.server.key();
@@ -156,6 +157,7 @@
             opens_connection: server.idle == 0,
             met_limit: false,
             is_canary,
+            is_trial,
             has_run: false,
         });
         state.sends += 1;
--- a/crates/core/src/process/forward/server_end/evidence.rs
+++ b/crates/core/src/process/forward/server_end/evidence.rs
@@ -111,6 +111,8 @@
     pub mark: RequestFingerprint,
     /// Whether the attempt was a canary.
     pub is_canary: bool,
+    /// Whether the attempt was the trial of a quarantined request.
+    pub is_trial: bool,
     /// Whether another server has completed the request.
     pub has_run: bool,
     /// Whether the request counts the break as a crash until the verdict.
--- a/crates/core/src/process/forward/suspect/record.rs
+++ b/crates/core/src/process/forward/suspect/record.rs
@@ -18,6 +18,9 @@
 pub const CANARY_CRASHES_TO_QUARANTINE: usize = 2;
 /// Maximum number of crashes in a record: more would not change any decision.
 const MAX_RECORDED_CRASHES: usize = 4;
+/// Upper half of the digest in a [`ServerCrash`] that holds a number of failed trials in place
+/// of a server.
+const FAILED_TRIALS_TAG: u64 = 0xffff_ffff;
 
 /// The crash of a server that was running a request: the server broke off the request's
 /// connection.
@@ -40,6 +43,20 @@
             during_canary,
         }
     }
+
+    /// Returns the form in which a record holds a number of failed trials.
+    fn of_failed_trials(number: u32) -> ServerCrash {
+        ServerCrash {
+            server: FAILED_TRIALS_TAG << u32::BITS | u64::from(number),
+            during_canary: true,
+        }
+    }
+
+    /// Returns the number of failed trials, if the value holds one in place of a crash.
+    fn failed_trials(&self) -> Option<u32> {
+        let has_tag = self.server >> u32::BITS == FAILED_TRIALS_TAG;
+        has_tag.then_some(self.server as u32)
+    }
 }
 
 /// The crashes that happened under one request of one caller.
@@ -51,8 +68,12 @@
     /// completion starts a new round: the earlier crashes had another cause and are
     /// dropped.
     pub round: u32,
-    /// Servers that crashed under the request in this round, each once.
-    pub ends: Vec<ServerCrash>,
+    /// Servers that crashed under the request in this round, each once, and the number of
+    /// failed trials, if there were any.
+    ///
+    /// The number is stored in the form of a crash, so that instances of earlier versions can
+    /// read the record. To them the request is quarantined, and has been before.
+    ends: Vec<ServerCrash>,
 }
 
 impl SuspectRecord {
@@ -65,8 +86,44 @@
         }
     }
 
+    /// Iterates over the servers that crashed in this round.
+    fn crashes(&self) -> impl Iterator<Item = &ServerCrash> {
+        let ends = self.ends.iter();
+        ends.filter(|crash| crash.failed_trials().is_none())
+    }
+
+    /// Returns the number of servers that crashed in this round.
+    pub fn crash_count(&self) -> usize {
+        self.crashes().count()
+    }
+
+    /// Returns the number of these that crashed during canary attempts.
+    pub fn canary_crash_count(&self) -> usize {
+        self.crashes().filter(|crash| crash.during_canary).count()
+    }
+
+    /// Returns the number of trials in this round under which a server crashed. A trial is an
+    /// attempt to send the request to one server although it is quarantined.
+    pub fn failed_trials(&self) -> u32 {
+        let numbers = self.ends.iter().filter_map(ServerCrash::failed_trials);
+        numbers.max().unwrap_or(0)
+    }
+
+    /// Raises the number of failed trials to `number`. Returns whether the record changed.
+    pub fn raise_failed_trials(&mut self, number: u32) -> bool {
+        if number <= self.failed_trials() {
+            return false;
+        }
+        self.ends.retain(|crash| crash.failed_trials().is_none());
+        self.ends.push(ServerCrash::of_failed_trials(number));
+        true
+    }
+
     /// Adds the crash of a server. Returns whether the record changed.
     pub fn add(&mut self, crash: ServerCrash) -> bool {
+        if let Some(number) = crash.failed_trials() {
+            return self.raise_failed_trials(number);
+        }
         if let Some(known) = self
             .ends
             .iter_mut()
@@ -76,7 +133,7 @@
             known.during_canary |= crash.during_canary;
             return has_changed;
         }
-        if self.ends.len() < MAX_RECORDED_CRASHES {
+        if self.crash_count() < MAX_RECORDED_CRASHES {
             self.ends.push(crash);
             return true;
         }
@@ -118,12 +175,11 @@
 
     /// Returns whether enough servers crashed during canary attempts for a quarantine.
     pub fn has_failed_canaries(&self) -> bool {
-        let failed = self.ends.iter().filter(|crash| crash.during_canary);
-        failed.count() >= CANARY_CRASHES_TO_QUARANTINE
+        self.canary_crash_count() >= CANARY_CRASHES_TO_QUARANTINE
     }
 
     /// Returns whether enough servers crashed for a quarantine.
     pub fn has_enough_crashes(&self) -> bool {
-        self.ends.len() >= CRASHES_TO_QUARANTINE
+        self.crash_count() >= CRASHES_TO_QUARANTINE
     }
 }
--- a/crates/core/src/process/forward/suspect/registry.rs
+++ b/crates/core/src/process/forward/suspect/registry.rs
@@ -6,7 +6,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::process::forward::suspect::record::{ServerCrash, SuspectRecord, CRASHES_TO_QUARANTINE};
+use crate::process::forward::suspect::record::{
+    ServerCrash, SuspectRecord, CANARY_CRASHES_TO_QUARANTINE, CRASHES_TO_QUARANTINE,
+};
 use crate::request::mark::{ContentFingerprint, RequestFingerprint};
 
 /// Maximum number of requests in the registry. A record takes about 150 bytes, so that all
@@ -19,6 +21,16 @@
 /// Time allowed for the canary attempts of the entry that observed the crashes. After
 /// this time a request with enough crashes is quarantined without canary attempts.
 const CANARY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time from the last crash until the next trial of a quarantined request, by the number of
+/// trials that failed. The last one applies to all further trials.
+const TRIAL_DELAYS: [Duration; 4] = [
+    Duration::from_secs(5),
+    Duration::from_secs(30),
+    Duration::from_secs(600),
+    Duration::from_secs(3600),
+];
+/// Minimum time from the beginning of a trial until the next one, unless the trial has a result.
+const MIN_TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after a crash during which the last canary attempt is assumed to be running, if the
 /// request is one crash short of a quarantine and its earlier canary attempts failed. A
 /// caller that retries at another entry arrives there before the report of the last
@@ -39,7 +51,7 @@
     /// Enough servers crashed under the request for a quarantine, and one entry is making
     /// the canary attempts. The other entries refuse the request until these have ended.
     CanaryRunning,
-    /// No server gets the request.
+    /// No server gets the request, until its next trial is due.
     Quarantined,
 }
 
@@ -58,6 +70,9 @@
     contents: HashMap<ContentFingerprint, Vec<TrackedSuspect>>,
     /// Number of requests in `contents`.
     count: usize,
+    /// Contents of which this entry has begun a trial that has no result yet, and until when
+    /// the result is awaited.
+    trials: HashMap<ContentFingerprint, Duration>,
 }
 
 impl SuspectRegistry {
@@ -100,14 +115,16 @@
             .find(|tracked| tracked.record.mark == mark);
         if let Some(tracked) = same_request.filter(|tracked| tracked.record.has_enough_crashes()) {
             let has_timed_out = now >= tracked.updated_at + CANARY_TIMEOUT;
-            return if tracked.record.has_failed_canaries() || has_timed_out {
+            return if self.is_trial_running(mark, now) {
+                SuspectStatus::CanaryRunning
+            } else if tracked.record.has_failed_canaries() || has_timed_out {
                 SuspectStatus::Quarantined
             } else {
                 SuspectStatus::CanaryRunning
             };
         }
         let is_last_canary_running = same_request.is_some_and(|tracked| {
-            let lacks_one = tracked.record.ends.len() + 1 == CRASHES_TO_QUARANTINE;
+            let lacks_one = tracked.record.crash_count() + 1 == CRASHES_TO_QUARANTINE;
             lacks_one
                 && tracked.record.has_failed_canaries()
                 && now < tracked.updated_at + LAST_CANARY_TIMEOUT
@@ -116,9 +133,13 @@
             return SuspectStatus::CanaryRunning;
         }
         if is_content_at_fault(same_content) {
-            return SuspectStatus::Quarantined;
+            return if self.is_trial_running(mark, now) {
+                SuspectStatus::CanaryRunning
+            } else {
+                SuspectStatus::Quarantined
+            };
         }
-        let has_crashes = |tracked: &TrackedSuspect| !tracked.record.ends.is_empty();
+        let has_crashes = |tracked: &TrackedSuspect| tracked.record.crash_count() > 0;
         let has_completed = same_request.is_some_and(|tracked| tracked.record.round > 0);
         let is_harmful_elsewhere = same_content
             .iter()
@@ -129,16 +150,66 @@
         SuspectStatus::Clear
     }
 
-    /// Records that a server crashed while it was running a request. Returns the request's
-    /// record if the record changed.
+    /// Returns from when on a quarantined request may be sent to one server as a trial, or
+    /// `None` if no crashes of its content are known.
+    ///
+    /// A quarantine without canary attempts is not based on evidence about the request alone:
+    /// all servers of its service may have crashed for another reason, so that none was left
+    /// for a canary attempt.
+    pub fn next_trial_at(&self, mark: RequestFingerprint) -> Option<Duration> {
+        let same_content = self.contents.get(&mark.content)?.iter();
+        let crashed = same_content.filter(|tracked| tracked.record.crash_count() > 0);
+        let crashed_at = crashed.clone().map(|tracked| tracked.updated_at).max()?;
+        let canary_crashes = crashed.map(|tracked| tracked.record.canary_crash_count());
+        let failed_trials = self.failed_trials(mark);
+        let is_untried =
+            failed_trials == 0 && canary_crashes.sum::<usize>() < CANARY_CRASHES_TO_QUARANTINE;
+        let delay = if is_untried {
+            CANARY_TIMEOUT
+        } else {
+            TRIAL_DELAYS[(failed_trials as usize).min(TRIAL_DELAYS.len() - 1)]
+        };
+        Some(crashed_at + delay)
+    }
+
+    /// Returns the number of failed trials of a request's content.
+    pub fn failed_trials(&self, mark: RequestFingerprint) -> u32 {
+        let same_content = self.contents.get(&mark.content).into_iter().flatten();
+        let failed = same_content.map(|tracked| tracked.record.failed_trials());
+        failed.max().unwrap_or(0)
+    }
+
+    /// Records that a trial of a request begins, which may last until `deadline`.
+    pub fn begin_trial(&mut self, mark: RequestFingerprint, deadline: Duration, now: Duration) {
+        self.trials.retain(|_, until| now < *until);
+        let until = deadline.max(now + MIN_TRIAL_TIMEOUT);
+        self.trials.insert(mark.content, until);
+    }
+
+    /// Records that no server ran the request of a trial: the trial may be repeated at once.
+    pub fn withdraw_trial(&mut self, mark: RequestFingerprint) {
+        self.trials.remove(&mark.content);
+    }
+
+    /// Records that a server crashed while it was running a request, in a trial of the
+    /// request if `is_trial` is set. Returns the request's record if the record changed.
     pub fn record_crash(
         &mut self,
         mark: RequestFingerprint,
         crash: ServerCrash,
+        is_trial: bool,
         now: Duration,
     ) -> Option<SuspectRecord> {
+        let failed_trials = self.failed_trials(mark) + u32::from(is_trial);
+        if is_trial {
+            self.trials.remove(&mark.content);
+        }
         let tracked = self.find_or_insert(mark, now);
-        if !tracked.record.add(crash) {
+        let mut has_changed = tracked.record.add(crash);
+        if is_trial {
+            has_changed |= tracked.record.raise_failed_trials(failed_trials);
+        }
+        if !has_changed {
             return None;
         }
         tracked.updated_at = now;
@@ -152,6 +223,7 @@
         mark: RequestFingerprint,
         now: Duration,
     ) -> Option<SuspectRecord> {
+        self.trials.remove(&mark.content);
         let same_content = self.contents.get_mut(&mark.content)?;
         let same_request = same_content
             .iter_mut()
@@ -163,7 +235,7 @@
             tracked.record.start_round();
             return Some(tracked.record.clone());
         };
-        if tracked.record.ends.is_empty() {
+        if tracked.record.crash_count() == 0 {
             return None;
         }
         tracked.record.start_round();
@@ -183,6 +255,11 @@
         has_changed || is_new
     }
 
+    fn is_trial_running(&self, mark: RequestFingerprint, now: Duration) -> bool {
+        let until = self.trials.get(&mark.content);
+        until.is_some_and(|until| now < *until)
+    }
+
     fn find(&self, mark: RequestFingerprint) -> Option<&TrackedSuspect> {
         let same_content = self.contents.get(&mark.content)?;
         same_content
@@ -235,7 +312,8 @@
         let contents = self.contents.iter();
         let contents = contents.filter(|(key, _)| content.is_none_or(|only| only == **key));
         let tracked = contents.flat_map(|(_, same_content)| same_content);
-        let least = tracked.min_by_key(|tracked| (tracked.record.ends.len(), tracked.updated_at));
+        let least =
+            tracked.min_by_key(|tracked| (tracked.record.crash_count(), tracked.updated_at));
         let Some(mark) = least.map(|tracked| tracked.record.mark) else {
             return;
         };
@@ -254,9 +332,9 @@
 fn is_content_at_fault(same_content: &[TrackedSuspect]) -> bool {
     let crashed = same_content
         .iter()
-        .filter(|tracked| !tracked.record.ends.is_empty());
+        .filter(|tracked| tracked.record.crash_count() > 0);
     let callers = crashed.clone().count();
-    let crashes: usize = crashed.map(|tracked| tracked.record.ends.len()).sum();
+    let crashes: usize = crashed.map(|tracked| tracked.record.crash_count()).sum();
     let has_completed = same_content.iter().any(|tracked| tracked.record.round > 0);
     callers > 1 && crashes >= CRASHES_TO_QUARANTINE_CONTENT && !has_completed
 }
--- a/crates/core/src/process/forward/suspicion.rs
+++ b/crates/core/src/process/forward/suspicion.rs
@@ -44,7 +44,7 @@
             });
             let matching: Vec<SlotKey> = matching.collect();
             for call in matching {
-                self.raise_suspicion(call, record.ends.len(), now, out);
+                self.raise_suspicion(call, record.crash_count(), now, out);
             }
         }
     }
@@ -103,7 +103,7 @@
                 self.merge_suspects(std::slice::from_ref(record), now, out);
                 let call = attempt.call.and_then(|call| self.calls.get_mut(call));
                 if let Some(state) = call {
-                    state.suspicion.crashes = state.suspicion.crashes.max(record.ends.len());
+                    state.suspicion.crashes = state.suspicion.crashes.max(record.crash_count());
                 }
             }
             _ => {}
@@ -138,7 +138,10 @@
         }
         let instance = self.servers[server].id.clone();
         let crash = ServerCrash::of(&instance, broken.is_canary);
-        if let Some(record) = self.suspects.record_crash(broken.mark, crash, now) {
+        if let Some(record) = self
+            .suspects
+            .record_crash(broken.mark, crash, broken.is_trial, now)
+        {
             out.push(ForwardAction::PublishSuspect(record));
         }
     }
--- a/crates/core/tests/forward/main.rs
+++ b/crates/core/tests/forward/main.rs
@@ -33,6 +33,7 @@
 mod slowness;
 mod source;
 mod splits;
+mod trials;
 mod unresponsive;
 mod versions;
 mod workspace_shares;
--- a/crates/core/tests/forward/server_end.rs
+++ b/crates/core/tests/forward/server_end.rs
@@ -492,6 +492,7 @@
         call: None,
         mark: fingerprint_of("/q/x"),
         is_canary: false,
+        is_trial: false,
         has_run: false,
         is_counted: false,
         at: now,
--- a/crates/node/src/process/forward/feed.rs
+++ b/crates/node/src/process/forward/feed.rs
@@ -326,7 +326,7 @@
             return;
         }
         for record in &records {
-            tracing::info!(target: "entry", mark = %record.mark, round = record.round, ends = record.ends.len(), tried = record.has_failed_canaries(), "request: suspect, reported by the control group");
+            tracing::info!(target: "entry", mark = %record.mark, round = record.round, ends = record.crash_count(), tried = record.has_failed_canaries(), "request: suspect, reported by the control group");
         }
         self.entry.step(ForwardInput::Suspects(records));
     }
@@ -341,7 +341,7 @@
         loop {
             let records = self.entry.take_unpublished_suspects().await;
             for record in &records {
-                tracing::warn!(target: "entry", mark = %record.mark, round = record.round, ends = record.ends.len(), tried = record.has_failed_canaries(), "request: suspect, servers crashed under it");
+                tracing::warn!(target: "entry", mark = %record.mark, round = record.round, ends = record.crash_count(), tried = record.has_failed_canaries(), "request: suspect, servers crashed under it");
             }
             self.connections
                 .borrow()
--- a/crates/node/src/process/forward/measure.rs
+++ b/crates/node/src/process/forward/measure.rs
@@ -114,6 +114,7 @@
             counts.denied_repeats,
         ),
         ("wheelmast_forward_over_share_total", counts.over_share),
+        ("wheelmast_forward_trials_total", counts.trials),
         ("wheelmast_forward_cancels_total", counts.cancels),
         ("wheelmast_forward_broken_total", counts.broken),
         (
--- a/crates/node/src/process/forward/story.rs
+++ b/crates/node/src/process/forward/story.rs
@@ -305,6 +305,7 @@
             | ForwardDecision::BreakVerdict { .. }
             | ForwardDecision::ServerAtLimit { .. }
             | ForwardDecision::PlacesChanged { .. }
+            | ForwardDecision::Trial { .. }
     )
 }
 
@@ -327,6 +328,7 @@
         | ForwardDecision::OmitShards { .. }
         | ForwardDecision::Reroute { .. }
         | ForwardDecision::NoServer { .. }
+        | ForwardDecision::Trial { .. }
         | ForwardDecision::BudgetSpent { .. }
         | ForwardDecision::OverShare { .. } => false,
     }
@@ -435,6 +437,12 @@
         ForwardDecision::NoServer { service, servers } => {
             tracing::info!(target: "entry", request, at_ms, %service, servers, "route: no server to ask");
         }
+        ForwardDecision::Trial {
+            mark,
+            failed_trials,
+        } => {
+            tracing::info!(target: "entry", request, at_ms, %mark, failed_trials, "request: trial of a quarantined request");
+        }
         ForwardDecision::BudgetSpent { service } => {
             tracing::info!(target: "entry", request, at_ms, %service, "route: repeat not affordable");
         }
--- a/crates/node/src/process/group/suspects.rs
+++ b/crates/node/src/process/group/suspects.rs
@@ -50,7 +50,7 @@
             return;
         }
         for record in &changed_records {
-            tracing::warn!(target: "group", mark = %record.mark, round = record.round, ends = record.ends.len(), tried = record.has_failed_canaries(), "request: suspect");
+            tracing::warn!(target: "group", mark = %record.mark, round = record.round, ends = record.crash_count(), tried = record.has_failed_canaries(), "request: suspect");
         }
         let fingerprints = changed_records.iter().map(|record| record.mark);
         if from == SuspectSource::Entry {
