Displace a server by a reused address only for as long as it is claimed

An entry that was told of a live server and then of a dead one of another service at the same address marked the live one as gone: it got no requests for the rest of its life, and nothing could end that. The order of two such announcements is that of a hash map after a restart, and a late heartbeat gives it as well.

The server is now displaced while the other one claims the address, and counts again when that one leaves, has an expired lease or is answered for with 421.

Test: a_server_whose_address_a_dead_one_had_before_is_used, failed before. The tests that a displaced server gets no requests are unchanged.

--- a/crates/core/src/process/forward/admit.rs
+++ b/crates/core/src/process/forward/admit.rs
@@ -222,7 +222,7 @@
         let state = &self.servers[server];
         allowed_regions.allows(state)
             && state.standing == ServerLifecycle::Ready
-            && !state.expired
+            && !state.is_lapsed()
             && now >= state.backoff_until
     }
 
--- a/crates/core/src/process/forward/announcements.rs
+++ b/crates/core/src/process/forward/announcements.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::arena::ServerKey;
+use crate::arena::{ServerKey, UpstreamKey};
 use crate::process::forward::answer::ForwardAction;
 use crate::process::forward::directory::{AnnouncementEffect, ServerAnnouncement, ServerLifecycle};
 use crate::process::forward::machine::ForwardMachine;
@@ -61,9 +61,8 @@
         self.add_server(known, address, now, out);
     }
 
-    /// Adds a server and starts requests that were waiting for one. A server known
-    /// under the same address is marked as expired, or as gone if it belonged to
-    /// another service.
+    /// Adds a server and starts requests that were waiting for one. Servers known under the
+    /// same address are marked as displaced.
     fn add_server(
         &mut self,
         announcement: ServerAnnouncement,
@@ -71,27 +70,8 @@
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
-        // A server that had the address before has most likely left. This is not certain:
-        // announcements do not show which of two servers is the later one, and an entry
-        // that has just started receives them in any order. If the expired server is the
-        // live one, the process at the address answers 421 (misdirected) to requests
-        // meant for the new server, and `mark_replaced` corrects the state.
-        let former = self.servers.iter_mut().find(|(_, server)| {
-            server.address == address && server.standing != ServerLifecycle::Gone
-        });
-        let former = former.map(|(former, state)| {
-            state.expired = true;
-            (former, state.upstream)
-        });
-        if let Some((former, _)) = former {
-            self.record_server_end(former, EndEvidence::Replaced, now, out);
-        }
         let upstream = self.find_or_add_upstream(&announcement.service);
-        match former {
-            Some((former, same)) if same == upstream => out.push(ForwardAction::CloseIdle(former)),
-            Some((former, _)) => self.advance_lifecycle(former, ServerLifecycle::Gone, out),
-            None => {}
-        }
+        self.displace_servers(address, upstream, now, out);
         let mut state = ServerState::new(announcement.id.clone().into(), upstream, address);
         state.proximity = self.proximity_of(&announcement.domain);
         state.region = self.options.regions.region_of(&announcement.domain);
@@ -109,22 +89,79 @@
         self.retry_waiting_parts(upstream, now, out);
     }
 
+    /// Marks the servers known under an address as displaced by a server of a service: they
+    /// have most likely left.
+    ///
+    /// This is not certain: announcements do not show which of two servers is the later one,
+    /// and an entry that has just started receives them in any order. A displaced server
+    /// counts again once it answers, or once the one that displaced it has left or has an
+    /// expired lease, or another server answers in its place.
+    fn displace_servers(
+        &mut self,
+        address: SocketAddr,
+        service: UpstreamKey,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let former = self.servers.iter_mut().filter(|(_, server)| {
+            server.address == address
+                && server.standing != ServerLifecycle::Gone
+                && server.displaced_by.is_none()
+        });
+        let former = former.map(|(key, server)| {
+            server.displaced_by = Some(service);
+            key
+        });
+        let former: Vec<ServerKey> = former.collect();
+        for server in former {
+            self.record_server_end(server, EndEvidence::Replaced, now, out);
+            out.push(ForwardAction::CloseIdle(server));
+        }
+    }
+
+    /// Ends the displacement of the servers at an address if no server claims it any more.
+    fn restore_displaced(&mut self, address: SocketAddr) {
+        let is_claimed = self.servers.iter().any(|(_, server)| {
+            server.address == address
+                && server.standing != ServerLifecycle::Gone
+                && !server.is_lapsed()
+        });
+        if is_claimed {
+            return;
+        }
+        for (_, server) in self.servers.iter_mut() {
+            if server.address == address {
+                server.displaced_by = None;
+            }
+        }
+    }
+
+    /// Records that a server answered, which shows that it runs at its address.
+    pub(super) fn record_identity(
+        &mut self,
+        server: ServerKey,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        let state = &self.servers[server];
+        if state.displaced_by.is_none() {
+            return;
+        }
+        let (address, upstream) = (state.address, state.upstream);
+        self.displace_servers(address, upstream, now, out);
+        self.servers[server].displaced_by = None;
+    }
+
     /// Handles a reply from a server's address which says that another server runs
-    /// there now. Marks the server as gone and other servers at the address as alive.
+    /// there now. Marks the server as gone.
     pub(super) fn mark_replaced(
         &mut self,
         server: ServerKey,
         now: Duration,
         out: &mut Vec<ForwardAction>,
     ) {
-        let address = self.servers[server].address;
         self.record_server_end(server, EndEvidence::Replaced, now, out);
         self.advance_lifecycle(server, ServerLifecycle::Gone, out);
-        for (_, other) in self.servers.iter_mut() {
-            if other.address == address && other.standing != ServerLifecycle::Gone {
-                other.expired = false;
-            }
-        }
     }
 
     /// Returns the proximity of a failure domain to this entry: the same domain, the same
@@ -151,6 +188,9 @@
         let servers = &mut self.upstreams[upstream].servers;
         servers.retain(|other| *other != server);
         out.push(ForwardAction::CloseIdle(server));
+        if standing == ServerLifecycle::Gone {
+            self.restore_displaced(self.servers[server].address);
+        }
     }
 
     /// Records whether the control group considers a server's lease expired. A server
@@ -169,6 +209,7 @@
             }
             state.expired = expired;
             if expired {
+                self.restore_displaced(self.servers[server].address);
                 self.record_server_end(server, EndEvidence::LeaseExpired, now, out);
             }
         }
--- a/crates/core/src/process/forward/break_verdict.rs
+++ b/crates/core/src/process/forward/break_verdict.rs
@@ -82,7 +82,7 @@
     /// address. It would accept the connection that is opened for evidence.
     fn is_replaced(&self, server: ServerKey) -> bool {
         let state = &self.servers[server];
-        if !state.expired && state.standing != ServerLifecycle::Gone {
+        if !state.is_lapsed() && state.standing != ServerLifecycle::Gone {
             return false;
         }
         self.servers.iter().any(|(other, known)| {
@@ -151,6 +151,7 @@
         match end {
             AttemptResult::Answer(answer) if answer.status != MISDIRECTED => {
                 self.servers[attempt.server].is_known_ended = false;
+                self.record_identity(attempt.server, now, out);
                 if self.server_ends.is_watching(attempt.server) {
                     let step = self.server_ends.record_answer(attempt.server, now);
                     self.follow_step(attempt.server, step, now, out);
--- a/crates/core/src/process/forward/bundle.rs
+++ b/crates/core/src/process/forward/bundle.rs
@@ -229,7 +229,7 @@
         let mut servers = self.upstreams[upstream].servers.iter();
         servers.any(|server| {
             let state = &self.servers[*server];
-            *state.domain == *domain && !state.expired && regions.allows(state)
+            *state.domain == *domain && !state.is_lapsed() && regions.allows(state)
         })
     }
 }
--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -125,6 +125,13 @@
         let retry_cost = self.retry_cost(upstream, criteria, now);
         for server in &self.upstreams[upstream].servers {
             let state = &self.servers[*server];
+            // A request for a displaced server would reach a server of another service.
+            if state
+                .displaced_by
+                .is_some_and(|service| service != upstream)
+            {
+                continue;
+            }
             if state.standing != ServerLifecycle::Ready || tried.contains(server) {
                 continue;
             }
@@ -244,7 +251,7 @@
     if state.idle == 0 {
         penalty += CONNECT_COST;
     }
-    if state.expired || now < state.backoff_until {
+    if state.is_lapsed() || now < state.backoff_until {
         penalty += UNAVAILABLE_COST;
     }
     if state.outstanding.iter().any(|attempt| attempt.is_canary) {
--- a/crates/core/src/process/forward/connection_cap.rs
+++ b/crates/core/src/process/forward/connection_cap.rs
@@ -128,7 +128,7 @@
         let state = &self.upstreams[upstream];
         let servers = state.servers.iter().map(|server| {
             let state = &self.servers[*server];
-            let is_in_use = !state.expired && !state.is_evacuated && !state.is_rolled_back;
+            let is_in_use = !state.is_lapsed() && !state.is_evacuated && !state.is_rolled_back;
             (*server, is_in_use)
         });
         let key = (self.views.generation(), state.connections);
--- a/crates/core/src/process/forward/machine.rs
+++ b/crates/core/src/process/forward/machine.rs
@@ -385,10 +385,12 @@
             let budget_left = upstream
                 .budget
                 .remaining(&bound, self.budget_sharing(key), now);
+            let servers = upstream.servers.iter();
+            let servers = servers.filter(|server| self.servers[**server].displaced_by.is_none());
             (
                 &*upstream.name,
                 upstream.counts,
-                upstream.servers.len(),
+                servers.count(),
                 budget_left,
             )
         })
--- a/crates/core/src/process/forward/placeless.rs
+++ b/crates/core/src/process/forward/placeless.rs
@@ -109,7 +109,7 @@
         servers.filter(|server| {
             let server_state = &self.servers[*server];
             server_state.standing == ServerLifecycle::Ready
-                && !server_state.expired
+                && !server_state.is_lapsed()
                 && !part.tried.contains(server)
                 && state.allowed_regions.allows(server_state)
         })
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -76,9 +76,11 @@
     pub is_evacuated: bool,
     /// Lifecycle state of the server: ready, draining or gone.
     pub standing: ServerLifecycle,
-    /// Whether the control group reported the server's lease as expired, or another
-    /// server announced itself at the same address.
+    /// Whether the control group reported the server's lease as expired.
     pub expired: bool,
+    /// Service of another server that announced itself at the same address later, if there
+    /// is one: this server has most likely left.
+    pub displaced_by: Option<UpstreamKey>,
     /// Number of requests that the server processes concurrently.
     pub slots: u32,
     /// When the server stops being cold, according to its announcement.
@@ -139,6 +141,7 @@
             is_evacuated: false,
             standing: ServerLifecycle::Ready,
             expired: false,
+            displaced_by: None,
             slots: 1,
             warm_at: Duration::ZERO,
             assumed_cold_until: Duration::ZERO,
@@ -230,6 +233,11 @@
         self.is_known_ended && now < self.backoff_until
     }
 
+    /// Returns whether the server has most likely ended without a word.
+    pub fn is_lapsed(&self) -> bool {
+        self.expired || self.displaced_by.is_some()
+    }
+
     /// Records a load report of the server.
     pub fn record_load(&mut self, load: LoadReport, now: Duration) {
         self.load = Some((load, now));
--- a/crates/core/tests/forward/reborn.rs
+++ b/crates/core/tests/forward/reborn.rs
@@ -224,3 +224,57 @@
         }
     }
 }
+
+/// What shows that a server of another service does not run at the address that it announced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DepartureSign {
+    /// The server that runs there says so when it gets a request for the other one.
+    Misdirected,
+    LeaseExpired,
+    Withdrawn,
+}
+
+/// Guards against a server that gets no requests for the rest of its life: an entry that
+/// starts is told of it, and then of a dead server of another service that had its address
+/// before.
+#[test]
+fn a_server_whose_address_a_dead_one_had_before_is_used() {
+    for sign in [
+        DepartureSign::Misdirected,
+        DepartureSign::LeaseExpired,
+        DepartureSign::Withdrawn,
+    ] {
+        let mut harness = Harness::new();
+        let desk = route("q", RouteTarget::Service("desk".into()));
+        let till = route("t", RouteTarget::Service("till".into()));
+        harness.set_table(table(3, vec![desk, till]));
+        let announce = |id: &str, service: &str, port| {
+            ForwardInput::Announcement(server_announcement(id, service, LOCAL_DOMAIN, port))
+        };
+        harness.step(announce("desk-live", "desk", 1));
+        harness.step(announce("till-dead", "till", 1));
+        match sign {
+            DepartureSign::Misdirected => {
+                let call = harness.call("t");
+                assert_eq!(&*harness.sends[0].instance, "till-dead");
+                let mut misdirected = answer(421, "", b"");
+                misdirected.not_run = true;
+                harness.end(0, AttemptResult::Answer(misdirected));
+                assert!(harness.failure_of(call).is_some());
+            }
+            DepartureSign::LeaseExpired => {
+                harness.step(ForwardInput::LeaseExpiry("till-dead".into(), true));
+            }
+            DepartureSign::Withdrawn => {
+                let gone = ServerAnnouncement::gone("till-dead", 0);
+                harness.step(ForwardInput::Announcement(gone));
+            }
+        }
+        let call = harness.call("q");
+        let order = harness.sends.last().map(|order| &*order.instance);
+        assert_eq!(order, Some("desk-live"), "{sign:?}");
+        harness.answer_ok(harness.sends.len() - 1, b"");
+        let is_served = matches!(harness.answer_to(call), Some(ForwardAnswer::Server(_)));
+        assert!(is_served, "{sign:?}");
+    }
+}
