Let a server's failure rate fall with time

A server that had failed some requests got none for as long as another server was free: its failure rate fell only with further answers.

The rate now halves in 10 s without attempts, by the decaying rate that services' shortages already use.

Test: a_server_that_failed_is_tried_again_after_some_time failed before: no request of 1,000 in 110 s.

--- a/crates/core/src/process/forward/choose.rs
+++ b/crates/core/src/process/forward/choose.rs
@@ -244,7 +244,7 @@
     failure_cost: Duration,
     now: Duration,
 ) -> Duration {
-    let mut penalty = failure_cost.mul_f64(state.failure_rate);
+    let mut penalty = failure_cost.mul_f64(state.failure_rate.value_at(now));
     if !criteria.ignores_distance {
         penalty += criteria.objective.mul_f64(distance_cost(state.proximity));
     }
--- a/crates/core/src/process/forward/reply.rs
+++ b/crates/core/src/process/forward/reply.rs
@@ -313,7 +313,7 @@
                     infer_stall(server, attempt, end, &mut self.stall_intervals, now);
                 }
                 server.record_answer(service_time, attempt.typical, now);
-                server.record_outcome(false);
+                server.record_outcome(false, now);
                 self.timings[attempt.timing].add(server_time);
             }
             AttemptOutcome::Failure | AttemptOutcome::NotRun => {
@@ -321,7 +321,7 @@
                 if let Some(report) = reported_slowness(end) {
                     server.slowness_estimate.record_report(report, now);
                 }
-                server.record_outcome(true);
+                server.record_outcome(true, now);
             }
             AttemptOutcome::RefusedAsSuspect => server.answered_at = now,
             AttemptOutcome::Withdrawn | AttemptOutcome::OverLimit => {}
@@ -331,7 +331,7 @@
             }
             AttemptOutcome::Unsent => server.back_off(now),
             AttemptOutcome::Broken => {
-                server.record_outcome(true);
+                server.record_outcome(true, now);
                 // The entry backs off from a server only on the verdict that it ended: one
                 // that loses one answer in ten would get no requests for much of the time.
                 if attempt.is_relay() {
--- a/crates/core/src/process/forward/server.rs
+++ b/crates/core/src/process/forward/server.rs
@@ -13,6 +13,7 @@
 use crate::process::forward::backlog::ServerBacklog;
 use crate::process::forward::cold::{SendWindow, ASSUMED_COLD_TIME};
 use crate::process::forward::connection_places::{OpeningBackoff, ServerPlaces};
+use crate::process::forward::decay::DecayingRate;
 use crate::process::forward::directory::ServerLifecycle;
 use crate::process::forward::expectation::ExpectationBasis;
 use crate::process::forward::input::LoadReport;
@@ -21,8 +22,9 @@
 use crate::process::forward::slowness::{ServerSlowness, SlownessEstimate, SlownessStrategy};
 use crate::process::forward::stall::StallPredictor;
 
-/// Weight of a new sample in the moving average of the failure rate.
-const FAILURE_SAMPLE_WEIGHT: f64 = 0.15;
+/// Time in which the failure rate halves without attempts. Servers that failed get fewer
+/// requests or none, so their rate could not fall otherwise.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(10);
 /// First back-off after a server could not be reached. It doubles with each further
 /// failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(250);
@@ -107,8 +109,8 @@
     /// Prediction of the server's stalls: short periods in which it answers nothing,
     /// such as garbage collections.
     pub stall_predictor: StallPredictor,
-    /// Moving average of the failure rate, from 0 to 1.
-    pub failure_rate: f64,
+    /// Fraction of recent attempts that failed.
+    pub failure_rate: DecayingRate,
     /// Until when the server gets no requests, after a failure to reach it.
     pub backoff_until: Duration,
     /// Whether there is proof that the server ended, and no answer since.
@@ -153,7 +155,7 @@
             opening_backoff: OpeningBackoff::default(),
             slowness_estimate: ServerSlowness::new(SlownessStrategy::default()),
             stall_predictor: StallPredictor::default(),
-            failure_rate: 0.0,
+            failure_rate: DecayingRate::new(FAILURE_HALF_LIFE),
             backoff_until: Duration::ZERO,
             is_known_ended: false,
             answered_at: Duration::ZERO,
@@ -203,9 +205,9 @@
     }
 
     /// Records whether an attempt failed, and updates the failure rate.
-    pub fn record_outcome(&mut self, failed: bool) {
+    pub fn record_outcome(&mut self, failed: bool, now: Duration) {
         let sample = if failed { 1.0 } else { 0.0 };
-        self.failure_rate += FAILURE_SAMPLE_WEIGHT * (sample - self.failure_rate);
+        self.failure_rate.add(sample, now);
     }
 
     /// Backs off from the server: sends it no requests for a while. Each back-off
--- a/crates/core/tests/forward/ends.rs
+++ b/crates/core/tests/forward/ends.rs
@@ -287,3 +287,39 @@
     harness.answer_ok(0, b"");
     assert_eq!(harness.sends.len(), 3, "a queued request goes next");
 }
+
+/// Guards against a server that gets no request ever again after some failures: its failure
+/// rate fell only with further answers, and the other servers were always preferred.
+#[test]
+fn a_server_that_failed_is_tried_again_after_some_time() {
+    for idempotent in [true, false] {
+        let mut harness = Harness::new();
+        let mut rule = route("a", RouteTarget::Service("desk".into()));
+        rule.idempotent = idempotent;
+        harness.set_table(table(1, vec![rule]));
+        harness.add_servers("desk", 2);
+        let mut next = 0;
+        let mut send_all = |harness: &mut Harness, is_failing: bool| {
+            harness.call("a");
+            let mut has_first = false;
+            while next < harness.sends.len() {
+                let is_first = *harness.sends[next].instance == *"desk-0";
+                has_first |= is_first;
+                harness.advance(10);
+                if is_first && is_failing {
+                    harness.end(next, AttemptResult::Answer(answer(500, "s", b"")));
+                } else {
+                    harness.answer_ok(next, b"");
+                }
+                next += 1;
+            }
+            harness.advance(100);
+            has_first
+        };
+        for _ in 0..100 {
+            send_all(&mut harness, true);
+        }
+        let first_again = (0..1000).position(|_| send_all(&mut harness, false));
+        assert!(first_again.is_some(), "idempotent {idempotent}");
+    }
+}
