Restore the attempts of a gathered request whose trial succeeded

Right after the trial of a gathered request the other entries have not heard of its result, and refuse the shards that are relayed to them. These count as sent, and a trial may be sent once only: the request failed although its servers could answer. Found by reading.

The route's attempts now apply again once a server has completed the request.

Test: shards_that_another_entry_refuses_after_a_trial_are_sent_to_their_servers failed before.

--- a/crates/core/src/process/forward/suspicion.rs
+++ b/crates/core/src/process/forward/suspicion.rs
@@ -156,6 +156,9 @@
         if let Some(call) = attempt.call {
             if let Some(state) = self.calls.get_mut(call) {
                 state.suspicion.has_run = true;
+                if state.suspicion.trial.take().is_some() {
+                    state.attempts = state.rule().attempts;
+                }
             }
             self.server_ends.record_completion(call);
         }
--- a/crates/core/tests/forward/trials.rs
+++ b/crates/core/tests/forward/trials.rs
@@ -10,7 +10,7 @@
 use wheelmast_core::process::forward::directory::ServerAnnouncement;
 use wheelmast_core::process::forward::input::{AttemptResult, EntryPeer, ForwardInput};
 use wheelmast_core::process::forward::machine::ForwardOptions;
-use wheelmast_core::process::forward::suspect::record::SuspectRecord;
+use wheelmast_core::process::forward::suspect::record::{ServerCrash, SuspectRecord};
 use wheelmast_core::process::input::CallTag;
 use wheelmast_core::request::mark::{CallerFingerprint, RequestFingerprint};
 use wheelmast_core::version::route_table::RouteTarget;
@@ -405,3 +405,40 @@
     let known_at = sends[2] + SPREAD_TIME;
     sends.iter().filter(|at| **at > known_at).count()
 }
+
+/// Guards against a gathered request whose trial succeeds and which fails nevertheless: another
+/// entry has not heard of the result yet and refuses the shards that are relayed to it.
+#[test]
+fn shards_that_another_entry_refuses_after_a_trial_are_sent_to_their_servers() {
+    let mut harness = Harness::new();
+    harness.step(ForwardInput::EntryCount(1));
+    harness.set_table(table(3, vec![route("q", shards(8))]));
+    for shard in 0..8 {
+        harness.add_server_in(&format!("s{shard}"), "far");
+    }
+    harness.add_servers("s0", 1);
+    let mut record = SuspectRecord::new(mark_of(1));
+    for server in ["a", "b", "c"] {
+        record.add(ServerCrash::of(server, true));
+    }
+    harness.step(ForwardInput::Suspects(vec![record.clone()]));
+    harness.advance(6000);
+    harness.add_entries(&["far"]);
+    let mut call = None;
+    // The entry waits for its turn.
+    while harness.sends.is_empty() {
+        call = Some(harness.call_with_fingerprint("q", mark_of(1), None, None));
+        harness.advance(10);
+    }
+    let mut next = 0;
+    while next < harness.sends.len() {
+        if harness.sends[next].relay.is_some() {
+            harness.end(next, AttemptResult::RefusedAsSuspect(record.clone()));
+        } else {
+            harness.answer_ok(next, b"");
+        }
+        next += 1;
+    }
+    let (stamps, missing) = harness.gathered(call.expect("a trial")).expect("an answer");
+    assert_eq!((stamps.len(), missing), (8, 0));
+}
