--- a/crates/core/src/process/forward/canary.rs
+++ b/crates/core/src/process/forward/canary.rs
@@ -11,9 +11,7 @@
 use rand::Rng;
 
 use crate::arena::SlotKey;
-use crate::process::forward::answer::{
-    AttemptCause, ForwardAction, ForwardDecision, ForwardFailure,
-};
+use crate::process::forward::answer::{AttemptCause, ForwardAction, ForwardFailure};
 use crate::process::forward::call::CallState;
 use crate::process::forward::choose::SelectionFailure;
 use crate::process::forward::hedge::RECHECK_INTERVAL;
@@ -23,16 +21,8 @@
     SuspectRecord, CANARY_CRASHES_TO_QUARANTINE, CRASHES_TO_QUARANTINE,
 };
 use crate::process::forward::suspect::registry::SuspectStatus;
-use crate::process::rendezvous::rank;
 use crate::request::mark::RequestFingerprint;
 
-/// Time in which each entry has one turn to begin a trial of a quarantined request.
-const TRIAL_CYCLE: Duration = Duration::from_secs(4);
-/// Minimum length of a turn. The other entries hear of a crash within this time.
-const MIN_TRIAL_TURN: Duration = Duration::from_millis(150);
-/// Maximum length of the cycle, however many entries there are.
-const MAX_TRIAL_CYCLE: Duration = Duration::from_secs(8);
-
 /// Which requests are sent to one server as a canary before other servers get them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum CanaryStrategy {
@@ -181,49 +171,6 @@
         }
     }
 
-    /// Returns whether this entry may begin a trial of a quarantined request that is due since
-    /// `trial_at`. The entries take turns, so that a request which still crashes servers does
-    /// not crash one for each entry.
-    fn has_trial_turn(&self, mark: RequestFingerprint, trial_at: Duration, now: Duration) -> bool {
-        let Some(elapsed) = now.checked_sub(trial_at) else {
-            return false;
-        };
-        let key = format!("{:x}/{}", mark.content.0, self.suspects.failed_trials(mark));
-        let local_rank = rank(&key, &self.options.local_id);
-        let domains = self.peer_domains.iter();
-        let peers = domains.flat_map(|(_, entries)| &self.upstreams[*entries].servers);
-        let peer_ranks = peers.map(|peer| rank(&key, &self.servers[*peer].id));
-        let peer_ranks: Vec<u64> = peer_ranks.collect();
-        let position = peer_ranks.iter().filter(|peer| **peer > local_rank).count() as u128;
-        let turns = self.entry_count.max(peer_ranks.len() as u32 + 1);
-        let turn_time = (TRIAL_CYCLE / turns).max(MIN_TRIAL_TURN);
-        let turn_time = turn_time.min(MAX_TRIAL_CYCLE / turns);
-        elapsed.as_nanos() / turn_time.as_nanos().max(1) % u128::from(turns) == position
-    }
-
-    /// Lets a quarantined request be sent to one server.
-    fn begin_trial(&mut self, state: &mut CallState, now: Duration, out: &mut Vec<ForwardAction>) {
-        let failed_trials = self.suspects.failed_trials(state.mark);
-        self.suspects
-            .begin_trial(state.mark, state.deadlines.hard_deadline, now);
-        state.suspicion.trial = Some(failed_trials);
-        state.suspicion.starts_with_canary = true;
-        state.attempts = 1;
-        self.counters.trials += 1;
-        self.record_decision(state.tag, out, || ForwardDecision::Trial {
-            mark: state.mark,
-            failed_trials,
-        });
-    }
-
-    /// Lets another trial of a request begin at once if the request ended as a trial that no
-    /// server began.
-    pub(super) fn withdraw_unrun_trial(&mut self, state: &CallState) {
-        if state.suspicion.trial.is_some() && !state.may_have_run() {
-            self.suspects.withdraw_trial(state.mark);
-        }
-    }
-
     /// Returns the evidence against a request at its arrival, and whether the request must
     /// start with a canary attempt.
     pub(super) fn initial_suspicion(&self, call: &ForwardCall, now: Duration) -> CallSuspicion {
--- a/crates/core/src/process/forward/mod.rs
+++ b/crates/core/src/process/forward/mod.rs
@@ -52,5 +52,6 @@
 pub mod suspect;
 mod suspicion;
 pub mod timing;
+mod trial;
 mod version;
 mod workspace_share;
--- a/crates/node/src/connection/mod.rs
+++ b/crates/node/src/connection/mod.rs
@@ -2,6 +2,7 @@
 //! and other instances.
 
 pub mod accept;
+pub mod answer_head;
 pub mod arrival;
 pub mod attempt;
 pub mod exchange;
