Test that suspect records keep the form of the version before

The number of failed trials is stored as one more end of the record, so that instances of two versions read each other's messages and files. The test encodes a record in the former shape, and one with failed trials, and decodes each as the other.

--- a/crates/wire/tests/decode.rs
+++ b/crates/wire/tests/decode.rs
@@ -4,7 +4,11 @@
 use assert_matches::assert_matches;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
+use serde::{Deserialize, Serialize};
 use wheelmast_core::prelude::ReplyStatus;
+use wheelmast_core::process::forward::suspect::record::{ServerCrash, SuspectRecord};
+use wheelmast_core::request::mark::{CallerFingerprint, ContentFingerprint, RequestFingerprint};
+use wheelmast_wire::peer::{decode, encode};
 use wheelmast_wire::prelude::AnnouncementBody;
 use wheelmast_wire::upstream::{decode_reply, read_announcement, MAX_REPLY_HITS};
 
@@ -179,3 +183,48 @@
         prop_assert_eq!(unpacked, bytes);
     }
 }
+
+/// A suspect record as instances without trials encode it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct FormerRecord {
+    mark: RequestFingerprint,
+    round: u32,
+    ends: Vec<ServerCrash>,
+}
+
+/// Guards against instances of two versions that cannot read each other's suspect records, or
+/// the file with them: the number of failed trials is stored in the former shape.
+#[test]
+fn suspect_records_with_failed_trials_have_the_shape_of_the_version_before() {
+    let mark = RequestFingerprint {
+        content: ContentFingerprint(1),
+        caller: CallerFingerprint(2),
+    };
+    let mut record = SuspectRecord::new(mark);
+    for server in ["a", "b", "c", "d"] {
+        record.add(ServerCrash::of(server, true));
+    }
+    let former = FormerRecord {
+        mark,
+        round: 0,
+        ends: ["a", "b", "c", "d"]
+            .map(|server| ServerCrash::of(server, true))
+            .to_vec(),
+    };
+    let bytes = encode(&former).expect("encoded");
+    let read: SuspectRecord = decode(&bytes).expect("the former record is read");
+    assert_eq!(read, record);
+    assert_eq!((read.crash_count(), read.failed_trials()), (4, 0));
+    record.raise_failed_trials(2);
+    let bytes = encode(&record).expect("encoded");
+    let read: FormerRecord = decode(&bytes).expect("the former version reads the record");
+    assert_eq!(read.ends.len(), 5);
+    assert_eq!(read.ends[..4], former.ends[..]);
+    // What a former instance passes on is understood again.
+    let bytes = encode(&read).expect("encoded");
+    let passed_on: SuspectRecord = decode(&bytes).expect("read");
+    assert_eq!((passed_on.crash_count(), passed_on.failed_trials()), (4, 2));
+    let text = serde_json::to_string(&record).expect("text");
+    let read: SuspectRecord = serde_json::from_str(&text).expect("a header value");
+    assert_eq!(read.failed_trials(), 2);
+}
