Count broken trials as failed, and wait longer after the first

Suspected, not shown: the server of a trial restarts before the entry sees its end (0.4 s down, entries are frozen in these plans), which looks like a lost answer, and the trial was repeated after 5 s.

A trial whose connection breaks now fails whatever the verdict, and the second trial comes 2 minutes after the first that failed, not 30 s.

--- a/crates/core/src/process/forward/break_verdict.rs
+++ b/crates/core/src/process/forward/break_verdict.rs
@@ -281,6 +281,8 @@
             self.uncount_break(broken);
             if finding.verdict == EndVerdict::Ended {
                 self.record_crash(server, broken, now, out);
+            } else {
+                self.record_broken_trial(broken, now, out);
             }
         }
         let first = finding.breaks.first();
--- a/crates/core/src/process/forward/suspect/registry.rs
+++ b/crates/core/src/process/forward/suspect/registry.rs
@@ -25,7 +25,7 @@
 /// trials that failed. The last one applies to all further trials.
 const TRIAL_DELAYS: [Duration; 4] = [
     Duration::from_secs(5),
-    Duration::from_secs(30),
+    Duration::from_secs(120),
     Duration::from_secs(600),
     Duration::from_secs(3600),
 ];
@@ -191,6 +191,23 @@
         self.trials.remove(&mark.content);
     }
 
+    /// Records that the connection of a request's trial broke, although the server did not
+    /// end. Returns the request's record if the record changed.
+    pub fn record_broken_trial(
+        &mut self,
+        mark: RequestFingerprint,
+        now: Duration,
+    ) -> Option<SuspectRecord> {
+        self.trials.remove(&mark.content);
+        let failed_trials = self.failed_trials(mark) + 1;
+        let tracked = self.find_or_insert(mark, now);
+        if !tracked.record.raise_failed_trials(failed_trials) {
+            return None;
+        }
+        tracked.updated_at = now;
+        Some(tracked.record.clone())
+    }
+
     /// Records that a server crashed while it was running a request, in a trial of the
     /// request if `is_trial` is set. Returns the request's record if the record changed.
     pub fn record_crash(
--- a/crates/core/src/process/forward/suspicion.rs
+++ b/crates/core/src/process/forward/suspicion.rs
@@ -146,6 +146,22 @@
         }
     }
 
+    /// Records that the connection of a trial broke, although the server did not end: the
+    /// request was not completed, so it is not tried again soon.
+    pub(super) fn record_broken_trial(
+        &mut self,
+        broken: &PendingBreak,
+        now: Duration,
+        out: &mut Vec<ForwardAction>,
+    ) {
+        if !broken.is_trial || broken.has_run {
+            return;
+        }
+        if let Some(record) = self.suspects.record_broken_trial(broken.mark, now) {
+            out.push(ForwardAction::PublishSuspect(record));
+        }
+    }
+
     /// Records that a server completed an attempt's request, and reports the changed record.
     fn record_completion(
         &mut self,
