--- a/crates/core/src/arena.rs
+++ b/crates/core/src/arena.rs
@@ -198,13 +198,18 @@
 
     /// Returns the keys of all stored records, in slot order.
     pub fn keys(&self) -> Vec<SlotKey> {
+        self.iter().map(|(key, _)| key).collect()
+    }
+
+    /// Iterates over all stored records and their keys, in slot order.
+    pub fn iter(&self) -> impl Iterator<Item = (SlotKey, &V)> {
         let slots = self.slots.iter().enumerate();
-        slots
-            .filter(|(_, slot)| slot.value.is_some())
-            .map(|(index, slot)| SlotKey {
+        slots.filter_map(|(index, slot)| {
+            let key = SlotKey {
                 index: index as u32,
                 generation: slot.generation,
-            })
-            .collect()
+            };
+            Some((key, slot.value.as_ref()?))
+        })
     }
 }
--- a/crates/node/src/connection/attempt.rs
+++ b/crates/node/src/connection/attempt.rs
@@ -12,8 +12,8 @@
 use wheelmast_core::prelude::{AttemptReply, ReplyStatus, SendOrder};
 use wheelmast_wire::upstream::{decode_reply, encode_search_request, SEARCH_PATH};
 
+use crate::connection::client_memory::AnswerMemory;
 use crate::connection::pool::{ConnectionPool, UpstreamConnection};
-use crate::connection::receive_memory::ReceiveReservation;
 use crate::process::clock::ProcessClock;
 
 /// Maximum size of the body of a reply, in bytes.
@@ -140,7 +140,8 @@
     response: Response<Incoming>,
 ) -> ReplyStatus {
     let status = response.status().as_u16();
-    let Some(body) = read_body(response.into_body()).await else {
+    let memory = pool.memory.receive_answer();
+    let Some(body) = read_body(response.into_body(), memory).await else {
         return ReplyStatus::Failed;
     };
     let reply = decode_reply(status, &body);
@@ -157,9 +158,8 @@
 
 /// Reads the body of a reply. Returns `None` if it breaks off, is too large or comes in too
 /// many pieces.
-async fn read_body(mut body: Incoming) -> Option<BytesMut> {
+async fn read_body(mut body: Incoming, mut memory: AnswerMemory) -> Option<BytesMut> {
     let mut bytes = BytesMut::new();
-    let mut memory = ReceiveReservation::default();
     let mut frames = 0;
     while let Some(frame) = body.frame().await {
         frames += 1;
@@ -173,7 +173,7 @@
             return None;
         }
         bytes.extend_from_slice(&data);
-        memory.cover(bytes.len()).ok()?;
+        memory.cover(bytes.capacity()).ok()?;
     }
     Some(bytes)
 }
--- /dev/null
+++ b/crates/node/src/connection/client_memory.rs
@@ -0,0 +1,299 @@
+//! Limit on the memory that clients make a process hold: requests that are received or wait,
+//! and answers that are received from servers or not read by clients yet.
+//!
+//! When the limit is reached, the request or answer is given up whose client has kept this
+//! instance waiting for longest. A part of the memory is reserved for small requests and
+//! answers, so that large ones that wait for servers don't keep them out.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use wheelmast_core::arena::{SlotArena, SlotKey};
+
+use crate::connection::client::Eviction;
+use crate::connection::log_limit::LogLimit;
+use crate::settings::model::ClientLimits;
+
+/// Maximum size of a request or an answer that may use the reserved part, in bytes.
+const SMALL_BYTES: usize = 32 * 1024;
+/// The part of the memory that is not reserved for small requests and answers.
+const LARGE_FRACTION: f64 = 0.75;
+
+/// Part of the memory that is for requests; the rest is for answers.
+const REQUEST_FRACTION: f64 = 1.0 / 3.0;
+/// Size up to which an answer is not counted while it is received, in bytes. Small answers are
+/// thus received also while the memory is used up by large ones.
+const UNCOUNTED_ANSWER_BYTES: usize = 32 * 1024;
+
+/// What memory is held for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemoryUse {
+    /// A request that is received or waits for servers.
+    Request,
+    /// An answer that is received, or that its client has not read completely.
+    Answer,
+}
+
+/// Failure to reserve memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemoryExhausted;
+
+/// Memory held for one request or answer.
+#[derive(Debug)]
+struct Holding {
+    bytes: usize,
+    /// Since when the client has kept this instance waiting. `None` while it does not.
+    waiting_since: Option<Instant>,
+    eviction: Arc<Eviction>,
+}
+
+/// Memory held for one use.
+#[derive(Debug, Default)]
+struct HoldingTable {
+    max_bytes: usize,
+    used_bytes: usize,
+    holdings: SlotArena<Holding>,
+}
+
+impl HoldingTable {
+    /// Changes the memory of a holding to `bytes`, and evicts others if there is too little.
+    fn resize(&mut self, key: SlotKey, bytes: usize) -> Result<bool, MemoryExhausted> {
+        let held = self.holdings.get(key).map(|holding| holding.bytes);
+        let held = held.ok_or(MemoryExhausted)?;
+        let mut has_evicted = false;
+        // The first one is allowed whatever its size, which has a limit of its own.
+        while bytes > held && self.used_bytes > held && !self.fits(bytes, held) {
+            self.evict_oldest(key)?;
+            has_evicted = true;
+        }
+        if let Some(holding) = self.holdings.get_mut(key) {
+            holding.bytes = bytes;
+            self.used_bytes = self.used_bytes - held + bytes;
+        }
+        Ok(has_evicted)
+    }
+
+    /// Returns whether a holding of `held` bytes may grow to `bytes`.
+    fn fits(&self, bytes: usize, held: usize) -> bool {
+        let max_bytes = if bytes <= SMALL_BYTES {
+            self.max_bytes
+        } else {
+            (self.max_bytes as f64 * LARGE_FRACTION) as usize
+        };
+        self.used_bytes - held + bytes <= max_bytes
+    }
+
+    /// Evicts the holding whose client has kept this instance waiting for longest. Fails if
+    /// that is `key`, or if there is none.
+    fn evict_oldest(&mut self, key: SlotKey) -> Result<(), MemoryExhausted> {
+        let holdings = self.holdings.iter();
+        let waiting = holdings.filter_map(|(key, holding)| {
+            let since = holding.waiting_since.filter(|_| holding.bytes > 0)?;
+            Some((since, key))
+        });
+        let (_, oldest) = waiting
+            .min()
+            .filter(|(_, oldest)| *oldest != key)
+            .ok_or(MemoryExhausted)?;
+        // Its task releases the memory as soon as it runs.
+        if let Some(holding) = self.holdings.remove(oldest) {
+            self.used_bytes -= holding.bytes;
+            holding.eviction.evict();
+        }
+        Ok(())
+    }
+}
+
+#[derive(Debug)]
+struct MemoryTables {
+    requests: Mutex<HoldingTable>,
+    answers: Mutex<HoldingTable>,
+    log_limit: LogLimit,
+}
+
+impl MemoryTables {
+    fn lock(&self, memory_use: MemoryUse) -> MutexGuard<'_, HoldingTable> {
+        let table = match memory_use {
+            MemoryUse::Request => &self.requests,
+            MemoryUse::Answer => &self.answers,
+        };
+        table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The memory that a process holds for its clients. Clones share it.
+#[derive(Debug, Clone)]
+pub struct ClientMemory {
+    tables: Arc<MemoryTables>,
+}
+
+impl ClientMemory {
+    /// Limits the memory to `max_bytes`, a third for requests and the rest for answers.
+    pub fn new(max_bytes: usize) -> ClientMemory {
+        let request_bytes = (max_bytes as f64 * REQUEST_FRACTION) as usize;
+        let new_table = |max_bytes| {
+            Mutex::new(HoldingTable {
+                max_bytes,
+                ..HoldingTable::default()
+            })
+        };
+        ClientMemory {
+            tables: Arc::new(MemoryTables {
+                requests: new_table(request_bytes),
+                answers: new_table(max_bytes - request_bytes),
+                log_limit: LogLimit::default(),
+            }),
+        }
+    }
+
+    /// Begins to hold a request or an answer, without any memory yet, whose client is waited
+    /// for. `eviction` is signalled if it must be given up.
+    pub fn hold(&self, memory_use: MemoryUse, eviction: Arc<Eviction>) -> MemoryReservation {
+        let holding = Holding {
+            bytes: 0,
+            waiting_since: Some(Instant::now()),
+            eviction,
+        };
+        let key = self.tables.lock(memory_use).holdings.insert(holding);
+        MemoryReservation {
+            tables: self.tables.clone(),
+            memory_use,
+            key,
+        }
+    }
+
+    /// Returns `bytes` as the body of an answer, which counts until it is written completely.
+    /// `eviction` must close the client's connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is too little memory.
+    pub fn hold_answer(
+        &self,
+        bytes: Bytes,
+        eviction: &Arc<Eviction>,
+    ) -> Result<Bytes, MemoryExhausted> {
+        if bytes.is_empty() {
+            return Ok(bytes);
+        }
+        let mut memory = self.hold(MemoryUse::Answer, eviction.clone());
+        memory.resize(bytes.len())?;
+        Ok(memory.attach(bytes))
+    }
+
+    /// Begins to receive an answer from a server.
+    pub fn receive_answer(&self) -> AnswerMemory {
+        AnswerMemory {
+            memory: self.clone(),
+            reservation: None,
+        }
+    }
+}
+
+impl Default for ClientMemory {
+    fn default() -> ClientMemory {
+        ClientMemory::new(ClientLimits::default().memory_bytes())
+    }
+}
+
+/// Memory of an answer that is received from a server, beyond the size that is not counted.
+#[derive(Debug)]
+pub struct AnswerMemory {
+    memory: ClientMemory,
+    reservation: Option<MemoryReservation>,
+}
+
+impl AnswerMemory {
+    /// Counts an answer that takes `bytes` bytes now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is too little memory.
+    pub fn cover(&mut self, bytes: usize) -> std::io::Result<()> {
+        if bytes <= UNCOUNTED_ANSWER_BYTES {
+            return Ok(());
+        }
+        let reservation = self.reservation.get_or_insert_with(|| {
+            let reservation = self.memory.hold(MemoryUse::Answer, Arc::default());
+            // A server is waited for, not a client.
+            reservation.end_wait();
+            reservation
+        });
+        let resized = reservation.resize(bytes);
+        resized.map_err(|MemoryExhausted| {
+            let message = "answers hold too much memory";
+            std::io::Error::new(std::io::ErrorKind::OutOfMemory, message)
+        })
+    }
+
+    /// Returns `bytes`, which count as held until the last reference to them is dropped.
+    pub fn attach(self, bytes: Bytes) -> Bytes {
+        match self.reservation {
+            Some(reservation) => reservation.attach(bytes),
+            None => bytes,
+        }
+    }
+}
+
+/// Memory held for one request or answer. Dropping the value releases it.
+#[derive(Debug)]
+pub struct MemoryReservation {
+    tables: Arc<MemoryTables>,
+    memory_use: MemoryUse,
+    key: SlotKey,
+}
+
+impl MemoryReservation {
+    /// Changes the number of bytes that are held.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is too little memory, or if this holding was evicted.
+    pub fn resize(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
+        let resized = self.tables.lock(self.memory_use).resize(self.key, bytes);
+        if resized != Ok(false) {
+            let memory_use = self.memory_use;
+            self.tables.log_limit.count(|count| {
+                tracing::warn!(target: "clients", count, ?memory_use, "clients: memory at its limit");
+            });
+        }
+        resized.map(drop)
+    }
+
+    /// Returns `bytes`, which count as held until the last reference to them is dropped.
+    pub fn attach(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(HeldBytes {
+            bytes,
+            _memory: self,
+        })
+    }
+
+    /// Records that the client is not waited for any more, so that this holding is not evicted.
+    pub fn end_wait(&self) {
+        if let Some(holding) = self.tables.lock(self.memory_use).holdings.get_mut(self.key) {
+            holding.waiting_since = None;
+        }
+    }
+}
+
+impl Drop for MemoryReservation {
+    fn drop(&mut self) {
+        let mut table = self.tables.lock(self.memory_use);
+        if let Some(holding) = table.holdings.remove(self.key) {
+            table.used_bytes -= holding.bytes;
+        }
+    }
+}
+
+/// Bytes that count as held until the last reference to them is dropped.
+struct HeldBytes {
+    bytes: Bytes,
+    _memory: MemoryReservation,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/node/src/connection/exchange.rs
+++ b/crates/node/src/connection/exchange.rs
@@ -4,8 +4,9 @@
 //! any other outcome the connection must be closed, because the next bytes on it could
 //! not be attributed to a request.
 
+use std::borrow::Cow;
 use std::future::Future;
-use std::io::{ErrorKind, Result};
+use std::io::{ErrorKind, IoSlice, Result};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -15,7 +16,7 @@
 use crate::connection::answer_head::{
     invalid_data, parse_head, AnswerHead, BodyFraming, FIRST_FINAL_STATUS, MAX_BODY_BYTES,
 };
-use crate::connection::receive_memory::ReceiveReservation;
+use crate::connection::client_memory::{AnswerMemory, ClientMemory};
 
 /// Maximum size of the heads of an answer, the interim ones included, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -26,6 +27,8 @@
 /// Maximum number of bytes that the chunks of a body may add to it. Small chunks cost much
 /// processor time for each byte of the body.
 const MAX_FRAMING_BYTES: usize = 256 * 1024;
+/// End of a line.
+const LINE_END: &[u8] = b"\r\n";
 /// Size of the line breaks around the data of a chunk, in bytes.
 const CHUNK_BREAK_BYTES: usize = 4;
 /// Buffer space reserved before each read, in bytes.
@@ -42,6 +45,8 @@
     pub headers: Vec<(Box<str>, Box<[u8]>)>,
     /// Body, without transfer encoding.
     pub body: Bytes,
+    /// Memory that the body takes.
+    pub memory: AnswerMemory,
     /// Maximum idle time of the connection before its next use. `None` if the
     /// connection must not be used again.
     pub keep_alive: Option<Duration>,
@@ -56,6 +61,24 @@
     Broken,
 }
 
+/// A request as it is written to a connection.
+#[derive(Debug)]
+pub struct WireRequest<'a> {
+    /// The head, and the body unless it is in `body`.
+    pub head: Cow<'a, [u8]>,
+    /// The body, which all attempts share.
+    pub body: &'a [u8],
+}
+
+impl<'a> From<&'a [u8]> for WireRequest<'a> {
+    fn from(head: &'a [u8]) -> WireRequest<'a> {
+        WireRequest {
+            head: head.into(),
+            body: &[],
+        }
+    }
+}
+
 /// Sends a request and reads its answer.
 ///
 /// # Errors
@@ -66,7 +89,8 @@
     buffer: &mut BytesMut,
     request: &[u8],
 ) -> std::result::Result<CompleteAnswer, ExchangeFailure> {
-    exchange_with_continue(stream, buffer, request, std::future::pending).await
+    let memory = ClientMemory::default().receive_answer();
+    exchange_with_continue(stream, buffer, request, memory, std::future::pending).await
 }
 
 /// Sends a request whose last bytes are held back until the server sends
@@ -79,22 +103,27 @@
 /// # Errors
 ///
 /// Fails if no complete answer is received.
-pub async fn exchange_with_continue<R: Future<Output = Vec<u8>>>(
+pub async fn exchange_with_continue<'a, R: Future<Output = Vec<u8>>>(
     stream: &mut TcpStream,
     buffer: &mut BytesMut,
-    request: &[u8],
+    request: impl Into<WireRequest<'a>>,
+    memory: AnswerMemory,
     rest: impl FnOnce() -> R,
 ) -> std::result::Result<CompleteAnswer, ExchangeFailure> {
     if !buffer.is_empty() || is_closed_or_readable(stream) {
         return Err(ExchangeFailure::Unsent);
     }
     let mut written = 0;
-    let is_fully_written = match write_request(stream, buffer, request, &mut written).await {
+    let request = request.into();
+    let is_fully_written = match write_request(stream, buffer, &request, &mut written).await {
         Ok(is_fully_written) => is_fully_written,
         Err(_) if written == 0 => return Err(ExchangeFailure::Unsent),
         Err(_) => return Err(ExchangeFailure::Broken),
     };
-    let answer = AnswerReader::new(stream, buffer).read_answer(rest).await;
+    drop(request);
+    let answer = AnswerReader::new(stream, buffer, memory)
+        .read_answer(rest)
+        .await;
     let mut answer = answer.map_err(|_| ExchangeFailure::Broken)?;
     // After an early answer the server may still expect the rest of the request, and
     // bytes beyond the answer belong to no request. In both cases the connection must
@@ -120,16 +149,23 @@
 async fn write_request(
     stream: &mut TcpStream,
     buffer: &mut BytesMut,
-    request: &[u8],
+    request: &WireRequest<'_>,
     written: &mut usize,
 ) -> Result<bool> {
+    let (head, body) = (&*request.head, request.body);
     loop {
-        match stream.try_write(&request[*written..]) {
+        let head_left = &head[head.len().min(*written)..];
+        let body_left = &body[written.saturating_sub(head.len())..];
+        let result = match body_left.is_empty() {
+            true => stream.try_write(head_left),
+            false => stream.try_write_vectored(&[IoSlice::new(head_left), IoSlice::new(body_left)]),
+        };
+        match result {
             Ok(count) => *written += count,
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
             Err(error) => return Err(error),
         }
-        if *written == request.len() {
+        if *written == head.len() + body.len() {
             return Ok(true);
         }
         let ready = stream
@@ -154,18 +190,22 @@
     stream: &'a mut TcpStream,
     /// Bytes received and not parsed yet.
     buffer: &'a mut BytesMut,
-    /// Size of the body received so far and removed from `buffer`.
+    /// Memory taken by the part of the body that was received and removed from `buffer`.
     body_bytes: usize,
-    memory: ReceiveReservation,
+    memory: AnswerMemory,
 }
 
 impl<'a> AnswerReader<'a> {
-    fn new(stream: &'a mut TcpStream, buffer: &'a mut BytesMut) -> AnswerReader<'a> {
+    fn new(
+        stream: &'a mut TcpStream,
+        buffer: &'a mut BytesMut,
+        memory: AnswerMemory,
+    ) -> AnswerReader<'a> {
         AnswerReader {
             stream,
             buffer,
             body_bytes: 0,
-            memory: ReceiveReservation::default(),
+            memory,
         }
     }
 
@@ -196,6 +236,7 @@
             status: head.status,
             headers: head.headers,
             body,
+            memory: self.memory,
             keep_alive: head.keep_alive,
         })
     }
@@ -226,9 +267,14 @@
     /// connection.
     async fn read_available(&mut self) -> Result<usize> {
         self.buffer.reserve(READ_BUFFER_BYTES);
-        let count = self.stream.read_buf(self.buffer).await?;
-        self.memory.cover(self.body_bytes + self.buffer.len())?;
-        Ok(count)
+        self.read_reserved().await
+    }
+
+    /// Reads more bytes into the free space of the buffer, like [`Self::read_available`].
+    async fn read_reserved(&mut self) -> Result<usize> {
+        self.memory
+            .cover(self.body_bytes + self.buffer.capacity())?;
+        self.stream.read_buf(self.buffer).await
     }
 
     /// Reads and parses the next head, interim or final, and removes it from the buffer.
@@ -261,11 +307,26 @@
     /// Reads until `length` bytes are available and removes them from the buffer.
     async fn read_exact_body(&mut self, length: usize) -> Result<Bytes> {
         while self.buffer.len() < length {
-            self.read_more().await?;
+            if self.buffer.len() == self.buffer.capacity() {
+                let doubled = (self.buffer.len() * 2).max(READ_BUFFER_BYTES);
+                self.grow_buffer(doubled.min(length))?;
+            }
+            if self.read_reserved().await? == 0 {
+                return Err(ErrorKind::UnexpectedEof.into());
+            }
         }
         Ok(self.buffer.split_to(length).freeze())
     }
 
+    /// Lets the buffer have space for `capacity` bytes and no more.
+    fn grow_buffer(&mut self, capacity: usize) -> Result<()> {
+        self.memory.cover(self.body_bytes + capacity)?;
+        let mut grown = BytesMut::with_capacity(capacity);
+        grown.extend_from_slice(self.buffer);
+        *self.buffer = grown;
+        Ok(())
+    }
+
     /// Reads a body that ends when the server closes the connection.
     async fn read_to_end(&mut self) -> Result<Bytes> {
         while self.read_available().await? > 0 {
@@ -297,11 +358,15 @@
                 let count = self.buffer.len().min(chunk_end - body.len());
                 body.extend_from_slice(&self.buffer[..count]);
                 self.buffer.advance(count);
-                self.body_bytes = body.len();
+                self.body_bytes = body.capacity();
+            }
+            while self.buffer.len() < LINE_END.len() {
+                self.read_more().await?;
             }
-            if &*self.read_exact_body(2).await? != b"\r\n" {
+            if !self.buffer.starts_with(LINE_END) {
                 return Err(invalid_data("invalid chunk"));
             }
+            self.buffer.advance(LINE_END.len());
         }
     }
 
--- a/crates/node/src/connection/pool.rs
+++ b/crates/node/src/connection/pool.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinHandle;
 use wheelmast_core::prelude::{ConnectionChange, ServerKey};
 
+use crate::connection::client_memory::ClientMemory;
 use crate::connection::limited_stream::{LimitedStream, ReadAllowance};
 
 /// Idle time after which a connection is closed.
@@ -97,9 +98,19 @@
 #[derive(Debug, Clone, Default)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<IdleMap>>,
+    /// Memory for the replies that are being received.
+    pub memory: ClientMemory,
 }
 
 impl ConnectionPool {
+    /// Returns an empty pool whose replies are covered by `memory`.
+    pub fn new(memory: ClientMemory) -> ConnectionPool {
+        ConnectionPool {
+            idle: Arc::default(),
+            memory,
+        }
+    }
+
     /// Locks the idle connections, also after a panic of another thread that held the
     /// lock.
     fn idle(&self) -> MutexGuard<'_, IdleMap> {
--- a/crates/node/src/process/expose.rs
+++ b/crates/node/src/process/expose.rs
@@ -7,19 +7,29 @@
 use hyper::StatusCode;
 use tokio::net::TcpListener;
 
-use crate::connection::accept::accept_connection;
-use crate::connection::http::{serve_http, typed_response};
+use crate::connection::client::{ClientTimeouts, ConnectionLimiter};
+use crate::connection::client_memory::ClientMemory;
+use crate::connection::http::{serve_listener, typed_response, ListenerLimits};
 
 /// Content type of the rendered metrics.
 const METRICS_CONTENT_TYPE: &str = "text/plain; version=0.0.4";
-/// Time within which a client must send the head of its request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time limits for a client.
+const TIMEOUTS: ClientTimeouts = ClientTimeouts {
+    head: Duration::from_secs(10),
+    idle: Duration::from_secs(10),
+};
+/// Maximum number of connections.
+const MAX_CONNECTIONS: usize = 32;
 
-/// Serves metrics until the process ends.
+/// Serves metrics until the process ends. `memory` covers the answers.
 ///
 /// If the address cannot be bound, the error is logged and the instance runs
 /// without metrics.
-pub async fn expose_metrics(address: SocketAddr, render: impl Fn() -> String + 'static) {
+pub async fn expose_metrics(
+    address: SocketAddr,
+    memory: ClientMemory,
+    render: impl Fn() -> String + 'static,
+) {
     let listener = match TcpListener::bind(address).await {
         Ok(listener) => listener,
         Err(error) => {
@@ -27,16 +37,15 @@
             return;
         }
     };
+    let limits = ListenerLimits {
+        connections: ConnectionLimiter::new(MAX_CONNECTIONS),
+        memory,
+        timeouts: TIMEOUTS,
+    };
     let render = Rc::new(render);
-    loop {
-        let stream = accept_connection(&listener).await;
-        let render = render.clone();
-        tokio::task::spawn_local(async move {
-            let answer = |_| {
-                let response = typed_response(StatusCode::OK, METRICS_CONTENT_TYPE, render());
-                async move { response }
-            };
-            serve_http(stream, HEAD_TIMEOUT, answer).await;
-        });
-    }
+    serve_listener(listener, limits, move |_, _| {
+        let response = typed_response(StatusCode::OK, METRICS_CONTENT_TYPE, render());
+        async move { response }
+    })
+    .await;
 }
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -6,19 +6,22 @@
 use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 use wheelmast_core::process::forward::answer::{ForwardAnswer, ForwardFailure};
 use wheelmast_core::process::forward::input::{
     ForwardCall, ForwardInput, RelayOrder, ServerAnswer,
@@ -32,9 +35,14 @@
 
 use crate::connection::accept::accept_connection;
 use crate::connection::arrival::{ArrivalMark, ArrivalStream};
+use crate::connection::client::{ClientConnection, ClientState, ClientTimeouts, ConnectionLimiter};
+use crate::connection::client_memory::{MemoryExhausted, MemoryUse};
+use crate::connection::client_stream::ClientStream;
 use crate::connection::http::{
-    serve_http, set_retry_after, typed_response, FullResponse, TEXT_CONTENT_TYPE,
+    body_error_response, drive_connection, hold_response, serve_listener, set_retry_after,
+    typed_response, FullResponse, ListenerLimits, TEXT_CONTENT_TYPE,
 };
+use crate::connection::request_body::{read_before, read_body, BodyError};
 use crate::process::forward::cap_gate::CapVerdict;
 use crate::process::forward::entry::{EntryPhase, ForwardDriver};
 use crate::process::forward::grant::AllowanceReader;
@@ -45,8 +53,18 @@
 
 /// Minimum size of a connection's buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
-/// Maximum time to read the head of a balancer's health check.
-const HEALTH_CHECK_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time limits for a balancer that checks the health of the entry.
+const HEALTH_CHECK_TIMEOUTS: ClientTimeouts = ClientTimeouts {
+    head: Duration::from_secs(10),
+    idle: Duration::from_secs(10),
+};
+/// Maximum number of connections for health checks.
+const MAX_HEALTH_CHECK_CONNECTIONS: usize = 64;
+/// Maximum time to receive the body of a request that no route takes.
+const UNROUTED_BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Number of copies of a request's head that are held: in the request's image, and in the bytes
+/// written to a server.
+const HEAD_COPIES: usize = 2;
 /// Minimum delay between arrival and reading with which a request is logged as late.
 const LATE_READ_THRESHOLD: Duration = Duration::from_millis(100);
 /// Separator of the items of a list in a header.
@@ -66,8 +84,11 @@
             stream = accept_connection(&listener) => stream,
             _ = closed.wait_for(|closing| *closing) => return,
         };
+        let Some(client) = entry.callers.connections.admit() else {
+            continue;
+        };
         let (entry, closing) = (entry.clone(), closing.clone());
-        tokio::task::spawn_local(serve_caller(entry, stream, closing));
+        tokio::task::spawn_local(serve_caller(entry, stream, client, closing));
     }
 }
 
@@ -81,46 +102,61 @@
 async fn serve_caller<D: ForwardDialect>(
     entry: Rc<ForwardDriver<D>>,
     stream: TcpStream,
+    client: ClientConnection,
     mut closing: watch::Receiver<bool>,
 ) {
     let limits = entry.with_machine(|machine| machine.table().map(|table| table.limits()));
     let limits = limits.unwrap_or_default();
     let caller = caller_fingerprint(&stream);
     let stream = ArrivalStream::new(stream, entry.watch.clone());
-    let (handler, arrival) = (entry.clone(), stream.mark());
+    let (handler, arrival, state) = (entry.clone(), stream.mark(), client.state.clone());
+    let stream = ClientStream::new(stream, state.clone(), entry.callers.memory.clone());
     let service = service_fn(move |request| {
-        let (entry, arrival) = (handler.clone(), arrival.clone());
+        state.begin_body();
+        let (entry, arrival, client) = (handler.clone(), arrival.clone(), state.clone());
         async move {
             let origin = RequestOrigin {
                 caller,
+                client: client.clone(),
                 limits,
                 arrived_at: arrival.take_arrival(),
                 arrival_mark: arrival.clone(),
             };
-            let response = handle_request(entry, request, origin).await;
+            let response = handle_request(&entry, request, origin).await;
+            let response = hold_response(response, &entry.callers.memory, &client).await;
             arrival.end_request();
+            client.end_request();
             Ok::<_, Infallible>(response)
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.head_ms)))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        // An error, such as a malformed request, affects only this connection.
-        _ = connection.as_mut() => return,
-        _ = closing.wait_for(|closing| *closing) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let timeouts = ClientTimeouts {
+        head: Duration::from_millis(limits.head_ms),
+        idle: Duration::from_millis(limits.idle_ms),
+    };
+    let connection = async move {
+        let mut connection = std::pin::pin!(connection);
+        tokio::select! {
+            biased;
+            _ = connection.as_mut() => return,
+            _ = closing.wait_for(|closing| *closing) => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    };
+    let connection = std::pin::pin!(connection);
+    let disconnect = client.state.wait_disconnect(|| timeouts);
+    drive_connection(connection, &client.state, disconnect).await;
 }
 
 /// Facts about a request that come from its connection.
 #[derive(Debug)]
 struct RequestOrigin {
     caller: CallerFingerprint,
+    /// State of the connection.
+    client: Arc<ClientState>,
     limits: CallerLimits,
     /// Earliest possible arrival time of the request, since the process started.
     arrived_at: Duration,
@@ -154,11 +190,11 @@
 /// Answers a request, and asks the caller to close the connection if the entry is
 /// shutting down.
 async fn handle_request<D: ForwardDialect>(
-    entry: Rc<ForwardDriver<D>>,
+    entry: &Rc<ForwardDriver<D>>,
     request: Request<Incoming>,
     origin: RequestOrigin,
 ) -> FullResponse {
-    let mut response = process_request(&entry, request, origin).await;
+    let mut response = process_request(entry, request, origin).await;
     if entry.phase() == EntryPhase::Leaving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -175,6 +211,7 @@
 ) -> FullResponse {
     let RequestOrigin {
         caller,
+        client,
         limits,
         arrived_at,
         arrival_mark: arrival,
@@ -198,28 +235,29 @@
         return failure_response(ForwardFailure::NoServer, None);
     };
     let is_relayed = relayed.is_some();
-    let mut allowance_reader = None;
-    let body = if is_relayed {
-        match AllowanceReader::read_body(&parts.headers, body, limits.body_bytes).await {
-            Ok((body, reader)) => {
-                allowance_reader = Some(reader);
-                body
-            }
-            Err(_) => return unreadable_response(),
-        }
-    } else {
-        match Limited::new(body, limits.body_bytes).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                return typed_response(
-                    StatusCode::PAYLOAD_TOO_LARGE,
-                    TEXT_CONTENT_TYPE,
-                    "body too large",
-                );
-            }
-            Err(_) => return unreadable_response(),
+    let deadline = body_deadline(entry, &host, parts.uri.path(), arrived_at, time_left);
+    let memory = &entry.callers.memory;
+    let mut memory = memory.hold(MemoryUse::Request, client.eviction.clone());
+    let head_bytes = HEAD_COPIES * head_size(&parts);
+    let reading = async {
+        let resized = memory.resize(head_bytes);
+        resized.map_err(|MemoryExhausted| BodyError::MemoryExhausted)?;
+        let (max_bytes, memory) = (limits.body_bytes, &mut memory);
+        if is_relayed {
+            let headers = &parts.headers;
+            let reading = AllowanceReader::read_body(headers, body, max_bytes, memory, head_bytes);
+            let (body, reader) = reading.await?;
+            return Ok((body, Some(reader)));
         }
+        let body = read_body(body, max_bytes, memory, head_bytes).await?;
+        Ok((body, None))
+    };
+    let (body, allowance_reader) = match read_before(deadline, &client.eviction, reading).await {
+        Ok(received) => received,
+        Err(error) => return body_error_response(error, limits.body_bytes),
     };
+    let work = client.begin_work();
+    memory.end_wait();
     if allowance_reader.is_some() && body.is_empty() {
         // The content length counted only the digit of the attempt allowance, which
         // follows the empty body.
@@ -254,7 +292,8 @@
         tracing::warn!(target: "entry", request = id, unread_ms, "route: read late");
     }
     let image = RequestImage::new::<D>(&parts.method, &parts.uri, &parts.headers, &id, body);
-    let image = image.with_fingerprint(fingerprint);
+    let image = image.with_fingerprint(fingerprint).with_memory(memory);
+    drop(parts);
     let workspace_with_cap = entry.with_machine(|machine| machine.find_capped_workspace(&call));
     if let Some(workspace) = &workspace_with_cap {
         match entry.caps.acquire(workspace).await {
@@ -284,6 +323,7 @@
     }
     let answer = receiver.await;
     drop(guard);
+    drop(work);
     if let (Some(workspace), Ok(ForwardAnswer::Failure { failure, .. })) =
         (&workspace_with_cap, &answer)
     {
@@ -302,13 +342,34 @@
     }
 }
 
-/// Returns the answer to a request whose body could not be read.
-fn unreadable_response() -> FullResponse {
-    typed_response(
-        StatusCode::BAD_REQUEST,
-        TEXT_CONTENT_TYPE,
-        "body could not be read",
-    )
+/// Returns when the time limit of a request passes, which makes the rest of its body useless:
+/// that of its route, or the caller's if that is earlier.
+fn body_deadline<D: ForwardDialect>(
+    entry: &ForwardDriver<D>,
+    host: &str,
+    path: &str,
+    arrived_at: Duration,
+    time_left: Option<Duration>,
+) -> Instant {
+    let route_limit = entry.with_machine(|machine| {
+        let table = machine.table()?;
+        let route = table.find(host, path)?;
+        Some(table.routes()[route].time_limit())
+    });
+    let limit = route_limit.unwrap_or(UNROUTED_BODY_TIMEOUT);
+    let limit = time_left.map_or(limit, |time_left| limit.min(time_left));
+    let passed = entry.clock.elapsed().saturating_sub(arrived_at);
+    Instant::now() + limit.saturating_sub(passed)
+}
+
+/// Returns the size of a request's head, in bytes.
+fn head_size(parts: &Parts) -> usize {
+    let target = parts.uri.path_and_query();
+    let target_bytes = target.map_or(0, |target| target.as_str().len());
+    let headers = parts.headers.iter();
+    headers.fold(target_bytes, |bytes, (name, value)| {
+        bytes + name.as_str().len() + value.len()
+    })
 }
 
 /// Returns the digest of the caller's key. If the request has several keys, returns the
@@ -452,25 +513,20 @@
     entry: Rc<ForwardDriver<D>>,
     listener: TcpListener,
 ) {
-    loop {
-        let stream = accept_connection(&listener).await;
-        let entry = entry.clone();
-        tokio::task::spawn_local(async move {
-            let answer = |_| {
-                let response = if entry.phase() == EntryPhase::Serving {
-                    typed_response(StatusCode::OK, TEXT_CONTENT_TYPE, "ready")
-                } else {
-                    typed_response(
-                        StatusCode::SERVICE_UNAVAILABLE,
-                        TEXT_CONTENT_TYPE,
-                        "not ready",
-                    )
-                };
-                async move { response }
-            };
-            serve_http(stream, HEALTH_CHECK_HEAD_TIMEOUT, answer).await;
-        });
-    }
+    let limits = ListenerLimits {
+        connections: ConnectionLimiter::new(MAX_HEALTH_CHECK_CONNECTIONS),
+        memory: entry.callers.memory.clone(),
+        timeouts: HEALTH_CHECK_TIMEOUTS,
+    };
+    serve_listener(listener, limits, move |_, _| {
+        let (status, text) = if entry.phase() == EntryPhase::Serving {
+            (StatusCode::OK, "ready")
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        };
+        async move { typed_response(status, TEXT_CONTENT_TYPE, text) }
+    })
+    .await;
 }
 
 /// Opens a listening socket.
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -20,6 +20,8 @@
 use wheelmast_core::process::rollout::VersionOutcomes;
 use wheelmast_wire::dialect::ForwardDialect;
 
+use crate::connection::client::{fit_descriptors, ConnectionLimiter};
+use crate::connection::client_memory::ClientMemory;
 use crate::process::clock::ProcessClock;
 use crate::process::forward::cap_gate::CapGate;
 use crate::process::forward::evidence::spawn_evidence_connection;
@@ -30,6 +32,7 @@
 use crate::process::forward::story::DecisionLog;
 use crate::process::loop_watch::LoopDelayMonitor;
 use crate::process::output::count_dropped_lines;
+use crate::settings::model::ClientLimits;
 
 /// A request whose caller waits for the answer.
 #[derive(Debug)]
@@ -40,6 +43,24 @@
     image: Rc<RequestImage>,
 }
 
+/// Limits on what callers make an entry hold.
+#[derive(Debug)]
+pub struct CallerAdmission {
+    /// Limits the number of callers' connections.
+    pub connections: ConnectionLimiter,
+    /// Memory for callers' requests and their answers.
+    pub memory: ClientMemory,
+}
+
+impl CallerAdmission {
+    fn new(limits: ClientLimits) -> CallerAdmission {
+        CallerAdmission {
+            connections: ConnectionLimiter::new(fit_descriptors(limits.connections)),
+            memory: ClientMemory::new(limits.memory_bytes()),
+        }
+    }
+}
+
 /// Phase between the start and the end of an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EntryPhase {
@@ -60,6 +81,8 @@
     pub(super) machine: RefCell<ForwardMachine>,
     /// Connections to upstream servers.
     pub pool: ServerPool,
+    /// Limits on what callers make the entry hold.
+    pub callers: CallerAdmission,
     /// Admission of requests whose workspace has a usage cap.
     pub caps: CapGate,
     /// Senders that cancel attempts, by attempt.
@@ -112,6 +135,7 @@
         ForwardDriver {
             machine: RefCell::new(ForwardMachine::new(options)),
             pool: ServerPool::default(),
+            callers: CallerAdmission::new(ClientLimits::default()),
             caps: CapGate::new(clock),
             cancel_senders: RefCell::default(),
             allowance_senders: RefCell::default(),
@@ -131,6 +155,14 @@
         }
     }
 
+    /// Returns the driver with other limits on what callers make the entry hold.
+    pub fn with_client_limits(self, limits: ClientLimits) -> ForwardDriver<D> {
+        ForwardDriver {
+            callers: CallerAdmission::new(limits),
+            ..self
+        }
+    }
+
     /// Returns whether `identity` names this incarnation of the entry: the instance and
     /// the random number that the process drew at its start.
     pub fn is_local_id(&self, identity: &str) -> bool {
--- a/crates/node/src/process/forward/grant.rs
+++ b/crates/node/src/process/forward/grant.rs
@@ -8,8 +8,7 @@
 
 use std::rc::Rc;
 
-use anyhow::{bail, Context};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, CONTENT_LENGTH};
@@ -17,6 +16,9 @@
 use wheelmast_core::process::input::CallTag;
 use wheelmast_wire::dialect::ForwardDialect;
 
+use crate::connection::client_memory::MemoryReservation;
+use crate::connection::http_syntax::parse_digits;
+use crate::connection::request_body::{append, BodyError};
 use crate::process::forward::entry::ForwardDriver;
 use crate::process::forward::image::{parse_allowance, ALLOWANCE_BYTES};
 
@@ -24,13 +26,14 @@
 #[derive(Debug)]
 pub struct AllowanceReader {
     body: Incoming,
-    /// Bytes read beyond the request's own body.
-    buffer: BytesMut,
+    /// First byte beyond the request's own body, if it was read.
+    first_byte: Option<u8>,
 }
 
 impl AllowanceReader {
     /// Reads the body of a relayed request, of at most `max_bytes` bytes, and returns
-    /// the body with a reader of the allowance.
+    /// the body with a reader of the allowance. `memory` covers what is held, besides
+    /// `other_bytes`.
     ///
     /// # Errors
     ///
@@ -39,23 +42,32 @@
         headers: &HeaderMap,
         mut body: Incoming,
         max_bytes: usize,
-    ) -> anyhow::Result<(Bytes, AllowanceReader)> {
-        let length = headers
-            .get(CONTENT_LENGTH)
-            .and_then(|value| value.to_str().ok());
-        let length: usize = length
-            .context("could not find the content length of a relayed request")?
-            .parse()?;
+        memory: &mut MemoryReservation,
+        other_bytes: usize,
+    ) -> Result<(Bytes, AllowanceReader), BodyError> {
+        let length = headers.get(CONTENT_LENGTH);
+        let length = length.and_then(|value| parse_digits(value.as_bytes()));
+        let length = length.ok_or(BodyError::Unreadable)?;
         let body_length = length.saturating_sub(ALLOWANCE_BYTES);
         if body_length > max_bytes {
-            bail!("relayed request has a body of {body_length} bytes; the limit is {max_bytes}");
+            return Err(BodyError::TooLarge);
         }
-        let mut buffer = BytesMut::new();
+        let mut buffer = Vec::new();
         while buffer.len() < body_length {
-            read_more(&mut body, &mut buffer).await?;
+            let data = read_data(&mut body).await.ok_or(BodyError::Unreadable)?;
+            let rest_bytes = length.saturating_sub(buffer.len() + data.len());
+            append(
+                &mut buffer,
+                &data,
+                Some(rest_bytes as u64),
+                memory,
+                other_bytes,
+            )?;
         }
-        let body_bytes = buffer.split_to(body_length).freeze();
-        Ok((body_bytes, AllowanceReader { body, buffer }))
+        let mut body_bytes = Bytes::from(buffer);
+        let rest = body_bytes.split_off(body_length);
+        let first_byte = rest.first().copied();
+        Ok((body_bytes, AllowanceReader { body, first_byte }))
     }
 
     /// Waits for a raised attempt allowance and passes it to the forward machine.
@@ -64,24 +76,21 @@
         entry: Rc<ForwardDriver<D>>,
         tag: CallTag,
     ) {
-        while self.buffer.is_empty() {
-            if read_more(&mut self.body, &mut self.buffer).await.is_err() {
+        while self.first_byte.is_none() {
+            let Some(data) = read_data(&mut self.body).await else {
                 return;
-            }
+            };
+            self.first_byte = data.first().copied();
         }
-        if let Some(attempts) = parse_allowance(&self.buffer) {
+        if let Some(attempts) = self.first_byte.and_then(parse_allowance) {
             entry.step(ForwardInput::AllowanceRaised(tag, attempts));
         }
     }
 }
 
-/// Reads the next frame of a body and appends its data to `buffer`.
-async fn read_more(body: &mut Incoming, buffer: &mut BytesMut) -> anyhow::Result<()> {
-    let Some(frame) = body.frame().await else {
-        bail!("relayed request ended before its whole body was read");
-    };
-    if let Ok(data) = frame?.into_data() {
-        buffer.extend_from_slice(&data);
-    }
-    Ok(())
+/// Reads the data of the next frame of a body. Returns `None` if the body has ended or cannot
+/// be read.
+async fn read_data(body: &mut Incoming) -> Option<Bytes> {
+    let frame = body.frame().await?.ok()?;
+    Some(frame.into_data().unwrap_or_default())
 }
--- a/crates/node/src/process/forward/image.rs
+++ b/crates/node/src/process/forward/image.rs
@@ -13,6 +13,8 @@
 use wheelmast_core::request::mark::RequestFingerprint;
 use wheelmast_wire::dialect::ForwardDialect;
 
+use crate::connection::client_memory::MemoryReservation;
+
 /// Request header of a relay: the relay order.
 pub const RELAY_HEADER: &str = "wheelmast-relayed";
 /// Request header of a relay: fingerprint of the request's content and of its caller.
@@ -70,6 +72,8 @@
     fingerprint: Option<RequestFingerprint>,
     /// Whether a `content-length` header is written, also for an empty body.
     has_length_header: bool,
+    /// The memory that the request takes, as long as anything refers to it.
+    _memory: Option<MemoryReservation>,
 }
 
 impl RequestImage {
@@ -103,6 +107,15 @@
             body,
             fingerprint: None,
             has_length_header: has_body || *method == Method::POST || *method == Method::PUT,
+            _memory: None,
+        }
+    }
+
+    /// Sets the memory that the request takes.
+    pub fn with_memory(self, memory: MemoryReservation) -> RequestImage {
+        RequestImage {
+            _memory: Some(memory),
+            ..self
         }
     }
 
@@ -114,11 +127,16 @@
         }
     }
 
-    /// Returns the complete request for one server or other entry. The time left is
+    /// Returns the body of the request.
+    pub fn body(&self) -> &[u8] {
+        &self.body
+    }
+
+    /// Returns the head of the request for one server or other entry. The time left is
     /// computed for a write at `now`.
-    pub fn render<D: ForwardDialect>(&self, order: &AttemptOrder, now: Duration) -> Vec<u8> {
+    pub fn render_head<D: ForwardDialect>(&self, order: &AttemptOrder, now: Duration) -> Vec<u8> {
         let instance = &order.instance;
-        let mut bytes = Vec::with_capacity(self.head.len() + self.body.len() + 96);
+        let mut bytes = Vec::with_capacity(self.head.len() + 96);
         bytes.extend_from_slice(&self.head);
         let millis = order.until.saturating_sub(now).as_millis();
         let (left, expect) = (D::HEADERS.time_left, D::HEADERS.expect);
@@ -152,7 +170,6 @@
             let _ = write!(bytes, "{CONTENT_LENGTH}: {length}\r\n");
         }
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&self.body);
         bytes
     }
 }
@@ -163,8 +180,7 @@
 }
 
 /// Parses the attempt allowance from another entry.
-pub fn parse_allowance(bytes: &[u8]) -> Option<u32> {
-    let digit = *bytes.first()?;
+pub fn parse_allowance(digit: u8) -> Option<u32> {
     digit.is_ascii_digit().then(|| u32::from(digit - b'0'))
 }
 
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -28,7 +28,7 @@
 
 use crate::connection::answer_head::DEFAULT_IDLE_TIMEOUT;
 use crate::connection::exchange::{
-    exchange_with_continue, is_closed_or_readable, CompleteAnswer, ExchangeFailure,
+    exchange_with_continue, is_closed_or_readable, CompleteAnswer, ExchangeFailure, WireRequest,
 };
 use crate::process::forward::entry::ForwardDriver;
 use crate::process::forward::image::{
@@ -443,7 +443,10 @@
     } = request;
     // The event loop may reach this point long after the decision. The time left that
     // the request states is therefore computed here.
-    let request_bytes = image.render::<D>(&order, now);
+    let wire_request = WireRequest {
+        head: image.render_head::<D>(&order, now).into(),
+        body: image.body(),
+    };
     let attempt = order.attempt;
     let is_fully_sent = Cell::new(order.relay.is_none());
     let allowance = order
@@ -451,6 +454,7 @@
         .as_ref()
         .map(|_| entry.subscribe_allowance(attempt));
     let is_allowance_sent = &is_fully_sent;
+    let memory = entry.callers.memory.receive_answer();
     let rest = || async move {
         entry.step(ForwardInput::RelayAcknowledged(attempt));
         match allowance {
@@ -466,7 +470,7 @@
     };
     let result = tokio::select! {
         biased;
-        result = exchange_with_continue(stream, buffer, &request_bytes, rest) => result,
+        result = exchange_with_continue(stream, buffer, wire_request, memory, rest) => result,
         _ = &mut cancelled => Err(ExchangeFailure::Broken),
     };
     let (attempt_result, keep_alive) = match result {
@@ -515,6 +519,11 @@
     let load = find_header(&answer.headers, names.load).and_then(parse_load);
     let stamp =
         find_header(&answer.headers, names.stamp).and_then(|stamp| std::str::from_utf8(stamp).ok());
+    let body = match forward_headers {
+        // The answer is passed on at once, and then counts as held for the caller.
+        true => answer.body,
+        false => answer.memory.attach(answer.body),
+    };
     let server_answer = ServerAnswer {
         status: answer.status,
         stamp: stamp.map(Into::into),
@@ -529,7 +538,7 @@
         } else {
             Vec::new()
         },
-        body: answer.body,
+        body,
     };
     (AttemptResult::Answer(server_answer), answer.keep_alive)
 }
@@ -562,7 +571,7 @@
     let bundle = BundleAnswer {
         parts: shards.into_iter().zip(stamps).collect(),
         top,
-        body: answer.body,
+        body: answer.memory.attach(answer.body),
     };
     (AttemptResult::Bundle(bundle), answer.keep_alive)
 }
--- a/crates/node/src/process/forward/run.rs
+++ b/crates/node/src/process/forward/run.rs
@@ -71,7 +71,8 @@
         seed: rand::random(),
         ..ForwardOptions::default()
     };
-    let entry = Rc::new(ForwardDriver::<D>::new(options, settings.log_plain_every));
+    let driver = ForwardDriver::<D>::new(options, settings.log_plain_every);
+    let entry = Rc::new(driver.with_client_limits(settings.clients));
     let (close_sender, closing) = watch::channel(false);
     let feed = Rc::new(GroupFeed::new(entry.clone(), peer));
     for seed in settings.seed_peer_addresses() {
@@ -85,7 +86,8 @@
     if let Some(address) = settings.metrics {
         let driver = entry.clone();
         let render = move || driver.render_metrics();
-        tokio::task::spawn_local(expose_metrics(address, render));
+        let memory = entry.callers.memory.clone();
+        tokio::task::spawn_local(expose_metrics(address, memory, render));
     }
     let accepting = tokio::task::spawn_local(accept_callers(entry.clone(), callers, closing));
     let seed_feed = feed.clone();
--- a/crates/node/src/process/group/answer.rs
+++ b/crates/node/src/process/group/answer.rs
@@ -2,14 +2,15 @@
 //! operators change the route table, evacuate failure domains and roll out services.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::{Request, StatusCode};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 use wheelmast_core::process::control::evacuation::EvacuationOutcome;
 use wheelmast_core::process::control::rollout::RolloutOutcome;
 use wheelmast_core::process::control::state::{CommandOutcome, ControlCommand, RouteOutcome};
@@ -20,16 +21,25 @@
 use wheelmast_wire::pack::{pack, unpack};
 
 use crate::connection::accept::accept_connection;
+use crate::connection::client::{fit_descriptors, ClientState, ClientTimeouts, ConnectionLimiter};
+use crate::connection::client_memory::MemoryUse;
 use crate::connection::http::{
-    serve_http, set_retry_after, typed_response, FullResponse, JSON_CONTENT_TYPE, TEXT_CONTENT_TYPE,
+    body_error_response, serve_http, set_retry_after, typed_response, FullResponse, ListenerLimits,
+    JSON_CONTENT_TYPE, TEXT_CONTENT_TYPE,
 };
+use crate::connection::request_body::{read_before, read_body};
 use crate::process::group::node::GroupNode;
 use crate::process::group::order::OrderDeadline;
 
 /// Largest body of a call, in bytes.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
-/// Longest wait for the head of a request, and the longest idle time of a connection.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time limits for a client.
+const TIMEOUTS: ClientTimeouts = ClientTimeouts {
+    head: Duration::from_secs(15),
+    idle: Duration::from_secs(15),
+};
+/// Longest time to receive the body of a call.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which a caller that got status 503 should retry.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Body of a response that only acknowledges a call.
@@ -38,13 +48,23 @@
 /// Accepts connections of servers and operators and answers their calls, until the
 /// instance ends.
 pub async fn serve_calls<D: ForwardDialect>(node: Rc<GroupNode>, listener: TcpListener) {
+    let limits = ListenerLimits {
+        connections: ConnectionLimiter::new(fit_descriptors(node.settings.clients.connections)),
+        memory: node.client_memory.clone(),
+        timeouts: TIMEOUTS,
+    };
     loop {
         let stream = accept_connection(&listener).await;
-        let node = node.clone();
+        let Some(client) = limits.connections.admit() else {
+            continue;
+        };
+        let (node, limits) = (node.clone(), limits.clone());
         let deadline = OrderDeadline::of_connection(node.loop_delay.earliest_opening());
         tokio::task::spawn_local(async move {
-            let handle_call = |request| handle_call::<D>(node.clone(), request, deadline);
-            serve_http(stream, HEAD_TIMEOUT, handle_call).await;
+            let handle_call = |request, client: Arc<ClientState>| {
+                handle_call::<D>(node.clone(), request, client, deadline)
+            };
+            serve_http(stream, client, limits, handle_call).await;
         });
     }
 }
@@ -53,23 +73,24 @@
 async fn handle_call<D: ForwardDialect>(
     node: Rc<GroupNode>,
     request: Request<Incoming>,
+    client: Arc<ClientState>,
     deadline: OrderDeadline,
 ) -> FullResponse {
     let call = D::call(request.method().as_str(), request.uri().path());
     let Some(call) = call else {
         return text_response(StatusCode::NOT_FOUND, "no such call".to_string());
     };
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES)
-        .collect()
-        .await;
-    let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            let text = format!("body is over {MAX_BODY_BYTES} bytes");
-            return text_response(StatusCode::PAYLOAD_TOO_LARGE, text);
-        }
-        Err(error) => return text_response(StatusCode::BAD_REQUEST, error.to_string()),
+    let eviction = &client.eviction;
+    let mut memory = node
+        .client_memory
+        .hold(MemoryUse::Request, eviction.clone());
+    let reading = read_body(request.into_body(), MAX_BODY_BYTES, &mut memory, 0);
+    let body = match read_before(Instant::now() + BODY_TIMEOUT, eviction, reading).await {
+        Ok(body) => body,
+        Err(error) => return body_error_response(error, MAX_BODY_BYTES),
     };
+    memory.end_wait();
+    let _work = client.begin_work();
     let is_unversioned_order = matches!(
         call,
         ControlCall::Evacuate(_) | ControlCall::EndEvacuation(_) | ControlCall::StartRollout
--- a/crates/node/src/process/group/node.rs
+++ b/crates/node/src/process/group/node.rs
@@ -17,6 +17,7 @@
 use wheelmast_core::version::route_table::RouteDraft;
 use wheelmast_wire::group::GroupMessage;
 
+use crate::connection::client_memory::ClientMemory;
 use crate::process::clock::ProcessClock;
 use crate::process::group::disk::DiskWrite;
 use crate::process::group::link::run_link;
@@ -78,6 +79,8 @@
     pub caps_used: Notify,
     /// Parses a route table in the operators' dialect.
     pub read_table: TableReader,
+    /// Memory for the requests of servers and operators, and the answers to them.
+    pub client_memory: ClientMemory,
     /// Measures the time since the process started.
     pub clock: ProcessClock,
     /// Measures how late the event loop accepts connections.
@@ -100,6 +103,7 @@
     ) -> GroupNode {
         GroupNode {
             call_address: settings.control.unwrap_or(local_member.address),
+            client_memory: ClientMemory::new(settings.clients.memory_bytes()),
             settings,
             local_member,
             state: RefCell::new(state),
--- a/crates/node/src/process/group/run.rs
+++ b/crates/node/src/process/group/run.rs
@@ -121,7 +121,8 @@
     if let Some(address) = node.settings.metrics {
         let metrics_node = node.clone();
         let render = move || render_metrics(&metrics_node);
-        tokio::task::spawn_local(expose_metrics(address, render));
+        let memory = node.client_memory.clone();
+        tokio::task::spawn_local(expose_metrics(address, memory, render));
     }
     if should_bootstrap {
         let bootstrap_node = node.clone();
--- a/crates/node/src/process/instance.rs
+++ b/crates/node/src/process/instance.rs
@@ -177,8 +177,11 @@
                 .clone()
                 .map(|control_client| FenceClient { control_client }),
         });
-        let listener =
-            ListenerThread::new("callers", settings.callers, settings.connections as usize);
+        let listener = ListenerThread::new(
+            "callers",
+            settings.callers,
+            settings.clients.connections as usize,
+        );
         let (callers, callers_ended) =
             listener.start(router, callers_stop, &spawner, &mut threads)?;
         let listener =
--- a/crates/node/src/settings/model.rs
+++ b/crates/node/src/settings/model.rs
@@ -25,6 +25,33 @@
     pub decisions: bool,
 }
 
+/// Limits on what clients make an instance hold, all of them together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClientLimits {
+    /// Maximum number of open connections to the listener for callers, or to that for
+    /// servers and operators of a control instance.
+    pub connections: u32,
+    /// Maximum size of the requests and answers held for clients, in MiB: a third for
+    /// requests, the rest for answers.
+    pub memory_mb: u32,
+}
+
+impl ClientLimits {
+    /// Returns the maximum size of requests and answers in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_mb as usize * 1024 * 1024
+    }
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        ClientLimits {
+            connections: 2048,
+            memory_mb: 72,
+        }
+    }
+}
+
 /// Settings that connect an instance to the other instances of its deployment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClusterSettings {
@@ -97,8 +124,8 @@
     pub instances: u32,
     /// Maximum number of requests in progress.
     pub in_flight: u32,
-    /// Maximum number of callers' connections.
-    pub connections: u32,
+    /// Limits on what clients make the instance hold.
+    pub clients: ClientLimits,
     /// Maximum number of request decisions recorded per second.
     pub decisions_per_second: u32,
     /// Time during shutdown between the first "not ready" answer and the first
@@ -127,7 +154,7 @@
             table: None,
             instances: 1,
             in_flight: 512,
-            connections: 2048,
+            clients: ClientLimits::default(),
             decisions_per_second: 2000,
             drain_notice: Duration::from_millis(500),
             log: LogSettings {
@@ -208,7 +235,7 @@
 
     /// Sets the maximum number of callers' connections.
     pub fn connections(mut self, connections: u32) -> Self {
-        self.settings.connections = connections;
+        self.settings.clients.connections = connections;
         self
     }
 
--- a/crates/node/src/settings/read.rs
+++ b/crates/node/src/settings/read.rs
@@ -13,7 +13,7 @@
 use crate::settings::model::{
     ClusterSettings, InstanceSettings, KeySource, LogFormat, PeerSettings,
 };
-use crate::settings::reader::ObjectReader;
+use crate::settings::reader::{read_client_limits, ObjectReader};
 use crate::settings::role::{read_role, RoleSettings};
 
 /// Description of a valid address, for findings.
@@ -127,10 +127,7 @@
         &mut settings.in_flight,
         reader.read_integer("in_flight", 1, 100_000, findings),
     );
-    set_if_some(
-        &mut settings.connections,
-        reader.read_integer("connections", 1, 100_000, findings),
-    );
+    settings.clients = read_client_limits(&mut reader, findings);
     set_if_some(
         &mut settings.decisions_per_second,
         reader.read_integer("decisions_per_second", 0, 1_000_000, findings),
--- a/crates/node/src/settings/reader.rs
+++ b/crates/node/src/settings/reader.rs
@@ -7,6 +7,8 @@
 use jsonc_parser::common::{Range, Ranged};
 use wheelmast_core::finding::{suggest_name, FindingList, FindingPlace};
 
+use crate::settings::model::ClientLimits;
+
 /// Reads the fields of one JSON object and records the names that were read, so
 /// that [`ObjectReader::finish`] can report all other fields as unknown.
 ///
@@ -284,3 +286,17 @@
         column: before[line_start..].chars().count() + 1,
     }
 }
+
+/// Reads the limits on what clients make an instance hold.
+pub(crate) fn read_client_limits(
+    reader: &mut ObjectReader<'_, '_>,
+    findings: &mut FindingList,
+) -> ClientLimits {
+    let default = ClientLimits::default();
+    let connections = reader.read_integer("connections", 1, 100_000, findings);
+    let memory = reader.read_integer("client_memory_mb", 1, 1_000_000, findings);
+    ClientLimits {
+        connections: connections.unwrap_or(default.connections),
+        memory_mb: memory.unwrap_or(default.memory_mb),
+    }
+}
--- a/crates/node/src/settings/role.rs
+++ b/crates/node/src/settings/role.rs
@@ -16,7 +16,8 @@
 use wheelmast_core::process::forward::stall::StallStrategy;
 use wheelmast_core::process::rollout::share::CanaryBound;
 
-use crate::settings::reader::ObjectReader;
+use crate::settings::model::ClientLimits;
+use crate::settings::reader::{read_client_limits, ObjectReader};
 
 /// Description of a valid address, for findings.
 const ADDRESS_FORMAT: &str = "an IP address and port, like \"127.0.0.1:7400\"";
@@ -105,6 +106,8 @@
     pub lease: Duration,
     /// Time for a graceful shutdown.
     pub grace: Duration,
+    /// Limits on what clients make the instance hold.
+    pub clients: ClientLimits,
     /// Minimum level of log lines.
     pub log_level: String,
     /// One in this many ordinary successful requests is logged in full.
@@ -159,6 +162,7 @@
     let lease = reader.read_integer("lease_ms", 100, 600_000, findings);
     let announce_interval = reader.read_integer("announce_ms", 100, 600_000, findings);
     let grace = reader.read_integer("grace_ms", 100, 600_000, findings);
+    let clients = read_client_limits(&mut reader, findings);
     let log_plain_every = reader.read_integer("log_plain_every", 1, 1_000_000, findings);
     let slowness = reader.read_choice("server_pace", &SlownessStrategy::NAMES, findings);
     let stalls = reader.read_choice("server_pauses", &StallStrategy::NAMES, findings);
@@ -208,6 +212,7 @@
         connection_subsets: connection_subsets.unwrap_or(false),
         lease: lease.map_or_else(|| lease_for(announce_interval), to_duration),
         grace: grace.map_or(DEFAULT_GRACE_PERIOD, to_duration),
+        clients,
         log_level: log_level.unwrap_or("info").to_string(),
         log_plain_every: log_plain_every.unwrap_or(DEFAULT_LOG_PLAIN_EVERY),
     })
--- a/crates/node/tests/exchange.rs
+++ b/crates/node/tests/exchange.rs
@@ -5,6 +5,7 @@
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use wheelmast_node::connection::client_memory::ClientMemory;
 use wheelmast_node::connection::exchange::{exchange, exchange_with_continue, ExchangeFailure};
 
 const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: h\r\n\r\n";
@@ -239,13 +240,14 @@
         });
         let mut stream = TcpStream::connect(address).await.expect("a connection");
         let mut buffer = BytesMut::new();
+        let memory = ClientMemory::default().receive_answer();
         let rest = || async move {
             match case.rest {
                 Some(rest) => rest.to_vec(),
                 None => std::future::pending().await,
             }
         };
-        let answer = exchange_with_continue(&mut stream, &mut buffer, REQUEST, rest).await;
+        let answer = exchange_with_continue(&mut stream, &mut buffer, REQUEST, memory, rest).await;
         assert_eq!(answer.expect("an answer").status, 200, "{}", case.name);
         assert_eq!(
             server.await.expect("a server"),
--- a/crates/node/tests/forward/harness.rs
+++ b/crates/node/tests/forward/harness.rs
@@ -148,12 +148,20 @@
     address_block: u8,
     /// First of the consecutive ports that each instance listens on.
     base_port: u16,
+    /// Further settings of all instances: JSON fields, each followed by a comma.
+    extra_settings: &'static str,
 }
 
 impl Deployment {
     /// Starts three control instances (`n0` to `n2`) and two entries (`n3` and
     /// `n4`), each at its own address.
     pub(crate) fn start(address_block: u8) -> Deployment {
+        Deployment::start_with(address_block, "")
+    }
+
+    /// Starts a deployment whose instances have further settings: JSON fields, each followed
+    /// by a comma.
+    pub(crate) fn start_with(address_block: u8, extra_settings: &'static str) -> Deployment {
         let probe = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
         let base_port = probe.local_addr().expect("an address").port();
         let mut deployment = Deployment {
@@ -161,6 +169,7 @@
             daemons: Vec::new(),
             address_block,
             base_port,
+            extra_settings,
         };
         for number in 0..5 {
             let settings_path = deployment.write_settings(number, true);
@@ -240,8 +249,9 @@
             "here"
         };
         let peer_port = self.base_port + 2;
+        let extra_settings = self.extra_settings;
         let text = format!(
-            r#"{{{role} "instance": "n{number}", "failure_domain": "{domain}", "address": "{address}",
+            r#"{{{role} {extra_settings} "instance": "n{number}", "failure_domain": "{domain}", "address": "{address}",
             "peer_port": {peer_port}, "seeds": [{seeds}], "first_start": {is_first_start}, "tolerate": 1,
             "grace_ms": 1500, "log_plain_every": 1, "extra_load": {{"ratio": 0.2, "slack": 100}}}}"#
         );
