Bound what clients make an instance without a role hold

A crowd that stopped short of the end of its requests took all connections, and ordinary callers got no answer; over HTTP/2 a few connections were enough for 217 MB.

Cause: as for the roles, limits of a connection and none of the process. The limit on concurrent requests counted those that were still being received. Each subquery copied the payload, and messages of other instances were received before their key was checked.

Change: every request with a body is received within the memory of the process before it counts as concurrent, and every answer is counted until it is read. If memory is short, single requests over HTTP/2 are given up, not their connection. Subqueries share the payload; the key of a message is checked before its body is read. Whoever needs the memory or the place of another now waits until that one has released it, so the limit also holds at each moment. Reads return less than the HTTP library's smallest buffer, which thus never grows: it took 90 KB a connection.

Evidence: tests/crowd, bounds unchanged.

--- a/crates/cli/src/measure/capacity.rs
+++ b/crates/cli/src/measure/capacity.rs
@@ -15,7 +15,7 @@
 use wheelmast_core::process::gossip::member::{MemberLifecycle, MemberState};
 use wheelmast_wire::peer::{encode, PeerRequest};
 use wheelmast_wire::prelude::{AnnouncementBody, HeldSnapshotBody};
-use wheelmast_wire::upstream::encode_search_request;
+use wheelmast_wire::upstream::{encode_search_start, SEARCH_REQUEST_END};
 
 use crate::measure::cpu::resident_bytes;
 use crate::measure::fit::{fit_line, LineFit, SizePoint};
@@ -124,7 +124,9 @@
         ),
         (
             "subquery",
-            encode_search_request(&order, Duration::ZERO)?.len(),
+            encode_search_start(&order, Duration::ZERO)?.len()
+                + order.body.payload.len()
+                + SEARCH_REQUEST_END.len(),
         ),
         ("announcement", serde_json::to_vec(&announcement())?.len()),
     ])
--- a/crates/node/src/connection/attempt.rs
+++ b/crates/node/src/connection/attempt.rs
@@ -4,16 +4,17 @@
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use bytes::BytesMut;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use wheelmast_core::connection::reply_check::reply_matches_order;
 use wheelmast_core::prelude::{AttemptReply, ReplyStatus, SendOrder};
-use wheelmast_wire::upstream::{decode_reply, encode_search_request, SEARCH_PATH};
+use wheelmast_wire::upstream::{decode_reply, SEARCH_PATH};
 
 use crate::connection::client_memory::AnswerMemory;
 use crate::connection::pool::{ConnectionPool, UpstreamConnection};
+use crate::connection::search_body::SearchBody;
 use crate::process::clock::ProcessClock;
 
 /// Maximum size of the body of a reply, in bytes.
@@ -111,13 +112,13 @@
     if now >= order.deadline {
         return SendResult::NeverSent;
     }
-    let Ok(body) = encode_search_request(order, now) else {
+    let Ok(body) = SearchBody::new(order, now) else {
         return SendResult::NeverSent;
     };
     let request = Request::post(SEARCH_PATH)
         .header("host", order.address.to_string())
         .header("content-type", "application/json")
-        .body(Full::new(Bytes::from(body)));
+        .body(body);
     let Ok(request) = request else {
         return SendResult::NeverSent;
     };
@@ -173,7 +174,7 @@
             return None;
         }
         bytes.extend_from_slice(&data);
-        memory.cover(bytes.capacity()).ok()?;
+        memory.cover(bytes.capacity()).await.ok()?;
     }
     Some(bytes)
 }
--- a/crates/node/src/connection/client.rs
+++ b/crates/node/src/connection/client.rs
@@ -15,17 +15,12 @@
 
 use crate::connection::log_limit::LogLimit;
 
-/// Part of the process's file descriptors that connections of clients may take. The others are
-/// left for connections to servers and other instances.
-const CLIENT_DESCRIPTOR_FRACTION: f64 = 0.5;
-
-/// Returns `connections`, or fewer if the process may not open so many files.
-pub fn fit_descriptors(connections: u32) -> usize {
+/// Returns `connections`, or fewer if that is more than `fraction` of the files that the process
+/// may open. The others are left for connections to servers and other instances.
+pub fn fit_descriptors(connections: u32, fraction: f64) -> usize {
     let connections = connections as usize;
     match getrlimit(Resource::RLIMIT_NOFILE) {
-        Ok((limit, _)) => connections
-            .min((limit as f64 * CLIENT_DESCRIPTOR_FRACTION) as usize)
-            .max(1),
+        Ok((limit, _)) => connections.min((limit as f64 * fraction) as usize).max(1),
         Err(_) => connections,
     }
 }
@@ -105,8 +100,9 @@
     pub eviction: Arc<Eviction>,
 }
 
-impl ClientState {
-    fn new() -> ClientState {
+impl Default for ClientState {
+    /// Returns the state of a connection that has just been accepted.
+    fn default() -> ClientState {
         ClientState {
             opened_at: Instant::now(),
             phase: AtomicUsize::new(ClientPhase::Idle as usize),
@@ -117,7 +113,9 @@
             eviction: Arc::default(),
         }
     }
+}
 
+impl ClientState {
     fn now(&self) -> u64 {
         self.opened_at.elapsed().as_micros() as u64
     }
@@ -250,15 +248,32 @@
 struct ClientTable {
     max_connections: usize,
     connections: Mutex<SlotArena<Arc<ClientState>>>,
+    /// Signals that a connection has ended.
+    released: Notify,
     log_limit: LogLimit,
 }
 
 impl ClientTable {
     fn connections(&self) -> MutexGuard<'_, SlotArena<Arc<ClientState>>> {
-        self.connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        let connections = self.connections.lock();
+        connections.unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Logs that a new connection found no free place.
+    fn log_full(&self) {
+        let limit = self.max_connections;
+        self.log_limit.count(|count| {
+            tracing::warn!(target: "clients", count, limit, "clients: connections at their limit");
+        });
+    }
+}
+
+/// Whether there is a place for a new connection.
+enum Place {
+    Free(ClientConnection),
+    /// A connection was evicted and has not ended yet.
+    Awaited,
+    None,
 }
 
 /// Limits the number of connections to a listener. Clones share the limit.
@@ -274,42 +289,51 @@
             table: Arc::new(ClientTable {
                 max_connections,
                 connections: Mutex::default(),
+                released: Notify::new(),
                 log_limit: LogLimit::default(),
             }),
         }
     }
 
     /// Counts a new connection. At the limit, the connection is evicted whose client has kept
-    /// this instance waiting for longest. Returns `None` if there is none such: the new
-    /// connection must then be closed.
-    pub fn admit(&self) -> Option<ClientConnection> {
+    /// this instance waiting for longest, and this method waits until it has ended. Returns
+    /// `None` if there is none such: the new connection must then be closed.
+    pub async fn admit(&self) -> Option<ClientConnection> {
+        loop {
+            let released = self.table.released.notified();
+            match self.find_place() {
+                Place::Free(connection) => return Some(connection),
+                Place::Awaited => released.await,
+                Place::None => return None,
+            }
+        }
+    }
+
+    fn find_place(&self) -> Place {
         let mut connections = self.table.connections();
-        if connections.len() >= self.table.max_connections {
-            let waiting = connections.iter().filter_map(|(key, client)| {
-                let since = client.waiting_since()?;
-                Some((since, key))
+        if connections.len() < self.table.max_connections {
+            let state = Arc::<ClientState>::default();
+            let key = connections.insert(state.clone());
+            return Place::Free(ClientConnection {
+                state,
+                table: self.table.clone(),
+                key,
             });
-            let oldest = waiting.min();
-            let is_refused = oldest.is_none();
-            if let Some(client) = oldest.and_then(|(_, key)| connections.remove(key)) {
+        }
+        let mut clients = connections.iter().map(|(_, client)| client);
+        if clients.any(|client| client.eviction.is_evicted()) {
+            return Place::Awaited;
+        }
+        self.table.log_full();
+        let clients = connections.iter().map(|(_, client)| client);
+        let waiting = clients.filter_map(|client| Some((client.waiting_since()?, client)));
+        match waiting.min_by_key(|(since, _)| *since) {
+            Some((_, client)) => {
                 client.eviction.evict();
+                Place::Awaited
             }
-            self.table.log_limit.count(|count| {
-                let limit = self.table.max_connections;
-                tracing::warn!(target: "clients", count, limit, "clients: connections at their limit");
-            });
-            if is_refused {
-                return None;
-            }
+            None => Place::None,
         }
-        let state = Arc::new(ClientState::new());
-        let key = connections.insert(state.clone());
-        drop(connections);
-        Some(ClientConnection {
-            state,
-            table: self.table.clone(),
-            key,
-        })
     }
 }
 
@@ -325,5 +349,6 @@
 impl Drop for ClientConnection {
     fn drop(&mut self) {
         self.table.connections().remove(self.key);
+        self.table.released.notify_waiters();
     }
 }
--- a/crates/node/src/connection/client_memory.rs
+++ b/crates/node/src/connection/client_memory.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use bytes::Bytes;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use wheelmast_core::arena::{SlotArena, SlotKey};
 
@@ -46,6 +47,16 @@
     /// Since when the client has kept this instance waiting. `None` while it does not.
     waiting_since: Option<Instant>,
     eviction: Arc<Eviction>,
+    is_evicted: bool,
+}
+
+/// Result of an attempt to change the memory of a holding.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Resized {
+    Done,
+    /// There will be enough memory once evicted holdings are released.
+    Awaited,
+    Exhausted,
 }
 
 /// Memory held for one use.
@@ -53,55 +64,80 @@
 struct HoldingTable {
     max_bytes: usize,
     used_bytes: usize,
+    /// The part of `used_bytes` that belongs to evicted holdings.
+    evicted_bytes: usize,
     holdings: SlotArena<Holding>,
 }
 
 impl HoldingTable {
-    /// Changes the memory of a holding to `bytes`, and evicts others if there is too little.
-    fn resize(&mut self, key: SlotKey, bytes: usize) -> Result<bool, MemoryExhausted> {
-        let held = self.holdings.get(key).map(|holding| holding.bytes);
-        let held = held.ok_or(MemoryExhausted)?;
-        let mut has_evicted = false;
-        // The first one is allowed whatever its size, which has a limit of its own.
-        while bytes > held && self.used_bytes > held && !self.fits(bytes, held) {
-            self.evict_oldest(key)?;
-            has_evicted = true;
+    /// Changes the memory of a holding to `bytes`. Evicts others if there is too little.
+    fn resize(&mut self, key: SlotKey, bytes: usize) -> Resized {
+        let holding = self.holdings.get(key);
+        let Some(held) = holding
+            .filter(|holding| !holding.is_evicted)
+            .map(|holding| holding.bytes)
+        else {
+            return Resized::Exhausted;
+        };
+        if bytes > held && !self.fits(self.used_bytes - held, bytes) {
+            return self.make_room(key, held, bytes);
         }
         if let Some(holding) = self.holdings.get_mut(key) {
             holding.bytes = bytes;
             self.used_bytes = self.used_bytes - held + bytes;
         }
-        Ok(has_evicted)
+        Resized::Done
+    }
+
+    /// Evicts holdings until one of `held` bytes may grow to `bytes`.
+    fn make_room(&mut self, key: SlotKey, held: usize, bytes: usize) -> Resized {
+        while !self.fits(self.used_bytes - self.evicted_bytes - held, bytes) {
+            if !self.evict_oldest(key) {
+                return Resized::Exhausted;
+            }
+        }
+        Resized::Awaited
     }
 
-    /// Returns whether a holding of `held` bytes may grow to `bytes`.
-    fn fits(&self, bytes: usize, held: usize) -> bool {
+    /// Returns whether a holding may grow to `bytes` beside others that take `other_bytes`. A
+    /// single one may, whatever its size, which has a limit of its own.
+    fn fits(&self, other_bytes: usize, bytes: usize) -> bool {
         let max_bytes = if bytes <= SMALL_BYTES {
             self.max_bytes
         } else {
             (self.max_bytes as f64 * LARGE_FRACTION) as usize
         };
-        self.used_bytes - held + bytes <= max_bytes
+        other_bytes == 0 || other_bytes + bytes <= max_bytes
     }
 
-    /// Evicts the holding whose client has kept this instance waiting for longest. Fails if
-    /// that is `key`, or if there is none.
-    fn evict_oldest(&mut self, key: SlotKey) -> Result<(), MemoryExhausted> {
+    /// Evicts the holding whose client has kept this instance waiting for longest. Returns false
+    /// if that is `key`, or if there is none.
+    fn evict_oldest(&mut self, key: SlotKey) -> bool {
         let holdings = self.holdings.iter();
         let waiting = holdings.filter_map(|(key, holding)| {
-            let since = holding.waiting_since.filter(|_| holding.bytes > 0)?;
-            Some((since, key))
+            let is_useful = holding.bytes > 0 && !holding.is_evicted;
+            Some((holding.waiting_since.filter(|_| is_useful)?, key))
         });
-        let (_, oldest) = waiting
-            .min()
-            .filter(|(_, oldest)| *oldest != key)
-            .ok_or(MemoryExhausted)?;
-        // Its task releases the memory as soon as it runs.
-        if let Some(holding) = self.holdings.remove(oldest) {
-            self.used_bytes -= holding.bytes;
+        let oldest = waiting.min().map(|(_, oldest)| oldest);
+        let Some(oldest) = oldest.filter(|oldest| *oldest != key) else {
+            return false;
+        };
+        if let Some(holding) = self.holdings.get_mut(oldest) {
+            holding.is_evicted = true;
             holding.eviction.evict();
+            self.evicted_bytes += holding.bytes;
+        }
+        true
+    }
+
+    /// Releases a holding.
+    fn release(&mut self, key: SlotKey) {
+        if let Some(holding) = self.holdings.remove(key) {
+            self.used_bytes -= holding.bytes;
+            if holding.is_evicted {
+                self.evicted_bytes -= holding.bytes;
+            }
         }
-        Ok(())
     }
 }
 
@@ -109,6 +145,8 @@
 struct MemoryTables {
     requests: Mutex<HoldingTable>,
     answers: Mutex<HoldingTable>,
+    /// Signals that a holding was released.
+    released: Notify,
     log_limit: LogLimit,
 }
 
@@ -142,6 +180,7 @@
             tables: Arc::new(MemoryTables {
                 requests: new_table(request_bytes),
                 answers: new_table(max_bytes - request_bytes),
+                released: Notify::new(),
                 log_limit: LogLimit::default(),
             }),
         }
@@ -154,6 +193,7 @@
             bytes: 0,
             waiting_since: Some(Instant::now()),
             eviction,
+            is_evicted: false,
         };
         let key = self.tables.lock(memory_use).holdings.insert(holding);
         MemoryReservation {
@@ -169,7 +209,7 @@
     /// # Errors
     ///
     /// Fails if there is too little memory.
-    pub fn hold_answer(
+    pub async fn hold_answer(
         &self,
         bytes: Bytes,
         eviction: &Arc<Eviction>,
@@ -178,7 +218,7 @@
             return Ok(bytes);
         }
         let mut memory = self.hold(MemoryUse::Answer, eviction.clone());
-        memory.resize(bytes.len())?;
+        memory.resize(bytes.len()).await?;
         Ok(memory.attach(bytes))
     }
 
@@ -210,7 +250,7 @@
     /// # Errors
     ///
     /// Fails if there is too little memory.
-    pub fn cover(&mut self, bytes: usize) -> std::io::Result<()> {
+    pub async fn cover(&mut self, bytes: usize) -> std::io::Result<()> {
         if bytes <= UNCOUNTED_ANSWER_BYTES {
             return Ok(());
         }
@@ -220,7 +260,7 @@
             reservation.end_wait();
             reservation
         });
-        let resized = reservation.resize(bytes);
+        let resized = reservation.resize(bytes).await;
         resized.map_err(|MemoryExhausted| {
             let message = "answers hold too much memory";
             std::io::Error::new(std::io::ErrorKind::OutOfMemory, message)
@@ -245,20 +285,44 @@
 }
 
 impl MemoryReservation {
-    /// Changes the number of bytes that are held.
+    /// Changes the number of bytes that are held. Waits for memory that others give up.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is too little memory, or if this holding was evicted.
+    pub async fn resize(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
+        loop {
+            let tables = self.tables.clone();
+            let released = tables.released.notified();
+            match self.resize_once(bytes) {
+                Resized::Done => return Ok(()),
+                Resized::Awaited => released.await,
+                Resized::Exhausted => return Err(MemoryExhausted),
+            }
+        }
+    }
+
+    /// Changes the number of bytes that are held, if there is enough memory now.
     ///
     /// # Errors
     ///
     /// Fails if there is too little memory, or if this holding was evicted.
-    pub fn resize(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
+    pub fn resize_now(&mut self, bytes: usize) -> Result<(), MemoryExhausted> {
+        match self.resize_once(bytes) {
+            Resized::Done => Ok(()),
+            Resized::Awaited | Resized::Exhausted => Err(MemoryExhausted),
+        }
+    }
+
+    fn resize_once(&mut self, bytes: usize) -> Resized {
         let resized = self.tables.lock(self.memory_use).resize(self.key, bytes);
-        if resized != Ok(false) {
+        if resized != Resized::Done {
             let memory_use = self.memory_use;
             self.tables.log_limit.count(|count| {
                 tracing::warn!(target: "clients", count, ?memory_use, "clients: memory at its limit");
             });
         }
-        resized.map(drop)
+        resized
     }
 
     /// Returns `bytes`, which count as held until the last reference to them is dropped.
@@ -279,10 +343,8 @@
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        let mut table = self.tables.lock(self.memory_use);
-        if let Some(holding) = table.holdings.remove(self.key) {
-            table.used_bytes -= holding.bytes;
-        }
+        self.tables.lock(self.memory_use).release(self.key);
+        self.tables.released.notify_waiters();
     }
 }
 
--- a/crates/node/src/connection/client_stream.rs
+++ b/crates/node/src/connection/client_stream.rs
@@ -54,7 +54,7 @@
             let eviction = self.client.eviction.clone();
             self.memory.hold(MemoryUse::Request, eviction)
         });
-        let resized = head_memory.resize(self.head_bytes);
+        let resized = head_memory.resize_now(self.head_bytes);
         resized.map_err(|_| Error::from(ErrorKind::OutOfMemory))
     }
 
--- a/crates/node/src/connection/exchange.rs
+++ b/crates/node/src/connection/exchange.rs
@@ -273,7 +273,8 @@
     /// Reads more bytes into the free space of the buffer, like [`Self::read_available`].
     async fn read_reserved(&mut self) -> Result<usize> {
         self.memory
-            .cover(self.body_bytes + self.buffer.capacity())?;
+            .cover(self.body_bytes + self.buffer.capacity())
+            .await?;
         self.stream.read_buf(self.buffer).await
     }
 
@@ -309,7 +310,7 @@
         while self.buffer.len() < length {
             if self.buffer.len() == self.buffer.capacity() {
                 let doubled = (self.buffer.len() * 2).max(READ_BUFFER_BYTES);
-                self.grow_buffer(doubled.min(length))?;
+                self.grow_buffer(doubled.min(length)).await?;
             }
             if self.read_reserved().await? == 0 {
                 return Err(ErrorKind::UnexpectedEof.into());
@@ -319,8 +320,8 @@
     }
 
     /// Lets the buffer have space for `capacity` bytes and no more.
-    fn grow_buffer(&mut self, capacity: usize) -> Result<()> {
-        self.memory.cover(self.body_bytes + capacity)?;
+    async fn grow_buffer(&mut self, capacity: usize) -> Result<()> {
+        self.memory.cover(self.body_bytes + capacity).await?;
         let mut grown = BytesMut::with_capacity(capacity);
         grown.extend_from_slice(self.buffer);
         *self.buffer = grown;
--- a/crates/node/src/connection/http.rs
+++ b/crates/node/src/connection/http.rs
@@ -21,6 +21,7 @@
 use crate::connection::client_memory::{ClientMemory, MemoryExhausted};
 use crate::connection::client_stream::ClientStream;
 use crate::connection::request_body::BodyError;
+use crate::connection::short_reads::ShortReadStream;
 
 /// Content type of plain text.
 pub const TEXT_CONTENT_TYPE: &str = "text/plain";
@@ -57,7 +58,7 @@
 {
     loop {
         let stream = accept_connection(&listener).await;
-        if let Some(client) = limits.connections.admit() {
+        if let Some(client) = limits.connections.admit().await {
             let serving = serve_http(stream, client, limits.clone(), handle_request.clone());
             tokio::task::spawn_local(serving);
         }
@@ -83,6 +84,7 @@
             Ok::<_, Infallible>(response)
         }
     });
+    let stream = ShortReadStream(stream);
     let stream = ClientStream::new(stream, state.clone(), limits.memory.clone());
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     let connection = std::pin::pin!(connection);
@@ -116,7 +118,7 @@
 ) -> FullResponse {
     let (parts, body) = response.into_parts();
     let Ok(body) = body.collect().await;
-    match memory.hold_answer(body.to_bytes(), &client.eviction) {
+    match memory.hold_answer(body.to_bytes(), &client.eviction).await {
         Ok(body) => Response::from_parts(parts, Full::new(body)),
         Err(MemoryExhausted) => {
             let text = "no memory for the answer";
--- a/crates/node/src/connection/listener.rs
+++ b/crates/node/src/connection/listener.rs
@@ -2,17 +2,22 @@
 //! down gracefully.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::Context;
 use axum::Router;
+use hyper::body::Incoming;
+use hyper::Request;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::watch;
+use tower::ServiceBuilder;
+
+use crate::connection::client::{ClientConnection, ConnectionLimiter};
+use crate::connection::short_reads::ShortReadStream;
 
 /// Maximum time for a client to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -31,11 +36,12 @@
 #[derive(Debug)]
 pub struct BoundListener {
     listener: TcpListener,
-    connection_permits: Arc<Semaphore>,
+    connections: ConnectionLimiter,
 }
 
 impl BoundListener {
-    /// Binds to `address` and allows at most `max_connections` concurrent connections.
+    /// Binds to `address` and allows at most `max_connections` concurrent connections. Over
+    /// that, the one is closed whose client has kept the process waiting for longest.
     ///
     /// # Errors
     ///
@@ -49,7 +55,7 @@
             .with_context(|| format!("could not listen on {address}"))?;
         Ok(BoundListener {
             listener,
-            connection_permits: Arc::new(Semaphore::new(max_connections)),
+            connections: ConnectionLimiter::new(max_connections),
         })
     }
 
@@ -72,7 +78,7 @@
                 _ = stop.wait_for(|stop| *stop) => break,
             };
             match accepted {
-                Ok((stream, _)) => self.spawn_connection(stream, &router, &graceful),
+                Ok((stream, _)) => self.spawn_connection(stream, &router, &graceful).await,
                 Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
@@ -87,32 +93,46 @@
         while let Ok(Ok((stream, _))) =
             tokio::time::timeout(Duration::ZERO, self.listener.accept()).await
         {
-            self.spawn_connection(stream, router, graceful);
+            self.spawn_connection(stream, router, graceful).await;
         }
     }
 
-    /// Starts a task that serves one connection. Closes the connection instead if the
-    /// limit is reached.
-    fn spawn_connection(&self, stream: TcpStream, router: &Router, graceful: &GracefulShutdown) {
-        let Ok(permit) = self.connection_permits.clone().try_acquire_owned() else {
+    /// Starts a task that serves one connection. Closes the connection instead if there is no
+    /// place for it. The requests carry the state of the connection as an extension.
+    async fn spawn_connection(
+        &self,
+        stream: TcpStream,
+        router: &Router,
+        graceful: &GracefulShutdown,
+    ) {
+        let Some(client) = self.connections.admit().await else {
             return;
         };
         let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(router.clone());
+        let state = client.state.clone();
+        let service = ServiceBuilder::new()
+            .map_request(move |mut request: Request<Incoming>| {
+                request.extensions_mut().insert(state.clone());
+                request
+            })
+            .service(router.clone());
         let builder = connection_builder();
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
+        let service = TowerToHyperService::new(service);
+        let connection = builder.serve_connection(TokioIo::new(ShortReadStream(stream)), service);
         let connection = graceful.watch(connection.into_owned());
-        tokio::spawn(run_connection(connection, permit));
+        tokio::spawn(run_connection(connection, client));
     }
 }
 
-/// Runs a connection to its end, and then releases its permit.
+/// Runs a connection to its end, or until another client gets its place.
 async fn run_connection<T>(
     connection: impl std::future::Future<Output = T>,
-    permit: OwnedSemaphorePermit,
+    client: ClientConnection,
 ) {
-    connection.await;
-    drop(permit);
+    tokio::select! {
+        _ = connection => {}
+        () = client.state.eviction.wait() => {}
+    }
 }
 
 fn connection_builder() -> Builder<TokioExecutor> {
--- a/crates/node/src/connection/mod.rs
+++ b/crates/node/src/connection/mod.rs
@@ -18,3 +18,5 @@
 pub mod peer;
 pub mod pool;
 pub mod request_body;
+pub mod search_body;
+pub mod short_reads;
--- a/crates/node/src/connection/pool.rs
+++ b/crates/node/src/connection/pool.rs
@@ -10,8 +10,6 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpSocket;
@@ -20,6 +18,7 @@
 
 use crate::connection::client_memory::ClientMemory;
 use crate::connection::limited_stream::{LimitedStream, ReadAllowance};
+use crate::connection::search_body::SearchBody;
 
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -41,7 +40,7 @@
 #[derive(Debug)]
 pub struct UpstreamConnection {
     /// Sends requests on the connection.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<SearchBody>,
     /// Number of bytes that may be received until the end of the current reply.
     pub allowance: ReadAllowance,
     address: SocketAddr,
--- a/crates/node/src/connection/request_body.rs
+++ b/crates/node/src/connection/request_body.rs
@@ -74,7 +74,8 @@
             body.size_hint().exact(),
             memory,
             other_bytes,
-        )?;
+        )
+        .await?;
     }
     Ok(buffer.into())
 }
@@ -84,7 +85,7 @@
 /// # Errors
 ///
 /// Fails with [`BodyError::MemoryExhausted`].
-pub fn append(
+pub async fn append(
     buffer: &mut Vec<u8>,
     data: &[u8],
     rest_bytes: Option<u64>,
@@ -98,7 +99,7 @@
             Some(rest) => doubled.min(needed + rest as usize),
             None => doubled,
         };
-        let resized = memory.resize(capacity + other_bytes);
+        let resized = memory.resize(capacity + other_bytes).await;
         resized.map_err(|_| BodyError::MemoryExhausted)?;
         buffer.reserve_exact(capacity - buffer.len());
     }
--- a/crates/node/src/process/announce.rs
+++ b/crates/node/src/process/announce.rs
@@ -18,7 +18,7 @@
 use crate::ring::RingSender;
 
 /// Maximum size of an announcement, in bytes.
-const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
+pub const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
 
 /// Returns the HTTP routes for upstream servers.
 pub fn announce_router(state: AnnounceState) -> Router {
--- a/crates/node/src/process/callers.rs
+++ b/crates/node/src/process/callers.rs
@@ -29,12 +29,8 @@
 
 /// Maximum size of a request body, in bytes.
 pub const MAX_REQUEST_BYTES: usize = 1024 * 1024;
-/// Maximum number of concurrent requests, including those whose bodies are
-/// still being received. Together with [`MAX_REQUEST_BYTES`] it bounds the
-/// memory used for bodies.
+/// Maximum number of concurrent requests whose bodies have been received.
 const MAX_REQUESTS: usize = 2048;
-/// Time within which a caller must send its body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum length of an idempotency key or fetch key, in bytes.
 const MAX_KEY_BYTES: usize = 256;
 /// Maximum deadline that a caller may set, in milliseconds; longer ones are
@@ -237,17 +233,9 @@
     })
 }
 
-/// Reads a request body, and checks that it is exactly one JSON value.
+/// Reads a request body that was received, and checks that it is exactly one JSON value.
 async fn read_json(body: Body) -> Result<Box<[u8]>, Box<ProblemBody>> {
-    let read = tokio::time::timeout(BODY_TIMEOUT, to_bytes(body, MAX_REQUEST_BYTES)).await;
-    let Ok(read) = read else {
-        return Err(early_problem(
-            408,
-            "slow-body",
-            "the body did not come within 5 s",
-        ));
-    };
-    let bytes = read.map_err(|_| {
+    let bytes = to_bytes(body, MAX_REQUEST_BYTES).await.map_err(|_| {
         early_problem(
             413,
             "body-unreadable",
@@ -258,7 +246,7 @@
         let detail = format!("the body is not JSON: {error}");
         return Err(early_problem(400, "malformed-json", detail));
     }
-    Ok(bytes.to_vec().into_boxed_slice())
+    Ok(Vec::from(bytes).into_boxed_slice())
 }
 
 /// Reads the remaining time of a request from its headers; `None` if the caller
--- a/crates/node/src/process/duty.rs
+++ b/crates/node/src/process/duty.rs
@@ -5,10 +5,12 @@
 use std::thread::JoinHandle;
 
 use anyhow::Context;
+use axum::middleware::from_fn_with_state;
 use axum::Router;
 use tokio::sync::{oneshot, watch};
 
 use crate::connection::listener::BoundListener;
+use crate::process::request_bounds::{bound_request, RequestBounds};
 
 /// Waits until all `threads` have ended, and logs those that panicked.
 pub fn join_threads(threads: Vec<JoinHandle<()>>) {
@@ -76,6 +78,7 @@
     name: &'static str,
     address: SocketAddr,
     max_connections: usize,
+    bounds: Option<RequestBounds>,
 }
 
 impl ListenerThread {
@@ -86,6 +89,15 @@
             name,
             address,
             max_connections,
+            bounds: None,
+        }
+    }
+
+    /// Bounds what the clients of the listener make the process hold.
+    pub fn with_bounds(self, bounds: RequestBounds) -> ListenerThread {
+        ListenerThread {
+            bounds: Some(bounds),
+            ..self
         }
     }
 
@@ -104,6 +116,10 @@
     ) -> anyhow::Result<(SocketAddr, oneshot::Receiver<()>)> {
         let (bound_sender, bound) = std::sync::mpsc::sync_channel(1);
         let (end_sender, end) = oneshot::channel();
+        let router = match self.bounds {
+            Some(bounds) => router.layer(from_fn_with_state(bounds, bound_request)),
+            None => router,
+        };
         let task = async move {
             match BoundListener::bind(self.address, self.max_connections).await {
                 Ok(listener) => {
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -43,6 +43,7 @@
     typed_response, FullResponse, ListenerLimits, TEXT_CONTENT_TYPE,
 };
 use crate::connection::request_body::{read_before, read_body, BodyError};
+use crate::connection::short_reads::ShortReadStream;
 use crate::process::forward::cap_gate::CapVerdict;
 use crate::process::forward::entry::{EntryPhase, ForwardDriver};
 use crate::process::forward::grant::AllowanceReader;
@@ -84,7 +85,7 @@
             stream = accept_connection(&listener) => stream,
             _ = closed.wait_for(|closing| *closing) => return,
         };
-        let Some(client) = entry.callers.connections.admit() else {
+        let Some(client) = entry.callers.connections.admit().await else {
             continue;
         };
         let (entry, closing) = (entry.clone(), closing.clone());
@@ -110,6 +111,7 @@
     let caller = caller_fingerprint(&stream);
     let stream = ArrivalStream::new(stream, entry.watch.clone());
     let (handler, arrival, state) = (entry.clone(), stream.mark(), client.state.clone());
+    let stream = ShortReadStream(stream);
     let stream = ClientStream::new(stream, state.clone(), entry.callers.memory.clone());
     let service = service_fn(move |request| {
         state.begin_body();
@@ -240,7 +242,7 @@
     let mut memory = memory.hold(MemoryUse::Request, client.eviction.clone());
     let head_bytes = HEAD_COPIES * head_size(&parts);
     let reading = async {
-        let resized = memory.resize(head_bytes);
+        let resized = memory.resize(head_bytes).await;
         resized.map_err(|MemoryExhausted| BodyError::MemoryExhausted)?;
         let (max_bytes, memory) = (limits.body_bytes, &mut memory);
         if is_relayed {
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -43,6 +43,9 @@
     image: Rc<RequestImage>,
 }
 
+/// Part of the process's descriptors that connections of callers may take.
+const CALLER_DESCRIPTOR_FRACTION: f64 = 0.5;
+
 /// Limits on what callers make an entry hold.
 #[derive(Debug)]
 pub struct CallerAdmission {
@@ -54,8 +57,9 @@
 
 impl CallerAdmission {
     fn new(limits: ClientLimits) -> CallerAdmission {
+        let max_connections = fit_descriptors(limits.connections, CALLER_DESCRIPTOR_FRACTION);
         CallerAdmission {
-            connections: ConnectionLimiter::new(fit_descriptors(limits.connections)),
+            connections: ConnectionLimiter::new(max_connections),
             memory: ClientMemory::new(limits.memory_bytes()),
         }
     }
--- a/crates/node/src/process/forward/grant.rs
+++ b/crates/node/src/process/forward/grant.rs
@@ -62,7 +62,8 @@
                 Some(rest_bytes as u64),
                 memory,
                 other_bytes,
-            )?;
+            )
+            .await?;
         }
         let mut body_bytes = Bytes::from(buffer);
         let rest = body_bytes.split_off(body_length);
--- a/crates/node/src/process/group/answer.rs
+++ b/crates/node/src/process/group/answer.rs
@@ -38,6 +38,8 @@
     head: Duration::from_secs(15),
     idle: Duration::from_secs(15),
 };
+/// Part of the process's descriptors that connections of servers and operators may take.
+const CLIENT_DESCRIPTOR_FRACTION: f64 = 0.5;
 /// Longest time to receive the body of a call.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time after which a caller that got status 503 should retry.
@@ -49,13 +51,16 @@
 /// instance ends.
 pub async fn serve_calls<D: ForwardDialect>(node: Rc<GroupNode>, listener: TcpListener) {
     let limits = ListenerLimits {
-        connections: ConnectionLimiter::new(fit_descriptors(node.settings.clients.connections)),
+        connections: ConnectionLimiter::new(fit_descriptors(
+            node.settings.clients.connections,
+            CLIENT_DESCRIPTOR_FRACTION,
+        )),
         memory: node.client_memory.clone(),
         timeouts: TIMEOUTS,
     };
     loop {
         let stream = accept_connection(&listener).await;
-        let Some(client) = limits.connections.admit() else {
+        let Some(client) = limits.connections.admit().await else {
             continue;
         };
         let (node, limits) = (node.clone(), limits.clone());
--- a/crates/node/src/process/instance.rs
+++ b/crates/node/src/process/instance.rs
@@ -17,8 +17,10 @@
 use wheelmast_core::process::gossip::machine::{GossipInput, GossipMachine};
 use wheelmast_core::process::gossip::member::{MemberLifecycle, MemberState};
 
-use crate::process::announce::{announce_router, AnnounceState};
-use crate::process::callers::{caller_router, CallerState};
+use crate::connection::client::fit_descriptors;
+use crate::connection::client_memory::ClientMemory;
+use crate::process::announce::{announce_router, AnnounceState, MAX_ANNOUNCEMENT_BYTES};
+use crate::process::callers::{caller_router, CallerState, MAX_REQUEST_BYTES};
 use crate::process::change::ControlClient;
 use crate::process::clock::ProcessClock;
 use crate::process::control::ControlDriver;
@@ -32,6 +34,7 @@
 use crate::process::operators::{operator_router, OperatorState};
 use crate::process::peers::{peer_router, PeerState};
 use crate::process::ready::ReadyFlag;
+use crate::process::request_bounds::RequestBounds;
 use crate::process::upstreams::UpstreamDriver;
 use crate::ring::{bounded_ring, RingReceiver, RingSender};
 use crate::settings::model::{ClusterSettings, InstanceSettings};
@@ -40,6 +43,8 @@
 const ENTRY_RING_LENGTH: usize = 8_192;
 /// Commands that the ring to the upstreams thread holds.
 const UPSTREAM_RING_LENGTH: usize = 16_384;
+/// Maximum size of an operator's change of the table, in bytes.
+const MAX_CHANGE_BYTES: usize = 2 * 1024 * 1024;
 /// Maximum number of open connections from operators.
 const MAX_OPERATOR_CONNECTIONS: usize = 64;
 /// Commands that the ring to the gossip thread holds.
@@ -51,9 +56,12 @@
 const LEAVE_SEND_TIME: Duration = Duration::from_millis(100);
 /// Maximum number of open connections from other instances.
 const MAX_PEER_CONNECTIONS: usize = 1_024;
-/// Maximum number of open connections from upstream servers that announce
-/// themselves.
-const MAX_ANNOUNCE_CONNECTIONS: usize = 4_096;
+/// Maximum number of open connections from upstream servers that announce themselves, for each
+/// connection that callers may have.
+const ANNOUNCE_CONNECTION_FACTOR: u32 = 2;
+/// Part of the process's descriptors that connections of callers may take, and also those of
+/// upstream servers that announce themselves.
+const CLIENT_DESCRIPTOR_FRACTION: f64 = 0.25;
 
 /// The configuration that an instance is started with.
 #[derive(Debug)]
@@ -139,11 +147,13 @@
             outcome_senders: HashMap::new(),
         };
         threads.push(spawner.start("entry", entry_driver.run())?);
+        let client_memory = ClientMemory::new(settings.clients.memory_bytes());
         let upstream_driver = UpstreamDriver {
             ring: upstream_ring,
             entry: entry.clone(),
             source: settings.source,
             entry_clock,
+            memory: client_memory.clone(),
         };
         threads.push(spawner.start("upstreams", upstream_driver.run())?);
         if let Some(table) = setup.table {
@@ -177,15 +187,19 @@
                 .clone()
                 .map(|control_client| FenceClient { control_client }),
         });
-        let listener = ListenerThread::new(
-            "callers",
-            settings.callers,
-            settings.clients.connections as usize,
-        );
+        let bounds = |max_body_bytes| RequestBounds {
+            memory: client_memory.clone(),
+            max_body_bytes,
+        };
+        let fit = |connections| fit_descriptors(connections, CLIENT_DESCRIPTOR_FRACTION);
+        let max_callers = settings.clients.connections;
+        let listener = ListenerThread::new("callers", settings.callers, fit(max_callers))
+            .with_bounds(bounds(MAX_REQUEST_BYTES));
         let (callers, callers_ended) =
             listener.start(router, callers_stop, &spawner, &mut threads)?;
-        let listener =
-            ListenerThread::new("announce", settings.upstreams, MAX_ANNOUNCE_CONNECTIONS);
+        let max_announcers = fit(max_callers * ANNOUNCE_CONNECTION_FACTOR);
+        let listener = ListenerThread::new("announce", settings.upstreams, max_announcers)
+            .with_bounds(bounds(MAX_ANNOUNCEMENT_BYTES));
         let router = announce_router(AnnounceState {
             entry: entry.clone(),
             gossip: gossip.clone(),
@@ -204,7 +218,8 @@
             ready: ready.clone(),
         });
         let listener =
-            ListenerThread::new("operators", settings.operators, MAX_OPERATOR_CONNECTIONS);
+            ListenerThread::new("operators", settings.operators, MAX_OPERATOR_CONNECTIONS)
+                .with_bounds(bounds(MAX_CHANGE_BYTES));
         let (operators, _) = listener.start(router, others_stop, &spawner, &mut threads)?;
         tracing::info!(
             "instance: {} listens for callers on {callers}, operators on {operators}, \
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -23,6 +23,7 @@
 pub mod peers;
 pub mod ready;
 pub mod reload;
+pub mod request_bounds;
 pub mod status;
 pub mod store;
 pub mod upstreams;
--- a/crates/node/src/process/peers.rs
+++ b/crates/node/src/process/peers.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use axum::body::Bytes;
-use axum::extract::{DefaultBodyLimit, State};
+use axum::extract::{DefaultBodyLimit, Request, State};
 use axum::http::{HeaderMap, StatusCode};
+use axum::middleware::{from_fn_with_state, Next};
 use axum::response::{IntoResponse, Response};
 use axum::routing::post;
 use axum::Router;
@@ -36,19 +37,21 @@
     Router::new()
         .route(PEER_PATH, post(handle_message))
         .layer(DefaultBodyLimit::max(MAX_PEER_MESSAGE_BYTES))
+        .layer(from_fn_with_state(state.clone(), check_key))
         .with_state(state)
 }
 
-/// Checks the cluster key of a message and handles the message.
-async fn handle_message(
-    State(state): State<PeerState>,
-    headers: HeaderMap,
-    body: Bytes,
-) -> Response {
-    if !has_key(&headers, KEY_HEADER, &state.key) {
+/// Checks the cluster key of a message before its body is received.
+async fn check_key(State(state): State<PeerState>, request: Request, next: Next) -> Response {
+    if !has_key(request.headers(), KEY_HEADER, &state.key) {
         tracing::warn!("peer: a message with a wrong cluster key was rejected");
         return (StatusCode::FORBIDDEN, "wrong cluster key").into_response();
     }
+    next.run(request).await
+}
+
+/// Handles a message of another instance.
+async fn handle_message(State(state): State<PeerState>, body: Bytes) -> Response {
     let Ok(request) = decode(&body) else {
         return (StatusCode::BAD_REQUEST, "not a message of this version").into_response();
     };
--- a/crates/node/src/process/upstreams.rs
+++ b/crates/node/src/process/upstreams.rs
@@ -9,6 +9,7 @@
 use wheelmast_core::prelude::{AttemptReply, EntryInput, SendOrder, SlotKey};
 
 use crate::connection::attempt::run_attempt;
+use crate::connection::client_memory::ClientMemory;
 use crate::connection::pool::ConnectionPool;
 use crate::process::clock::ProcessClock;
 use crate::process::entry::EntryMessage;
@@ -39,12 +40,14 @@
     /// The clock of the entry thread, because attempts carry times of that
     /// clock.
     pub entry_clock: ProcessClock,
+    /// Memory for the replies that are being received.
+    pub memory: ClientMemory,
 }
 
 impl UpstreamDriver {
     /// Runs until the ring is closed, when the entry thread has ended.
     pub async fn run(mut self) {
-        let pool = ConnectionPool::default();
+        let pool = ConnectionPool::new(self.memory.clone());
         let mut tasks: JoinSet<AttemptReply> = JoinSet::new();
         let mut running_attempts: HashMap<SlotKey, AbortHandle> = HashMap::new();
         let mut reap = tokio::time::interval(REAP_INTERVAL);
--- a/crates/node/tests/crowd/main.rs
+++ b/crates/node/tests/crowd/main.rs
@@ -16,3 +16,4 @@
 
 mod control;
 mod entry;
+mod instance;
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -40,7 +40,7 @@
     /// Key of the document to fetch, or idempotency key of a submission.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub key: Option<String>,
-    /// JSON that the caller sent.
+    /// JSON that the caller sent. It must remain the last field, see [`encode_search_start`].
     pub payload: Box<RawValue>,
 }
 
@@ -150,15 +150,20 @@
     }
 }
 
-/// Encodes the subquery of a send order. `now` is the time of sending, from which the
-/// remaining time is computed.
+/// Text that follows the caller's payload in the encoding of a subquery.
+pub const SEARCH_REQUEST_END: &[u8] = b"}";
+/// JSON that stands for the payload while the text before it is encoded.
+const NO_PAYLOAD: &str = "null";
+
+/// Encodes the subquery of a send order, up to the caller's payload. The payload follows as it
+/// is, and then [`SEARCH_REQUEST_END`]. `now` is the time of sending, from which the remaining
+/// time is computed.
 ///
 /// # Errors
 ///
-/// Fails if the caller's payload is not JSON.
-pub fn encode_search_request(order: &SendOrder, now: Duration) -> Result<Vec<u8>, MessageError> {
-    let payload: &RawValue = serde_json::from_slice(&order.body.payload)
-        .map_err(|error| MessageError(error.to_string()))?;
+/// Fails if the order cannot be encoded.
+pub fn encode_search_start(order: &SendOrder, now: Duration) -> Result<Vec<u8>, MessageError> {
+    let to_message_error = |error: serde_json::Error| MessageError(error.to_string());
     let request = SearchRequest {
         attempt: order.id.to_string(),
         request: order.request.to_string(),
@@ -168,9 +173,12 @@
         version: order.snapshot.version,
         remaining_ms: order.deadline.saturating_sub(now).as_millis() as u64,
         key: order.body.key.as_deref().map(str::to_string),
-        payload: payload.to_owned(),
+        payload: RawValue::from_string(NO_PAYLOAD.to_string()).map_err(to_message_error)?,
     };
-    serde_json::to_vec(&request).map_err(|error| MessageError(error.to_string()))
+    let mut text = serde_json::to_vec(&request).map_err(to_message_error)?;
+    // The payload is the last field.
+    text.truncate(text.len() - NO_PAYLOAD.len() - SEARCH_REQUEST_END.len());
+    Ok(text)
 }
 
 /// Decodes the reply of an upstream server with the given HTTP status. A reply that
