Do not wake a connection's task by its own reads

Cause: a read that found nothing while a head was incomplete woke the task that waits for the head's time limit, which is the task that reads: it read again, and so on. The end of a relayed body that arrives after the answer was taken for the beginning of a head, so entries that relay to each other did so all the time, and would have lost such connections after the time for a head.

Change: the signal is given once for each head, and the end of a late body is no head.

Evidence: a_read_that_finds_nothing_does_not_wake_its_own_task_again failed without the change; the others in tests/clients.rs check who gives way at which limit.

--- a/crates/node/src/connection/client.rs
+++ b/crates/node/src/connection/client.rs
@@ -94,7 +94,9 @@
     last_written: AtomicU64,
     /// Number of complete requests that are being worked on.
     requests: AtomicUsize,
-    /// Signals that the head of a request has arrived only in part.
+    /// Whether the head of a request has arrived only in part.
+    is_head_unfinished: AtomicBool,
+    /// Signals that `is_head_unfinished` was set.
     head_unfinished: Notify,
     /// Ends the connection.
     pub eviction: Arc<Eviction>,
@@ -109,6 +111,7 @@
             phase_began: AtomicU64::new(0),
             last_written: AtomicU64::new(0),
             requests: AtomicUsize::new(0),
+            is_head_unfinished: AtomicBool::new(false),
             head_unfinished: Notify::new(),
             eviction: Arc::default(),
         }
@@ -132,13 +135,16 @@
     /// Records that bytes of the client were read.
     pub fn record_read(&self) {
         if self.phase() == ClientPhase::Idle {
+            self.is_head_unfinished.store(false, Ordering::Relaxed);
             self.begin_phase(ClientPhase::Head);
         }
     }
 
     /// Records that more bytes are wanted and none have arrived.
     pub fn record_read_wait(&self) {
-        if self.phase() == ClientPhase::Head {
+        let is_unfinished = self.phase() == ClientPhase::Head;
+        // Signalled once, as the signal makes the task of the connection read again.
+        if is_unfinished && !self.is_head_unfinished.swap(true, Ordering::Relaxed) {
             self.head_unfinished.notify_one();
         }
     }
@@ -167,6 +173,14 @@
         self.begin_phase(ClientPhase::Idle);
     }
 
+    /// Records that the bytes read since the last request were the end of its body, not the
+    /// beginning of a head.
+    pub fn end_late_body(&self) {
+        if self.phase() == ClientPhase::Head {
+            self.begin_phase(ClientPhase::Idle);
+        }
+    }
+
     /// Returns whether a part of a request's head has arrived.
     pub fn is_receiving_head(&self) -> bool {
         self.phase() == ClientPhase::Head
--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -316,11 +316,13 @@
     entry.step(ForwardInput::Call(ForwardCall { tag, ..call }));
     if let Some(reader) = allowance_reader {
         let allowance = reader.receive_allowance(entry.clone(), tag);
+        let client = client.clone();
         tokio::task::spawn_local(async move {
             allowance.await;
             // The allowance may arrive after the answer. Its bytes belong to this
             // request, not to the next one.
             arrival.end_request();
+            client.end_late_body();
         });
     }
     let answer = receiver.await;
