Bound what the sender of a first message makes a control instance hold

The listener of a control instance for other instances took any number of connections, and on each a message of up to 8 MiB from anyone: 200 connections that sent 1 MiB of one took 228156 KiB more.

Cause: nothing was asked of a connection before its messages were received. Change: the first message, which says who has opened the connection, is at most 64 KiB long and arrives within 5 s. Until then the connection may lose its place. There are at most twice as many connections as the setting connections allows to servers and operators, 4096 by default.

Greetings and subscriptions are as before. A greeting lists the addresses of control instances, of which 64 KiB hold some thousand.

Evidence: two more crowds in tests/crowd/control.rs.

--- a/crates/node/src/connection/frame.rs
+++ b/crates/node/src/connection/frame.rs
@@ -90,17 +90,30 @@
 pub struct FrameReader<R> {
     stream: R,
     buffer: BytesMut,
+    /// Maximum size of a frame's message, in bytes.
+    max_bytes: usize,
 }
 
 impl<R: AsyncRead + Unpin> FrameReader<R> {
     /// Creates a reader with an empty buffer.
     pub fn new(stream: R) -> FrameReader<R> {
+        FrameReader::with_max_bytes(stream, MAX_FRAME_BYTES)
+    }
+
+    /// Creates a reader of messages of at most `max_bytes` bytes.
+    pub fn with_max_bytes(stream: R, max_bytes: usize) -> FrameReader<R> {
         FrameReader {
             stream,
             buffer: BytesMut::new(),
+            max_bytes,
         }
     }
 
+    /// Allows messages of at most `max_bytes` bytes from now on.
+    pub fn set_max_bytes(&mut self, max_bytes: usize) {
+        self.max_bytes = max_bytes;
+    }
+
     /// Reads the next message.
     ///
     /// Cancel safe: bytes that were read stay in the buffer.
@@ -128,8 +141,9 @@
             return Ok(None);
         };
         let length = u32::from_be_bytes(*length_prefix) as usize;
-        if length > MAX_FRAME_BYTES {
-            bail!("could not read a message of {length} bytes: the maximum is {MAX_FRAME_BYTES}");
+        let max_bytes = self.max_bytes;
+        if length > max_bytes {
+            bail!("could not read a message of {length} bytes: the maximum is {max_bytes}");
         }
         if self.buffer.len() < LENGTH_BYTES + length {
             return Ok(None);
--- a/crates/node/src/process/group/inbound.rs
+++ b/crates/node/src/process/group/inbound.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
@@ -12,15 +13,25 @@
 use wheelmast_core::process::control::state::MemberRecord;
 use wheelmast_core::process::forward::directory::ServerObserver;
 use wheelmast_core::process::forward::input::EntryPeer;
-use wheelmast_wire::group::{GroupMessage, LeaderReply, LeaderRequest};
+use wheelmast_wire::group::{GroupMessage, LeaderReply, LeaderRequest, MAX_FRAME_BYTES};
 
 use crate::connection::accept::accept_connection;
+use crate::connection::client::{fit_descriptors, ClientState, ConnectionLimiter};
 use crate::connection::frame::{set_unacknowledged_timeout, FrameReader};
 use crate::process::group::node::GroupNode;
 use crate::process::group::state::{ControlLocation, EncodedFrame, Subscriber};
 use crate::process::group::suspects::SuspectSource;
 use crate::ring::bounded_ring;
 
+/// Most connections of other control instances and entries, for each connection that servers and
+/// operators may have.
+const PEER_CONNECTION_FACTOR: u32 = 2;
+/// Part of the process's descriptors that these connections may take.
+const DESCRIPTOR_FRACTION: f64 = 0.25;
+/// Largest first message of a connection, in bytes: a greeting or a subscription.
+const MAX_FIRST_FRAME_BYTES: usize = 64 * 1024;
+/// Longest time until the first message of a connection.
+const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Messages that may wait for one subscribed entry.
 const SUBSCRIBER_RING_LENGTH: usize = 512;
 /// Most messages that are written to a connection at once.
@@ -34,24 +45,47 @@
 
 /// Accepts connections of other control instances and of entries.
 pub async fn accept_peers(node: Rc<GroupNode>, listener: TcpListener) {
+    let max_connections = node.settings.clients.connections * PEER_CONNECTION_FACTOR;
+    let connections = ConnectionLimiter::new(fit_descriptors(max_connections, DESCRIPTOR_FRACTION));
     loop {
         let stream = accept_connection(&listener).await;
+        let Some(client) = connections.admit().await else {
+            continue;
+        };
         let node = node.clone();
         tokio::task::spawn_local(async move {
-            if let Err(error) = serve_connection(&node, stream).await {
+            let served = tokio::select! {
+                served = serve_connection(&node, stream, &client.state) => served,
+                () = client.state.eviction.wait() => return,
+            };
+            if let Err(error) = served {
                 tracing::debug!(target: "group", "peer: connection ended, {error:#}");
             }
         });
     }
 }
 
-async fn serve_connection(node: &Rc<GroupNode>, mut stream: TcpStream) -> anyhow::Result<()> {
+/// Serves a connection. It may lose its place to another one until its first message has
+/// arrived, which says who has opened it.
+async fn serve_connection(
+    node: &Rc<GroupNode>,
+    mut stream: TcpStream,
+    client: &Arc<ClientState>,
+) -> anyhow::Result<()> {
     set_unacknowledged_timeout(&stream)?;
     let (reader, mut writer) = stream.split();
-    let mut reader = FrameReader::new(reader);
+    let mut reader = FrameReader::with_max_bytes(reader, MAX_FIRST_FRAME_BYTES);
+    let first = tokio::time::timeout(FIRST_MESSAGE_TIMEOUT, reader.next()).await??;
+    let _work = client.begin_work();
+    reader.set_max_bytes(MAX_FRAME_BYTES);
+    let mut next = Some(first);
     let mut peer = None;
     loop {
-        match reader.next().await? {
+        let message = match next.take() {
+            Some(message) => message,
+            None => reader.next().await?,
+        };
+        match message {
             GroupMessage::Hello {
                 from,
                 domain,
--- a/crates/node/tests/crowd/control.rs
+++ b/crates/node/tests/crowd/control.rs
@@ -14,6 +14,14 @@
 /// Size of a large legal body, in bytes.
 const BODY_BYTES: usize = 1024 * 1024;
 
+/// Returns a part of a legal message of another instance.
+fn short_message() -> Vec<u8> {
+    let length = 7 * BODY_BYTES as u32;
+    let mut bytes = length.to_be_bytes().to_vec();
+    bytes.resize(BODY_BYTES, 0);
+    bytes
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_control_instance_bounds_what_its_clients_hold() {
     let _alone = run_alone().await;
@@ -27,6 +35,7 @@
     let announce = "PUT /v1/servers/x HTTP/1.1\r\nhost: shop\r\n";
     let calls = deployment.front_address(CONTROL);
     let metrics = deployment.metrics_address(CONTROL);
+    let peers = deployment.peer_address(CONTROL);
     let cases = [
         (
             "a table without its last byte",
@@ -50,6 +59,8 @@
         ),
         ("no byte at all", calls, Vec::new()),
         ("no byte at all, metrics", metrics, Vec::new()),
+        ("a message without its end, peers", peers, short_message()),
+        ("no byte at all, peers", peers, Vec::new()),
     ];
     let child = deployment.daemons[CONTROL].child.as_ref();
     let bounds = ProcessBounds::measure(child.expect("the instance runs").id());
