Read servers' answers strictly by the grammar of HTTP/1.1

Callers got answers of servers in trouble as complete ones, with a body that was not the server's: the head was spoilt where it tells the length of the body, or a line of it was no field. Other systems passed on a status of 000, or a blank or a control byte in the name of a field.

Cause: heads and chunk sizes were parsed by a lenient library and the fields that tell where a body ends by str::parse and str::trim, which take +2 and a no-break space; trailers were not parsed at all. An empty chunk size ended a body.

Change: one parser by RFC 9110 and 9112: status line, field lines, line ends, content-length, transfer-encoding, connection, keep-alive, chunk lines with extensions, trailers. What the grammar doesn't allow breaks the attempt, also where a recipient may be lenient, so that another server is asked.

--- a/crates/node/src/connection/exchange.rs
+++ b/crates/node/src/connection/exchange.rs
@@ -14,9 +14,11 @@
 use tokio::net::TcpStream;
 
 use crate::connection::answer_head::{
-    invalid_data, parse_head, AnswerHead, BodyFraming, FIRST_FINAL_STATUS, MAX_BODY_BYTES,
+    invalid_data, may_end_head, parse_head, AnswerHead, BodyFraming, FIRST_FINAL_STATUS, LINE_END,
+    MAX_BODY_BYTES,
 };
 use crate::connection::client_memory::{AnswerMemory, ClientMemory};
+use crate::connection::http_syntax::{parse_chunk_line, split_field_line};
 
 /// Maximum size of the heads of an answer, the interim ones included, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -27,12 +29,14 @@
 /// Maximum number of bytes that the chunks of a body may add to it. Small chunks cost much
 /// processor time for each byte of the body.
 const MAX_FRAMING_BYTES: usize = 256 * 1024;
-/// End of a line.
-const LINE_END: &[u8] = b"\r\n";
+/// Number of bytes before a read that may belong to the end of a head.
+const HEAD_END_OVERLAP: usize = 3;
 /// Size of the line breaks around the data of a chunk, in bytes.
 const CHUNK_BREAK_BYTES: usize = 4;
 /// Buffer space reserved before each read, in bytes.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
+/// Beginning of a request whose answer has no body.
+const HEAD_METHOD: &[u8] = b"HEAD ";
 /// Status code `100 Continue`, by which a server asks for the rest of a request.
 const CONTINUE_STATUS: u16 = 100;
 
@@ -120,10 +124,10 @@
         Err(_) if written == 0 => return Err(ExchangeFailure::Unsent),
         Err(_) => return Err(ExchangeFailure::Broken),
     };
+    let has_body = !request.head.starts_with(HEAD_METHOD);
     drop(request);
-    let answer = AnswerReader::new(stream, buffer, memory)
-        .read_answer(rest)
-        .await;
+    let reader = AnswerReader::new(stream, buffer, memory);
+    let answer = reader.read_answer(has_body, rest).await;
     let mut answer = answer.map_err(|_| ExchangeFailure::Broken)?;
     // After an early answer the server may still expect the rest of the request, and
     // bytes beyond the answer belong to no request. In both cases the connection must
@@ -209,10 +213,12 @@
         }
     }
 
-    /// Reads the heads and the body of an answer. Skips interim answers, except that the
+    /// Reads the heads and the body of an answer, unless the request had the method `HEAD`, to
+    /// which answers have none (`has_body`). Skips interim answers, except that the
     /// first `100 Continue` makes `rest` be sent.
     async fn read_answer<R: Future<Output = Vec<u8>>>(
         mut self,
+        has_body: bool,
         rest: impl FnOnce() -> R,
     ) -> Result<CompleteAnswer> {
         let mut rest = Some(rest);
@@ -227,6 +233,7 @@
             }
         };
         let body = match head.framing {
+            _ if !has_body => Bytes::new(),
             BodyFraming::Empty => Bytes::new(),
             BodyFraming::Length(length) => self.read_exact_body(length).await?,
             BodyFraming::Chunked => self.read_chunks().await?,
@@ -286,8 +293,8 @@
         // which are not HTTP are rejected early.
         let mut next_parse = 1;
         loop {
-            let is_complete = contains_empty_line(&self.buffer[scanned..]);
-            if is_complete || self.buffer.len() >= next_parse {
+            let is_due = may_end_head(&self.buffer[scanned..]);
+            if is_due || self.buffer.len() >= next_parse {
                 if let Some((length, head)) = parse_head(self.buffer)? {
                     *bytes_left = bytes_left
                         .checked_sub(length)
@@ -300,7 +307,7 @@
             if self.buffer.len() > *bytes_left {
                 return Err(invalid_data("answer head is too large"));
             }
-            scanned = self.buffer.len().saturating_sub(2);
+            scanned = self.buffer.len().saturating_sub(HEAD_END_OVERLAP);
             self.read_more().await?;
         }
     }
@@ -375,14 +382,12 @@
     /// the chunk adds to the body from `framing_bytes_left`.
     async fn read_chunk_size(&mut self, framing_bytes_left: &mut usize) -> Result<u64> {
         let length = self.buffer_line(MAX_CHUNK_LINE_BYTES).await?;
-        let size = match httparse::parse_chunk_size(&self.buffer[..length + 2]) {
-            Ok(httparse::Status::Complete((_, size))) => size,
-            Ok(httparse::Status::Partial) | Err(_) => return Err(invalid_data("invalid chunk")),
-        };
+        let size = parse_chunk_line(&self.buffer[..length]);
+        let size = size.ok_or_else(|| invalid_data("invalid chunk"))?;
         *framing_bytes_left = framing_bytes_left
             .checked_sub(length + CHUNK_BREAK_BYTES)
             .ok_or_else(|| invalid_data("chunks are too small"))?;
-        self.buffer.advance(length + 2);
+        self.buffer.advance(length + LINE_END.len());
         Ok(size)
     }
 
@@ -391,7 +396,11 @@
         let mut bytes_left = MAX_TRAILER_BYTES;
         loop {
             let length = self.buffer_line(bytes_left).await?;
-            self.buffer.advance(length + 2);
+            let is_valid = length == 0 || split_field_line(&self.buffer[..length]).is_some();
+            self.buffer.advance(length + LINE_END.len());
+            if !is_valid {
+                return Err(invalid_data("trailer is no field"));
+            }
             if length == 0 {
                 return Ok(());
             }
@@ -418,9 +427,3 @@
         }
     }
 }
-
-/// Returns whether a text contains an empty line after another one, which ends a head.
-fn contains_empty_line(text: &[u8]) -> bool {
-    let ends_line = |window: &[u8]| window.starts_with(b"\n\n") || window == b"\n\r\n";
-    text.ends_with(b"\n\n") || text.windows(3).any(ends_line)
-}
