--- a/crates/node/src/connection/exchange.rs
+++ b/crates/node/src/connection/exchange.rs
@@ -68,10 +68,33 @@
 /// A request as it is written to a connection.
 #[derive(Debug)]
 pub struct WireRequest<'a> {
-    /// The head, and the body unless it is in `body`.
+    /// The head, and the beginning of the body.
     pub head: Cow<'a, [u8]>,
-    /// The body, which all attempts share.
+    /// The part of the body that all attempts share.
     pub body: &'a [u8],
+    /// The end of the body.
+    pub end: &'static [u8],
+}
+
+impl WireRequest<'_> {
+    fn len(&self) -> usize {
+        self.head.len() + self.body.len() + self.end.len()
+    }
+
+    /// Writes what follows the first `written` bytes, as far as the connection takes it.
+    fn try_write(&self, stream: &TcpStream, written: usize) -> Result<usize> {
+        let mut skipped = written;
+        let mut parts = [&*self.head, self.body, self.end];
+        for part in &mut parts {
+            let count = skipped.min(part.len());
+            *part = &part[count..];
+            skipped -= count;
+        }
+        match parts {
+            [head, [], []] => stream.try_write(head),
+            _ => stream.try_write_vectored(&parts.map(IoSlice::new)),
+        }
+    }
 }
 
 impl<'a> From<&'a [u8]> for WireRequest<'a> {
@@ -79,6 +102,7 @@
         WireRequest {
             head: head.into(),
             body: &[],
+            end: &[],
         }
     }
 }
@@ -156,20 +180,13 @@
     request: &WireRequest<'_>,
     written: &mut usize,
 ) -> Result<bool> {
-    let (head, body) = (&*request.head, request.body);
     loop {
-        let head_left = &head[head.len().min(*written)..];
-        let body_left = &body[written.saturating_sub(head.len())..];
-        let result = match body_left.is_empty() {
-            true => stream.try_write(head_left),
-            false => stream.try_write_vectored(&[IoSlice::new(head_left), IoSlice::new(body_left)]),
-        };
-        match result {
+        match request.try_write(stream, *written) {
             Ok(count) => *written += count,
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
             Err(error) => return Err(error),
         }
-        if *written == head.len() + body.len() {
+        if *written == request.len() {
             return Ok(true);
         }
         let ready = stream
--- a/crates/node/src/connection/pool.rs
+++ b/crates/node/src/connection/pool.rs
@@ -10,42 +10,28 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Context;
-use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpSocket;
-use tokio::task::JoinHandle;
+use bytes::BytesMut;
+use tokio::net::{TcpSocket, TcpStream};
 use wheelmast_core::prelude::{ConnectionChange, ServerKey};
 
 use crate::connection::client_memory::ClientMemory;
-use crate::connection::limited_stream::{LimitedStream, ReadAllowance};
-use crate::connection::search_body::SearchBody;
+use crate::connection::exchange::is_closed_or_readable;
 
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Maximum size of the head of a reply, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
-/// Handle of a connection's task. Dropping the handle aborts the task.
-#[derive(Debug)]
-struct AbortOnDrop(JoinHandle<()>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
+/// Maximum size of the receive buffer of an idle connection, in bytes.
+const MAX_IDLE_BUFFER_BYTES: usize = 64 * 1024;
 
 /// An open connection to an upstream server. Dropping the value closes the connection at
 /// once.
 #[derive(Debug)]
 pub struct UpstreamConnection {
-    /// Sends requests on the connection.
-    pub sender: SendRequest<SearchBody>,
-    /// Number of bytes that may be received until the end of the current reply.
-    pub allowance: ReadAllowance,
+    /// The connection.
+    pub stream: TcpStream,
+    /// Buffer for received bytes. It is empty between two requests.
+    pub buffer: BytesMut,
     address: SocketAddr,
-    idle_since: Instant,
-    _task: AbortOnDrop,
+    idle_until: Instant,
 }
 
 impl UpstreamConnection {
@@ -72,23 +58,18 @@
             .await
             .with_context(|| format!("could not connect to {address}"))?;
         stream.set_nodelay(true)?;
-        let (stream, allowance) = LimitedStream::new(stream);
-        let (sender, connection) = Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await?;
-        let task = tokio::spawn(async move {
-            // The error also reaches the caller that waits for a reply.
-            let _ = connection.await;
-        });
         Ok(UpstreamConnection {
-            sender,
-            allowance,
+            stream,
+            buffer: BytesMut::new(),
             address,
-            idle_since: Instant::now(),
-            _task: AbortOnDrop(task),
+            idle_until: Instant::now(),
         })
     }
+
+    /// Returns whether another request may be sent on the idle connection.
+    fn is_usable(&self) -> bool {
+        self.idle_until > Instant::now() && !is_closed_or_readable(&self.stream)
+    }
 }
 
 type IdleMap = HashMap<ServerKey, Vec<UpstreamConnection>>;
@@ -122,31 +103,35 @@
         let mut idle = self.idle();
         let connections = idle.get_mut(&server)?;
         while let Some(connection) = connections.pop() {
-            if !connection.sender.is_closed() && connection.address == address {
+            if connection.address == address && connection.is_usable() {
                 return Some(connection);
             }
         }
         None
     }
 
-    /// Returns a connection to the pool for the next subquery, unless it is closed.
-    pub fn put_back(&self, server: ServerKey, mut connection: UpstreamConnection) {
-        if connection.sender.is_closed() {
-            return;
+    /// Returns a connection to the pool for the next subquery. It may be idle for `keep_alive`,
+    /// at most 20 s.
+    pub fn put_back(
+        &self,
+        server: ServerKey,
+        mut connection: UpstreamConnection,
+        keep_alive: Duration,
+    ) {
+        if connection.buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
+            connection.buffer = BytesMut::new();
         }
-        connection.idle_since = Instant::now();
+        connection.idle_until = Instant::now() + keep_alive.min(IDLE_TIMEOUT);
         self.idle().entry(server).or_default().push(connection);
     }
 
-    /// Drops connections that are closed or have been idle for 20 s. Returns the servers
+    /// Drops connections that are closed or have been idle for as long as they may be. Returns the servers
     /// that lost connections, with the number of connections left.
     pub fn reap(&self) -> Vec<ConnectionChange> {
         let mut changes = Vec::new();
         for (server, connections) in self.idle().iter_mut() {
             let before = connections.len();
-            connections.retain(|connection| {
-                !connection.sender.is_closed() && connection.idle_since.elapsed() < IDLE_TIMEOUT
-            });
+            connections.retain(UpstreamConnection::is_usable);
             if connections.len() != before {
                 changes.push(ConnectionChange {
                     server: *server,
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -446,6 +446,7 @@
     let wire_request = WireRequest {
         head: image.render_head::<D>(&order, now).into(),
         body: image.body(),
+        end: &[],
     };
     let attempt = order.attempt;
     let is_fully_sent = Cell::new(order.relay.is_none());
--- a/crates/node/tests/endless_replies.rs
+++ b/crates/node/tests/endless_replies.rs
@@ -5,20 +5,15 @@
 
 mod support;
 
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use wheelmast_core::arena::{KeyArena, ServerKey, SlotArena};
 use wheelmast_core::prelude::*;
-use wheelmast_core::process::input::RequestBody;
-use wheelmast_core::request::identity::{AttemptId, RequestId};
-use wheelmast_core::version::snapshot::SnapshotId;
 use wheelmast_node::connection::attempt::run_attempt;
 use wheelmast_node::connection::pool::ConnectionPool;
 use wheelmast_node::process::clock::ProcessClock;
 
 use crate::support::flood::{FloodServer, FLOOD_PLACES};
+use crate::support::order::build_order;
 
 /// Time limit of the subqueries; the attempts must end well before it.
 const TIME_LEFT: Duration = Duration::from_secs(20);
@@ -26,35 +21,6 @@
 /// Most bytes that a server can send until its reply is given up.
 const MAX_SENT: u64 = 64 * 1024 * 1024;
 
-/// Returns an order to send a subquery to `address`.
-fn build_order(address: SocketAddr, deadline: Duration) -> SendOrder {
-    let (incarnation, sequence) = (1, 1);
-    SendOrder {
-        attempt: SlotArena::<()>::default().insert(()),
-        id: AttemptId {
-            incarnation,
-            sequence,
-        },
-        request: RequestId {
-            incarnation,
-            sequence,
-        },
-        server: KeyArena::<ServerKey, ()>::default().push(()),
-        address,
-        shard: 1,
-        snapshot: SnapshotId {
-            epoch: 1,
-            version: 1,
-        },
-        deadline,
-        body: Arc::new(RequestBody {
-            kind: RequestKind::Query,
-            key: None,
-            payload: b"{}".to_vec().into_boxed_slice(),
-        }),
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_reply_without_end_is_given_up_early() {
     for place in FLOOD_PLACES {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod entry;
 pub mod flood;
 pub mod guarded;
+pub mod order;
 pub mod spoilt;
 
 use std::net::SocketAddr;
