Read responses with the strict reader in the command line tool

wheelmast query, table, watch and the others, the health checks of the demo's balancer and the load generator took damaged responses of an instance for complete ones.

Cause: the HTTP library's client; it even accepts a length beside a transfer coding, and codings that it doesn't know. Change: the tool uses the exchange and the pool of the instances, and reads streams of decisions by the same reader (answer_stream.rs). The reader moved to a module of its own.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -4,20 +4,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::Context;
+use anyhow::{bail, ensure, Context};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::TokioExecutor;
+use hyper::{Method, Request, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
+use tokio::net::TcpStream;
+use wheelmast_node::connection::answer_reader::CompleteAnswer;
+use wheelmast_node::connection::answer_stream::AnswerStream;
+use wheelmast_node::connection::exchange::{exchange_with_continue, ExchangeFailure, WireRequest};
+use wheelmast_node::connection::pool::{ConnectionPool, UpstreamConnection};
 use wheelmast_wire::caller::{DEADLINE_HEADER, IDEMPOTENCY_HEADER};
 
-/// Largest response body accepted, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 /// Longest time to wait for a whole response, whatever the deadline of the request.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -58,20 +56,11 @@
     }
 }
 
-/// An HTTP client that reuses its connections.
-#[derive(Debug, Clone)]
+/// An HTTP client that reuses its connections. Clones share them. Responses are read as strictly
+/// as the answers of servers.
+#[derive(Debug, Clone, Default)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
-}
-
-impl Default for HttpClient {
-    fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        HttpClient {
-            client: Client::builder(TokioExecutor::new()).build(connector),
-        }
-    }
+    pool: ConnectionPool<SocketAddr>,
 }
 
 impl HttpClient {
@@ -110,8 +99,8 @@
         if let ServiceCall::Submit { key: Some(key), .. } = call {
             request = request.header(IDEMPOTENCY_HEADER, key);
         }
-        let request = request.body(Full::new(Bytes::from(body.clone())))?;
-        self.send(request).await
+        let request = request.body(Bytes::from(body.clone()))?;
+        self.send(address, request).await
     }
 
     /// Sends a GET request for `path` to the instance at `address`.
@@ -120,8 +109,8 @@
     ///
     /// Fails if no complete response arrives within 5 s. An error status is not a failure.
     pub async fn get(&self, address: SocketAddr, path: &str) -> anyhow::Result<HttpResponse> {
-        let request = Request::get(format!("http://{address}{path}")).body(Full::default())?;
-        self.send(request).await
+        let request = Request::get(format!("http://{address}{path}")).body(Bytes::new())?;
+        self.send(address, request).await
     }
 
     /// Sends `body` as JSON in a POST request for `path` to the instance at `address`, with the
@@ -143,7 +132,7 @@
             request = request.header("wheelmast-token", token);
         }
         let body = Bytes::from(serde_json::to_vec(body)?);
-        self.send(request.body(Full::new(body))?).await
+        self.send(address, request.body(body)?).await
     }
 
     /// Sends the JSON `text` in a PUT request for `path` to the instance at `address`.
@@ -159,8 +148,8 @@
     ) -> anyhow::Result<HttpResponse> {
         let request = Request::put(format!("http://{address}{path}"))
             .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(text)))?;
-        self.send(request).await
+            .body(Bytes::from(text))?;
+        self.send(address, request).await
     }
 
     /// Sends a request with the given method and body for `path` to the instance at `address`.
@@ -179,8 +168,8 @@
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
-            .body(Full::new(body))?;
-        self.send(request).await
+            .body(body)?;
+        self.send(address, request).await
     }
 
     /// Sends a GET request for `path` and returns the response with its body unread, for endless
@@ -188,33 +177,93 @@
     ///
     /// # Errors
     ///
-    /// Fails if the instance cannot be reached.
+    /// Fails if the instance cannot be reached, or if its response is not a success.
     pub async fn open_stream(
         &self,
         address: SocketAddr,
         path: &str,
-    ) -> anyhow::Result<Response<Incoming>> {
-        let request = Request::get(format!("http://{address}{path}")).body(Full::default())?;
-        let response = self.client.request(request).await;
-        response.with_context(|| format!("could not reach {address}"))
+    ) -> anyhow::Result<AnswerStream> {
+        let request = Request::get(format!("http://{address}{path}")).body(Bytes::new())?;
+        let stream = TcpStream::connect(address).await;
+        let stream = stream.with_context(|| format!("could not reach {address}"))?;
+        let answer = AnswerStream::open(stream, render_head(&request).into()).await?;
+        let status = answer.status;
+        ensure!(
+            status == StatusCode::OK.as_u16(),
+            "{address} answered {status}"
+        );
+        Ok(answer)
     }
 
     /// Sends a request and reads the whole response within [`RESPONSE_TIMEOUT`].
-    async fn send(&self, request: Request<Full<Bytes>>) -> anyhow::Result<HttpResponse> {
-        let uri = request.uri().to_string();
-        let response_future = async {
-            let response = self.client.request(request).await?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-            let body = body.collect().await.map_err(anyhow::Error::from_boxed)?;
-            anyhow::Ok(HttpResponse {
-                status,
-                body: body.to_bytes(),
-            })
-        };
-        tokio::time::timeout(RESPONSE_TIMEOUT, response_future)
-            .await
-            .with_context(|| format!("could not get a response from {uri} within 5 s"))?
-            .with_context(|| format!("could not get a response from {uri}"))
+    async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+    ) -> anyhow::Result<HttpResponse> {
+        let exchange = self.exchange(address, &request);
+        let answer = tokio::time::timeout(RESPONSE_TIMEOUT, exchange).await;
+        let answer = answer
+            .with_context(|| format!("could not get a response from {} within 5 s", request.uri()))?
+            .with_context(|| format!("could not get a response from {}", request.uri()))?;
+        Ok(HttpResponse {
+            status: StatusCode::from_u16(answer.status)?,
+            body: answer.body,
+        })
+    }
+
+    /// Sends a request on an idle connection, or on a new one if there is none or the instance
+    /// has closed it.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: &Request<Bytes>,
+    ) -> anyhow::Result<CompleteAnswer> {
+        let mut idle = self.pool.take(address, address);
+        loop {
+            let is_new = idle.is_none();
+            let mut connection = match idle.take() {
+                Some(connection) => connection,
+                None => UpstreamConnection::open(None, address).await?,
+            };
+            let wire_request = WireRequest {
+                head: render_head(request).into(),
+                body: request.body(),
+                end: &[],
+            };
+            let (stream, buffer) = (&mut connection.stream, &mut connection.buffer);
+            let memory = self.pool.memory.receive_answer();
+            let rest = std::future::pending;
+            match exchange_with_continue(stream, buffer, wire_request, memory, rest).await {
+                Ok(answer) => {
+                    if let Some(keep_alive) = answer.keep_alive {
+                        self.pool.put_back(address, connection, keep_alive);
+                    }
+                    return Ok(answer);
+                }
+                Err(ExchangeFailure::Unsent) if !is_new => {}
+                Err(failure) => bail!("the response is not complete or not valid ({failure:?})"),
+            }
+        }
+    }
+}
+
+/// Serializes the head of a request.
+fn render_head(request: &Request<Bytes>) -> Vec<u8> {
+    let uri = request.uri();
+    let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    let host = uri.authority().map_or("", |authority| authority.as_str());
+    let length = request.body().len();
+    let method = request.method();
+    let mut head =
+        format!("{method} {target} HTTP/1.1\r\nhost: {host}\r\ncontent-length: {length}\r\n")
+            .into_bytes();
+    for (name, value) in request.headers() {
+        head.extend_from_slice(name.as_str().as_bytes());
+        head.extend_from_slice(b": ");
+        head.extend_from_slice(value.as_bytes());
+        head.extend_from_slice(b"\r\n");
     }
+    head.extend_from_slice(b"\r\n");
+    head
 }
--- a/crates/cli/src/cmd/watch.rs
+++ b/crates/cli/src/cmd/watch.rs
@@ -5,7 +5,6 @@
 use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command};
-use http_body_util::BodyExt;
 use wheelmast_wire::prelude::DecisionLine;
 
 use crate::client::HttpClient;
@@ -81,16 +80,12 @@
     /// Reads the stream of decisions, one JSON object per line, and prints the matching ones.
     async fn print_decisions(&self) -> anyhow::Result<()> {
         let client = HttpClient::default();
-        let response = client
+        let mut answer = client
             .open_stream(self.instance, "/v1/decisions/stream")
             .await?;
-        let mut body = response.into_body();
         let mut unread = Vec::new();
         let mut shown = 0;
-        while let Some(frame) = body.frame().await {
-            let Ok(bytes) = frame?.into_data() else {
-                continue;
-            };
+        while let Some(bytes) = answer.next_data().await? {
             unread.extend_from_slice(&bytes);
             while let Some(end) = unread.iter().position(|byte| *byte == b'\n') {
                 let line: Vec<u8> = unread.drain(..=end).collect();
--- a/crates/node/src/connection/attempt.rs
+++ b/crates/node/src/connection/attempt.rs
@@ -10,9 +10,8 @@
     decode_reply, encode_search_start, SEARCH_PATH, SEARCH_REQUEST_END,
 };
 
-use crate::connection::exchange::{
-    exchange_with_continue, CompleteAnswer, ExchangeFailure, WireRequest,
-};
+use crate::connection::answer_reader::CompleteAnswer;
+use crate::connection::exchange::{exchange_with_continue, ExchangeFailure, WireRequest};
 use crate::connection::pool::{ConnectionPool, UpstreamConnection};
 use crate::process::clock::ProcessClock;
 
--- a/crates/node/src/connection/mod.rs
+++ b/crates/node/src/connection/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod accept;
 pub mod answer_head;
+pub mod answer_reader;
+pub mod answer_stream;
 pub mod arrival;
 pub mod attempt;
 pub mod client;
--- a/crates/node/src/connection/pool.rs
+++ b/crates/node/src/connection/pool.rs
@@ -5,6 +5,7 @@
 //! instance's share of the server's connections.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -72,19 +73,25 @@
     }
 }
 
-type IdleMap = HashMap<ServerKey, Vec<UpstreamConnection>>;
+type IdleMap<K> = HashMap<K, Vec<UpstreamConnection>>;
 
-/// The idle connections of this instance to all servers. Clones share the pool.
-#[derive(Debug, Clone, Default)]
-pub struct ConnectionPool {
-    idle: Arc<Mutex<IdleMap>>,
+/// The idle connections to all servers, each of which `K` identifies. Clones share the pool.
+#[derive(Debug, Clone)]
+pub struct ConnectionPool<K = ServerKey> {
+    idle: Arc<Mutex<IdleMap<K>>>,
     /// Memory for the replies that are being received.
     pub memory: ClientMemory,
 }
 
-impl ConnectionPool {
+impl<K> Default for ConnectionPool<K> {
+    fn default() -> ConnectionPool<K> {
+        ConnectionPool::new(ClientMemory::default())
+    }
+}
+
+impl<K> ConnectionPool<K> {
     /// Returns an empty pool whose replies are covered by `memory`.
-    pub fn new(memory: ClientMemory) -> ConnectionPool {
+    pub fn new(memory: ClientMemory) -> ConnectionPool<K> {
         ConnectionPool {
             idle: Arc::default(),
             memory,
@@ -93,13 +100,15 @@
 
     /// Locks the idle connections, also after a panic of another thread that held the
     /// lock.
-    fn idle(&self) -> MutexGuard<'_, IdleMap> {
+    fn idle(&self) -> MutexGuard<'_, IdleMap<K>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
+impl<K: Eq + Hash> ConnectionPool<K> {
     /// Takes the most recently used idle connection to a server, if there is one that is
     /// open and leads to `address`.
-    pub fn take(&self, server: ServerKey, address: SocketAddr) -> Option<UpstreamConnection> {
+    pub fn take(&self, server: K, address: SocketAddr) -> Option<UpstreamConnection> {
         let mut idle = self.idle();
         let connections = idle.get_mut(&server)?;
         while let Some(connection) = connections.pop() {
@@ -112,19 +121,16 @@
 
     /// Returns a connection to the pool for the next subquery. It may be idle for `keep_alive`,
     /// at most 20 s.
-    pub fn put_back(
-        &self,
-        server: ServerKey,
-        mut connection: UpstreamConnection,
-        keep_alive: Duration,
-    ) {
+    pub fn put_back(&self, server: K, mut connection: UpstreamConnection, keep_alive: Duration) {
         if connection.buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
             connection.buffer = BytesMut::new();
         }
         connection.idle_until = Instant::now() + keep_alive.min(IDLE_TIMEOUT);
         self.idle().entry(server).or_default().push(connection);
     }
+}
 
+impl ConnectionPool {
     /// Drops connections that are closed or have been idle for as long as they may be. Returns the servers
     /// that lost connections, with the number of connections left.
     pub fn reap(&self) -> Vec<ConnectionChange> {
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -27,8 +27,9 @@
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::connection::answer_head::DEFAULT_IDLE_TIMEOUT;
+use crate::connection::answer_reader::CompleteAnswer;
 use crate::connection::exchange::{
-    exchange_with_continue, is_closed_or_readable, CompleteAnswer, ExchangeFailure, WireRequest,
+    exchange_with_continue, is_closed_or_readable, ExchangeFailure, WireRequest,
 };
 use crate::process::forward::entry::ForwardDriver;
 use crate::process::forward::image::{
--- a/crates/node/tests/spoilt_answers.rs
+++ b/crates/node/tests/spoilt_answers.rs
@@ -13,7 +13,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use wheelmast_node::connection::answer_head::parse_head;
-use wheelmast_node::connection::exchange::{exchange, CompleteAnswer, ExchangeFailure};
+use wheelmast_node::connection::answer_reader::CompleteAnswer;
+use wheelmast_node::connection::exchange::{exchange, ExchangeFailure};
 
 use crate::support::entry::{read_request_id, request_from, LocalEntry};
 use crate::support::run_local_test;
