Take an HTTP/2 body for complete only at the end of its stream

A stream that was reset with NO_ERROR in the middle of a body passed for complete: a caller's request ran with a part of its body, and a part of another instance's reply was decoded.

Cause: the HTTP library ends a body at such a reset, as it may follow an early response. Change: requests over HTTP/2 and replies of other instances must reach the end of their stream. Numbers in the headers of answers (load, number of records) are digits and nothing else.

--- a/crates/node/src/connection/peer.rs
+++ b/crates/node/src/connection/peer.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{bail, Context};
+use anyhow::{bail, ensure, Context};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http2::{handshake, SendRequest};
 use hyper::Request;
 use hyper_util::rt::{TokioExecutor, TokioIo};
@@ -143,9 +144,14 @@
         if !response.status().is_success() {
             bail!("{} rejected a message: {}", self.address, response.status());
         }
-        let body = Limited::new(response.into_body(), MAX_PEER_MESSAGE_BYTES);
-        let body = body.collect().await.map_err(anyhow::Error::from_boxed)?;
-        Ok(decode(&body.to_bytes())?)
+        let mut body = response.into_body();
+        let bytes = Limited::new(&mut body, MAX_PEER_MESSAGE_BYTES)
+            .collect()
+            .await;
+        let bytes = bytes.map_err(anyhow::Error::from_boxed)?.to_bytes();
+        // The HTTP library also ends a body at a reset of the stream without an error.
+        ensure!(body.is_end_stream(), "{} broke off its reply", self.address);
+        Ok(decode(&bytes)?)
     }
 
     /// Returns the sender of the open connection, or opens a new connection.
--- a/crates/node/src/process/forward/pool.rs
+++ b/crates/node/src/process/forward/pool.rs
@@ -31,6 +31,7 @@
 use crate::connection::exchange::{
     exchange_with_continue, is_closed_or_readable, ExchangeFailure, WireRequest,
 };
+use crate::connection::http_syntax::{parse_digits, trim_blanks};
 use crate::process::forward::entry::ForwardDriver;
 use crate::process::forward::image::{
     is_hop_by_hop, parse_suspect, render_allowance, RequestImage, SHARDS_HEADER, SUSPECT_HEADER,
@@ -568,8 +569,7 @@
     if !is_bundle {
         return (AttemptResult::Broken, None);
     }
-    let top = find_header(&answer.headers, TOP_HEADER)
-        .and_then(|top| std::str::from_utf8(top).ok()?.trim().parse().ok());
+    let top = find_header(&answer.headers, TOP_HEADER).and_then(parse_digits);
     let bundle = BundleAnswer {
         parts: shards.into_iter().zip(stamps).collect(),
         top,
@@ -605,10 +605,8 @@
 /// commas. Some servers add a fourth number: how long their work currently takes compared
 /// with normal, in hundredths.
 fn parse_load(value: &[u8]) -> Option<LoadReport> {
-    let mut numbers = std::str::from_utf8(value)
-        .ok()?
-        .split(',')
-        .map(|number| number.trim().parse::<u32>().ok());
+    let numbers = value.split(|byte| *byte == b',').map(trim_blanks);
+    let mut numbers = numbers.map(|number| u32::try_from(parse_digits(number)?).ok());
     Some(LoadReport {
         running: numbers.next()??,
         waiting: numbers.next()??,
--- a/crates/node/src/process/request_bounds.rs
+++ b/crates/node/src/process/request_bounds.rs
@@ -48,12 +48,17 @@
         let reservation = memory.insert(bounds.memory.hold(MemoryUse::Request, eviction.clone()));
         let other_bytes = REQUEST_BYTES + head_size(&request);
         let is_http1 = request.version() <= Version::HTTP_11;
-        let (parts, body) = request.into_parts();
+        let (parts, mut body) = request.into_parts();
         let max_bytes = bounds.max_body_bytes;
         let reading = async {
             let resized = reservation.resize(other_bytes).await;
             resized.map_err(|MemoryExhausted| BodyError::MemoryExhausted)?;
-            read_body(body, max_bytes, reservation, other_bytes).await
+            let bytes = read_body(&mut body, max_bytes, reservation, other_bytes).await?;
+            // The HTTP library also ends a body at a reset of the stream without an error.
+            match is_http1 || body.is_end_stream() {
+                true => Ok(bytes),
+                false => Err(BodyError::Unreadable),
+            }
         };
         match read_before(Instant::now() + BODY_TIMEOUT, &eviction, reading).await {
             Ok(body) => request = Request::from_parts(parts, body.into()),
