Apply changed limits to the requests of kept connections

Cause: an entry read the limits once, when it accepted a connection. Change: they are read for each request and each wait. The limit on heads belongs to a connection of the HTTP library, so a connection ends gracefully when it is raised.

--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -106,8 +106,8 @@
     client: ClientConnection,
     mut closing: watch::Receiver<bool>,
 ) {
-    let limits = entry.with_machine(|machine| machine.table().map(|table| table.limits()));
-    let limits = limits.unwrap_or_default();
+    let mut limits_changes = entry.caller_limits.subscribe();
+    let head_bytes = limits_changes.borrow().head_bytes;
     let caller = caller_fingerprint(&stream);
     let stream = ArrivalStream::new(stream, entry.watch.clone());
     let (handler, arrival, state) = (entry.clone(), stream.mark(), client.state.clone());
@@ -120,7 +120,7 @@
             let origin = RequestOrigin {
                 caller,
                 client: client.clone(),
-                limits,
+                limits: *entry.caller_limits.borrow(),
                 arrived_at: arrival.take_arrival(),
                 arrival_mark: arrival.clone(),
             };
@@ -132,24 +132,28 @@
         }
     });
     let connection = http1::Builder::new()
-        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let timeouts = ClientTimeouts {
-        head: Duration::from_millis(limits.head_ms),
-        idle: Duration::from_millis(limits.idle_ms),
-    };
     let connection = async move {
         let mut connection = std::pin::pin!(connection);
         tokio::select! {
             biased;
             _ = connection.as_mut() => return,
             _ = closing.wait_for(|closing| *closing) => {}
+            // The limit of a connection cannot be changed, so a new one must take larger heads.
+            _ = limits_changes.wait_for(|limits| limits.head_bytes > head_bytes) => {}
         }
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     };
     let connection = std::pin::pin!(connection);
-    let disconnect = client.state.wait_disconnect(|| timeouts);
+    let disconnect = client.state.wait_disconnect(|| {
+        let limits = entry.caller_limits.borrow();
+        ClientTimeouts {
+            head: Duration::from_millis(limits.head_ms),
+            idle: Duration::from_millis(limits.idle_ms),
+        }
+    });
     drive_connection(connection, &client.state, disconnect).await;
 }
 
--- a/crates/node/src/process/forward/entry.rs
+++ b/crates/node/src/process/forward/entry.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{oneshot, watch, Notify};
 use wheelmast_core::arena::SlotKey;
 use wheelmast_core::process::forward::answer::{ForwardAction, ForwardAnswer};
 use wheelmast_core::process::forward::input::ForwardInput;
@@ -18,6 +18,7 @@
 use wheelmast_core::process::forward::suspect::record::SuspectRecord;
 use wheelmast_core::process::input::CallTag;
 use wheelmast_core::process::rollout::VersionOutcomes;
+use wheelmast_core::version::route_table::CallerLimits;
 use wheelmast_wire::dialect::ForwardDialect;
 
 use crate::connection::client::{fit_descriptors, ConnectionLimiter};
@@ -87,6 +88,8 @@
     pub pool: ServerPool,
     /// Limits on what callers make the entry hold.
     pub callers: CallerAdmission,
+    /// Limits on a caller's request, of the table in force.
+    pub caller_limits: watch::Sender<CallerLimits>,
     /// Admission of requests whose workspace has a usage cap.
     pub caps: CapGate,
     /// Senders that cancel attempts, by attempt.
@@ -140,6 +143,7 @@
             machine: RefCell::new(ForwardMachine::new(options)),
             pool: ServerPool::default(),
             callers: CallerAdmission::new(ClientLimits::default()),
+            caller_limits: watch::Sender::default(),
             caps: CapGate::new(clock),
             cancel_senders: RefCell::default(),
             allowance_senders: RefCell::default(),
@@ -195,9 +199,13 @@
     pub fn step(self: &Rc<Self>, input: ForwardInput) {
         let now = self.clock.elapsed();
         let mut actions = self.action_buffer.take();
+        let is_table = matches!(input, ForwardInput::Table(_));
         let (next, level_changes) = {
             let mut machine = self.machine.borrow_mut();
             machine.step(now, input, &mut actions);
+            if let Some(table) = machine.table().filter(|_| is_table) {
+                self.caller_limits.send_replace(table.limits());
+            }
             (machine.next_wake(), machine.take_level_changes())
         };
         self.record_level_changes(level_changes);
