--- a/crates/node/tests/crowd/entry.rs
+++ b/crates/node/tests/crowd/entry.rs
@@ -13,14 +13,14 @@
 use crate::harness::{send_request, wait_until, Deployment};
 
 /// Number of the entry under test.
-const ENTRY: usize = 3;
+pub(crate) const ENTRY: usize = 3;
 /// Maximum size of a body and of a head, in bytes. These are the defaults of a route table.
 const BODY_BYTES: usize = 256 * 1024;
 const HEAD_BYTES: usize = 16 * 1024;
 /// Size of the large answers, in bytes.
 const BULK_BYTES: usize = 1024 * 1024;
 /// `desk` answers, `mute` never does, and `bulk` sends large answers.
-const TABLE: &str = r#"{"version": 5, "services": [{"name": "desk", "connections": 500},
+pub(crate) const TABLE: &str = r#"{"version": 5, "services": [{"name": "desk", "connections": 500},
       {"name": "mute", "connections": 500}, {"name": "bulk", "connections": 500}],
     "routes": [
       {"name": "d", "host": "shop", "prefix": "/d/", "idempotent": true, "rank": 0,
@@ -79,13 +79,13 @@
 }
 
 /// A deployment with low limits and a server of each service.
-struct Stage {
-    deployment: Deployment,
+pub(crate) struct Stage {
+    pub(crate) deployment: Deployment,
     _desk: FakeShard,
 }
 
 impl Stage {
-    async fn start(address_block: u8) -> Stage {
+    pub(crate) async fn start(address_block: u8) -> Stage {
         let deployment = Deployment::start_with(address_block, LOW_LIMITS);
         deployment.put_first_table(TABLE);
         let desk = FakeShard::start("desk", "here", b'x')
@@ -122,18 +122,18 @@
         stage
     }
 
-    fn address(&self) -> SocketAddr {
+    pub(crate) fn address(&self) -> SocketAddr {
         self.deployment.front_address(ENTRY)
     }
 
     /// Measures the process of the entry.
-    fn measure(&self) -> ProcessBounds {
+    pub(crate) fn measure(&self) -> ProcessBounds {
         let child = self.deployment.daemons[ENTRY].child.as_ref();
         ProcessBounds::measure(child.expect("the entry runs").id())
     }
 
     /// Checks that an ordinary client is answered.
-    fn check_ordinary(&self, name: &str) {
+    pub(crate) fn check_ordinary(&self, name: &str) {
         let mut attempts = (0..ORDINARY_ATTEMPTS).map(|attempt| {
             let id = format!("ordinary-{attempt}");
             self.deployment.query(ENTRY, "/d/ordinary", &id)
@@ -144,13 +144,13 @@
 }
 
 /// What each client of a crowd sends.
-struct CrowdCase {
-    name: &'static str,
-    bytes: Vec<u8>,
+pub(crate) struct CrowdCase {
+    pub(crate) name: &'static str,
+    pub(crate) bytes: Vec<u8>,
 }
 
 /// Returns what clients send that stop before the end of a request.
-fn unfinished_requests() -> Vec<CrowdCase> {
+pub(crate) fn unfinished_requests() -> Vec<CrowdCase> {
     let head = "POST /d/crowd HTTP/1.1\r\nhost: shop\r\n";
     let case = |name, bytes| CrowdCase { name, bytes };
     vec![
@@ -171,6 +171,16 @@
     ]
 }
 
+/// Returns a complete request with a large body, to a server that never answers.
+pub(crate) fn waiting_request() -> Vec<u8> {
+    let mut request = short_body("POST /m/crowd HTTP/1.1\r\nhost: shop\r\n", BODY_BYTES);
+    request.push(b' ');
+    request
+}
+
+/// A request for a large answer.
+pub(crate) const UNREAD_REQUEST: &[u8] = b"GET /b/crowd HTTP/1.1\r\nhost: shop\r\n\r\n";
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_bounds_what_unfinished_requests_hold() {
     let _alone = run_alone().await;
@@ -189,9 +199,7 @@
     let _alone = run_alone().await;
     let stage = Stage::start(32).await;
     let bounds = stage.measure();
-    let mut request = short_body("POST /m/crowd HTTP/1.1\r\nhost: shop\r\n", BODY_BYTES);
-    request.push(b' ');
-    let crowd = gather(stage.address(), CROWD, &request);
+    let crowd = gather(stage.address(), CROWD, &waiting_request());
     stage.check_ordinary("complete bodies");
     bounds.check("complete bodies");
     drop(crowd);
@@ -202,8 +210,7 @@
     let _alone = run_alone().await;
     let stage = Stage::start(33).await;
     let bounds = stage.measure();
-    let request = b"GET /b/crowd HTTP/1.1\r\nhost: shop\r\n\r\n";
-    let crowd = gather_unreading(stage.address(), CROWD, request).await;
+    let crowd = gather_unreading(stage.address(), CROWD, UNREAD_REQUEST).await;
     // The answers come from a server meanwhile.
     tokio::time::sleep(Duration::from_secs(3)).await;
     stage.check_ordinary("unread answers");
--- a/crates/node/tests/crowd/main.rs
+++ b/crates/node/tests/crowd/main.rs
@@ -17,3 +17,4 @@
 mod control;
 mod entry;
 mod instance;
+mod soak;
