Move callers' responses and the receipt of bodies out of process_request

Responses to callers are built in caller_answer.rs; the body of a request is received by receive_body. Nothing else changed: the tests of entries (held_up, unrun_statuses, spoilt_answers, endless_answers and others) pass.

--- a/crates/node/src/process/forward/callers.rs
+++ b/crates/node/src/process/forward/callers.rs
@@ -11,22 +11,18 @@
 
 use anyhow::Context;
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
 use wheelmast_core::process::forward::answer::{ForwardAnswer, ForwardFailure};
-use wheelmast_core::process::forward::input::{
-    ForwardCall, ForwardInput, RelayOrder, ServerAnswer,
-};
-use wheelmast_core::process::forward::suspect::record::SuspectRecord;
+use wheelmast_core::process::forward::input::{ForwardCall, ForwardInput, RelayOrder};
 use wheelmast_core::process::input::CallTag;
 use wheelmast_core::request::mark::{CallerFingerprint, ContentFingerprint, RequestFingerprint};
 use wheelmast_core::version::route_table::CallerLimits;
@@ -36,20 +32,22 @@
 use crate::connection::accept::accept_connection;
 use crate::connection::arrival::{ArrivalMark, ArrivalStream};
 use crate::connection::client::{ClientConnection, ClientState, ClientTimeouts, ConnectionLimiter};
-use crate::connection::client_memory::{MemoryExhausted, MemoryUse};
+use crate::connection::client_memory::{MemoryExhausted, MemoryReservation, MemoryUse};
 use crate::connection::client_stream::ClientStream;
 use crate::connection::http::{
-    body_error_response, drive_connection, hold_response, serve_listener, set_retry_after,
-    typed_response, FullResponse, ListenerLimits, TEXT_CONTENT_TYPE,
+    body_error_response, drive_connection, hold_response, serve_listener, typed_response,
+    FullResponse, ListenerLimits, TEXT_CONTENT_TYPE,
 };
 use crate::connection::request_body::{read_before, read_body, BodyError};
 use crate::connection::short_reads::ShortReadStream;
+use crate::process::forward::caller_answer::{
+    failure_response, render_answer, suspect_refusal_response,
+};
 use crate::process::forward::cap_gate::CapVerdict;
 use crate::process::forward::entry::{EntryPhase, ForwardDriver};
 use crate::process::forward::grant::AllowanceReader;
 use crate::process::forward::image::{
-    parse_fingerprint, parse_relay_order, render_suspect, RequestImage, RELAY_HEADER,
-    SHARDS_HEADER, SUSPECT_HEADER, TOP_HEADER,
+    parse_fingerprint, parse_relay_order, RequestImage, RELAY_HEADER,
 };
 
 /// Minimum size of a connection's buffer that the HTTP library accepts, in bytes.
@@ -68,8 +66,6 @@
 const HEAD_COPIES: usize = 2;
 /// Minimum delay between arrival and reading with which a request is logged as late.
 const LATE_READ_THRESHOLD: Duration = Duration::from_millis(100);
-/// Separator of the items of a list in a header.
-const LIST_SEPARATOR: &str = ", ";
 
 /// Accepts callers' connections until `closing` becomes true.
 pub async fn accept_callers<D: ForwardDialect>(
@@ -217,11 +213,11 @@
 ) -> FullResponse {
     let RequestOrigin {
         caller,
-        client,
         limits,
         arrived_at,
-        arrival_mark: arrival,
+        ..
     } = origin;
+    let client = &origin.client;
     if entry.phase() == EntryPhase::Learning {
         return failure_response(ForwardFailure::NoTable, Some(Duration::from_millis(200)));
     }
@@ -242,28 +238,17 @@
     };
     let is_relayed = relayed.is_some();
     let deadline = body_deadline(entry, &host, parts.uri.path(), arrived_at, time_left);
-    let memory = &entry.callers.memory;
-    let mut memory = memory.hold(MemoryUse::Request, client.eviction.clone());
-    let head_bytes = HEAD_COPIES * head_size(&parts);
-    let reading = async {
-        let resized = memory.resize(head_bytes).await;
-        resized.map_err(|MemoryExhausted| BodyError::MemoryExhausted)?;
-        let (max_bytes, memory) = (limits.body_bytes, &mut memory);
-        if is_relayed {
-            let headers = &parts.headers;
-            let reading = AllowanceReader::read_body(headers, body, max_bytes, memory, head_bytes);
-            let (body, reader) = reading.await?;
-            return Ok((body, Some(reader)));
-        }
-        let body = read_body(body, max_bytes, memory, head_bytes).await?;
-        Ok((body, None))
-    };
-    let (body, allowance_reader) = match read_before(deadline, &client.eviction, reading).await {
+    let received = receive_body(entry, &parts, body, &origin, is_relayed);
+    let received = match read_before(deadline, &client.eviction, received).await {
         Ok(received) => received,
         Err(error) => return body_error_response(error, limits.body_bytes),
     };
+    let ReceivedBody {
+        body,
+        allowance_reader,
+        memory,
+    } = received;
     let work = client.begin_work();
-    memory.end_wait();
     if allowance_reader.is_some() && body.is_empty() {
         // The content length counted only the digit of the attempt allowance, which
         // follows the empty body.
@@ -320,13 +305,12 @@
     entry.step(ForwardInput::Call(ForwardCall { tag, ..call }));
     if let Some(reader) = allowance_reader {
         let allowance = reader.receive_allowance(entry.clone(), tag);
-        let client = client.clone();
         tokio::task::spawn_local(async move {
             allowance.await;
             // The allowance may arrive after the answer. Its bytes belong to this
             // request, not to the next one.
-            arrival.end_request();
-            client.end_late_body();
+            origin.arrival_mark.end_request();
+            origin.client.end_late_body();
         });
     }
     let answer = receiver.await;
@@ -350,6 +334,46 @@
     }
 }
 
+/// A body that was received, and the memory that its request takes.
+struct ReceivedBody {
+    body: Bytes,
+    /// Reads what may follow the body of a relayed request.
+    allowance_reader: Option<AllowanceReader>,
+    memory: MemoryReservation,
+}
+
+/// Receives the body of a request, within the memory for requests.
+async fn receive_body<D: ForwardDialect>(
+    entry: &ForwardDriver<D>,
+    parts: &Parts,
+    body: Incoming,
+    origin: &RequestOrigin,
+    is_relayed: bool,
+) -> Result<ReceivedBody, BodyError> {
+    let eviction = origin.client.eviction.clone();
+    let mut memory = entry.callers.memory.hold(MemoryUse::Request, eviction);
+    let head_bytes = HEAD_COPIES * head_size(parts);
+    let resized = memory.resize(head_bytes).await;
+    resized.map_err(|MemoryExhausted| BodyError::MemoryExhausted)?;
+    let max_bytes = origin.limits.body_bytes;
+    let mut allowance_reader = None;
+    let body = if is_relayed {
+        let headers = &parts.headers;
+        let reading = AllowanceReader::read_body(headers, body, max_bytes, &mut memory, head_bytes);
+        let (body, reader) = reading.await?;
+        allowance_reader = Some(reader);
+        body
+    } else {
+        read_body(body, max_bytes, &mut memory, head_bytes).await?
+    };
+    memory.end_wait();
+    Ok(ReceivedBody {
+        body,
+        allowance_reader,
+        memory,
+    })
+}
+
 /// Returns when the time limit of a request passes, which makes the rest of its body useless:
 /// that of its route, or the caller's if that is earlier.
 fn body_deadline<D: ForwardDialect>(
@@ -425,96 +449,6 @@
     )?))
 }
 
-/// Converts an answer of the machine to an HTTP response.
-fn render_answer<D: ForwardDialect>(answer: ForwardAnswer, id: &str) -> FullResponse {
-    match answer {
-        ForwardAnswer::Server(answer) => server_response(*answer),
-        ForwardAnswer::Gathered {
-            stamps,
-            shards,
-            missing,
-            top,
-            body,
-        } => {
-            let mut response = Response::builder()
-                .status(StatusCode::OK)
-                .header(D::HEADERS.request, id)
-                .header(D::HEADERS.parts, stamps.join(LIST_SEPARATOR))
-                .header(D::HEADERS.missing, missing);
-            if !shards.is_empty() {
-                response = response
-                    .header(SHARDS_HEADER, shards.join(LIST_SEPARATOR))
-                    .header(TOP_HEADER, top);
-            }
-            let response = response.body(Full::new(Bytes::from(body)));
-            response.unwrap_or_else(|_| failure_response(ForwardFailure::Failed, None))
-        }
-        ForwardAnswer::Failure {
-            failure,
-            retry_after,
-        } => failure_response(failure, retry_after),
-    }
-}
-
-/// Converts the answer of a single server to an HTTP response.
-fn server_response(answer: ServerAnswer) -> FullResponse {
-    let mut response = Response::builder().status(answer.status);
-    for (name, value) in &answer.headers {
-        response = response.header(&**name, &**value);
-    }
-    let response = response.body(Full::new(answer.body));
-    response.unwrap_or_else(|_| failure_response(ForwardFailure::Failed, None))
-}
-
-/// Returns the HTTP status for a failure. Only a failure for which
-/// [`ForwardFailure::is_known_unrun`] holds has status 429 or 503, because a caller repeats a
-/// request after these even if the request must not run twice.
-pub fn failure_status(failure: ForwardFailure) -> StatusCode {
-    match failure {
-        ForwardFailure::NoRoute => StatusCode::NOT_FOUND,
-        ForwardFailure::NoKey | ForwardFailure::KeyRevoked => StatusCode::UNAUTHORIZED,
-        ForwardFailure::CapReached => StatusCode::TOO_MANY_REQUESTS,
-        ForwardFailure::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-        ForwardFailure::Failed | ForwardFailure::ServersCrashed => StatusCode::BAD_GATEWAY,
-        ForwardFailure::NoTable
-        | ForwardFailure::NoServer
-        | ForwardFailure::Overload
-        | ForwardFailure::RejectedByServers
-        | ForwardFailure::TimedOutUnrun
-        | ForwardFailure::Quarantined
-        | ForwardFailure::AwaitingCanary
-        | ForwardFailure::CapUnknown
-        | ForwardFailure::OverShare => StatusCode::SERVICE_UNAVAILABLE,
-    }
-}
-
-/// Returns the response for a request that failed without a server's answer.
-fn failure_response(failure: ForwardFailure, retry_after: Option<Duration>) -> FullResponse {
-    let status = failure_status(failure);
-    let mut response = typed_response(status, TEXT_CONTENT_TYPE, failure.label());
-    if let Some(after) = retry_after {
-        set_retry_after(&mut response, after);
-    }
-    response
-}
-
-/// Returns the response to an entry whose relayed request was refused as suspect,
-/// because servers crashed under it. The response carries the record of the crashes, so
-/// that the other entry does not send the request to servers itself.
-fn suspect_refusal_response<D: ForwardDialect>(
-    entry: &ForwardDriver<D>,
-    failure: ForwardFailure,
-    fingerprint: RequestFingerprint,
-) -> FullResponse {
-    let mut response = failure_response(failure, None);
-    let record = entry.with_machine(|machine| machine.suspect_record(fingerprint).cloned());
-    let record = record.unwrap_or_else(|| SuspectRecord::new(fingerprint));
-    if let Some(value) = render_suspect(&record) {
-        response.headers_mut().insert(SUSPECT_HEADER, value);
-    }
-    response
-}
-
 /// Answers the load balancer's health checks until the process ends: 200 while the entry
 /// serves requests, 503 before and during the shutdown.
 pub async fn serve_health_checks<D: ForwardDialect>(
--- a/crates/node/src/process/forward/mod.rs
+++ b/crates/node/src/process/forward/mod.rs
@@ -4,6 +4,7 @@
 //! connections share one thread, so that a subquery costs one write, one read and
 //! no hand-over between threads. `docs/design/platform.md` gives the figures.
 
+pub mod caller_answer;
 pub mod callers;
 pub mod cap_gate;
 pub mod entry;
--- a/crates/node/tests/unrun_statuses.rs
+++ b/crates/node/tests/unrun_statuses.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use wheelmast_core::process::forward::answer::ForwardFailure;
-use wheelmast_node::process::forward::callers::failure_status;
+use wheelmast_node::process::forward::caller_answer::failure_status;
 
 use crate::support::entry::{read_request_id, request_from, LocalEntry};
 use crate::support::run_local_test;
