--- a/crates/node/tests/attempt_time.rs
+++ b/crates/node/tests/attempt_time.rs
@@ -5,20 +5,20 @@
 //! when the deciding thread computed the time left and another thread wrote it later,
 //! once it had a connection. `held_up/` tests the same for forwarded requests.
 
+mod support;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use wheelmast_core::arena::{KeyArena, ServerKey, SlotArena};
 use wheelmast_core::prelude::*;
-use wheelmast_core::process::input::RequestBody;
-use wheelmast_core::request::identity::{AttemptId, RequestId};
-use wheelmast_core::version::snapshot::SnapshotId;
 use wheelmast_node::connection::attempt::run_attempt;
 use wheelmast_node::connection::pool::ConnectionPool;
 use wheelmast_node::process::clock::ProcessClock;
 
+use crate::support::order::build_order;
+
 /// Time left when the decision to send is made.
 const TIME_LEFT: Duration = Duration::from_millis(1500);
 
@@ -41,35 +41,6 @@
     (address, requests)
 }
 
-/// Returns an order to send a subquery to `address`.
-fn build_order(address: SocketAddr, deadline: Duration) -> SendOrder {
-    let request_id = RequestId {
-        incarnation: 1,
-        sequence: 1,
-    };
-    SendOrder {
-        attempt: SlotArena::<()>::default().insert(()),
-        id: AttemptId {
-            incarnation: 1,
-            sequence: 1,
-        },
-        request: request_id,
-        server: KeyArena::<ServerKey, ()>::default().push(()),
-        address,
-        shard: 1,
-        snapshot: SnapshotId {
-            epoch: 1,
-            version: 1,
-        },
-        deadline,
-        body: Arc::new(RequestBody {
-            kind: RequestKind::Query,
-            key: None,
-            payload: b"{}".to_vec().into_boxed_slice(),
-        }),
-    }
-}
-
 /// A time between decision and write, and whether the subquery is expected to be sent.
 struct WaitCase {
     name: &'static str,
