--- a/crates/node/src/connection/http.rs
+++ b/crates/node/src/connection/http.rs
@@ -91,8 +91,8 @@
     drive_connection(connection, state, state.wait_disconnect(|| limits.timeouts)).await;
 }
 
-/// Runs `connection` until it ends, or until shortly after `disconnect` is ready. Returns whether
-/// the connection ended by itself.
+/// Runs `connection` until it ends, or until `disconnect` is ready. A request whose body is not
+/// complete then gets a short time for its refusal.
 ///
 /// An error, such as a malformed request, affects only this connection.
 pub async fn drive_connection<C: Future>(
